--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,16 @@
+// Benchlink runs the decision module on the simulator's wire, over standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"birchstair/internal/benchwire"
+)
+
+func main() {
+	if err := benchwire.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,1049 @@
+// Package policy decides for one node which executor gets which batch job, and when.
+//
+// How it is called: the front tells what it sees (Listed, Arrived, Started, Progressed, Left) and asks
+// three things: Place (where to send this batch job, or not yet, or never), Ended (what to do after this
+// outcome) and Wait (how long to wait, or what has fallen due). Plain values come back; their types, the
+// interface's other half, stand in types.go. All times are spans since the instance's start.
+//
+// The design decides the ordinary path: batch jobs are held until an executor has a free token under its
+// quota, they take the oldest free token of their slice, and quotas move by single steps. Beside it stand
+// six mechanisms, each the answer to a way in which that breaks:
+//  1. cold cap: a fresh executor has a cap in flight that grows with its answers, and a budget of work.
+//  2. hold-back: errors, breaks and silence hold an executor's tokens back; it returns under a cap of one.
+//  3. ghosts: a batch job that we stopped waiting for keeps its token until its work would be over.
+//  4. pace: a token is passed over where the executor's seen pace can't meet the quoted time.
+//  5. move: an allocation that does not start, or crawls, is stopped and sent elsewhere where rule 2 allows.
+//  6. early pushback: a batch job that can earn nothing more gets its final answer at once.
+package policy
+
+import (
+	"cmp"
+	"container/heap"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"slices"
+	"time"
+)
+
+// The matters that the design leaves open, as plain ratios.
+const (
+	theta       = 0.3             // worker-side share of queuing above which the executor's queue is to blame
+	slackTarget = 0.5             // slowdown target: this part of the slack in the quoted time spent queuing
+	firstQuota  = 2               // the design's start
+	quotaCap    = 8               // the design's finite cap
+	interval    = 1 * time.Second // the design's interval
+	fade        = 0.85            // weight that an older observation keeps when a new one comes
+	maxStrikes  = 3.0             // hold-back doubles up to 2^3 mean running times
+	forgive     = 0.25            // part of a strike that one handled batch job takes back
+	crawl       = 2.0             // times the usual pace from which an executor counts as crawling
+	hintMargin  = 1.25            // hints are rough: what the cold budget adds to them
+)
+
+// track holds a track's derived figures and running averages.
+type track struct {
+	repeat       Repeat
+	group        Group
+	groupWindow  time.Duration
+	quoted       time.Duration
+	outerLimit   time.Duration
+	stretch      float64
+	earnings     float64
+	late         float64
+	kind         KindID
+	fullBudget   time.Duration // largest budget seen: that of a batch job's first try
+	meanWork     time.Duration // running average, as time on a standard core
+	asked, given float64       // earnings asked for and handled in quoted time, fading
+	unit         float64       // mean earnings of one batch job
+}
+
+// tenant holds a tenant's quota and how fast it is asking at this node.
+type tenant struct {
+	perS float64 // this node's part of the quota
+	rate float64
+	came int
+}
+
+// kind holds what warm executors of one kind were seen to take.
+type kind struct {
+	pace     float64 // running time for each unit of work
+	parallel int     // most batch jobs of ours running at once
+}
+
+// executor is what this node knows of one executor.
+type executor struct {
+	id        ExecutorID
+	zone      ZoneID
+	kind      KindID
+	cell      CellID
+	up        bool
+	listed    int // the list that named it last
+	started   time.Duration
+	coldUntil time.Duration
+
+	quota  int
+	free   []time.Duration // since when each free token is free, oldest first
+	taken  int             // tokens taken by allocations out and by ghosts
+	out    []*job          // allocations out
+	inCap  int             // cap in flight that grows with answers; 0 for none
+	colds  []spend         // work sent while cold, within the window
+	strike float64
+	held   time.Duration // tokens are held back until then
+	news   time.Duration // last sign of life
+
+	runs, works  float64 // running time seen and work done, fading
+	startWait    time.Duration
+	workerWait   time.Duration // this interval's queuing at the executor and here
+	ourWait      time.Duration
+	slow, dry    bool // this interval: slowdown over target; no free token left
+	fullFrom     TenantID
+	fullMany     bool
+	startedOther bool
+}
+
+type spend struct {
+	at   time.Duration
+	work time.Duration
+}
+
+// job is a batch job in hand.
+type job struct {
+	id       JobID
+	track    *track
+	tenant   *tenant
+	tenantID TenantID
+	work     time.Duration
+	hinted   bool
+	came     time.Duration
+	quotedAt time.Duration
+	limitAt  time.Duration
+	heldAt   time.Duration // since when it is held
+	isHeld   bool
+	over     bool // the client has its answer or has left
+
+	on        *executor // nil while no allocation is out
+	sent      int
+	sentAt    time.Duration
+	startedAt time.Duration
+	running   bool
+	share     float64
+	shareAt   time.Duration
+	stopping  bool
+	mayHave   bool // an earlier allocation may have run
+	firstRan  time.Duration
+	ranZone   ZoneID
+	ranCell   CellID
+	turn      int // guards due times that are no longer wanted
+}
+
+type dueItem struct {
+	at    time.Duration
+	order int
+	turn  int
+	job   *job
+	ghost *executor
+}
+
+type dueHeap []dueItem
+
+func (h dueHeap) Len() int { return len(h) }
+func (h dueHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h dueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)   { *h = append(*h, x.(dueItem)) }
+func (h *dueHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// Dispatcher is one node's decisions.
+type Dispatcher struct {
+	seed, count uint32
+	zone        ZoneID
+	tracks      []track
+	tenants     []tenant
+	kinds       map[KindID]*kind
+	executors   []*executor
+	byID        map[ExecutorID]*executor
+	jobs        map[JobID]*job
+	held        []*job
+	due         dueHeap
+	order       int
+	tick        time.Duration
+	lists       int
+	waited      bool // batch jobs were held in this interval
+	freed       bool // a token has come free since the last look
+	notes       []string
+
+	perWork         bool
+	overage         float64
+	crossPrice      float64
+	wholeWeight     float64
+	trackWeight     float64
+	worst           *track
+	meanEarnings    float64
+	perEarned       float64 // mean earnings for each unit of work
+	maxAllocations  int
+	mayCancel       bool
+	comeBack        time.Duration
+	quantum         time.Duration
+	tellsStart      bool
+	mustAsk         bool
+	subscribed      bool
+	asking          bool
+	askAt           time.Duration
+	askEvery        time.Duration
+	coldShare       float64
+	warmWithin      time.Duration
+	coldWork        float64 // this node's part of the cold budget, for each unit of capacity
+	fallWindow      time.Duration
+	holdBase        time.Duration
+	someRepeatable  bool
+	shortestQuoted  time.Duration
+	longestProgress time.Duration
+}
+
+// New turns settings into the figures that decisions use.
+func New(s Settings) (*Dispatcher, error) {
+	switch {
+	case s.Nodes < 1:
+		return nil, errors.New("settings: fewer than one node")
+	case len(s.Tracks) == 0:
+		return nil, errors.New("settings: no tracks")
+	case s.MaxAllocations < 1:
+		return nil, errors.New("settings: no allocation allowed")
+	case s.ColdShare < 0 || s.ColdShare > 1:
+		return nil, errors.New("settings: the cold share is not between 0 and 1")
+	}
+	d := &Dispatcher{
+		seed: s.Seed, zone: s.Zone, kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{},
+		jobs: map[JobID]*job{}, perWork: s.EarnPerWork, overage: s.OverageEarnings,
+		crossPrice: s.CrossZonePrice, wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
+		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
+		quantum: max(s.Quantum, time.Millisecond), tellsStart: s.TellsStart, mustAsk: s.MustAsk,
+		askEvery: s.AskWithin / 8, coldShare: s.ColdShare, warmWithin: s.WarmWithin,
+		fallWindow: s.FallWindow, tick: interval, longestProgress: s.ProgressEvery,
+	}
+	d.coldWork = s.FallMultiple * s.FallWindow.Seconds() / float64(s.Nodes)
+	for i, t := range s.Tracks {
+		if t.OuterLimit <= 0 || t.Quoted <= 0 {
+			return nil, fmt.Errorf("settings: track %d has no quoted time or no outer limit", i)
+		}
+		d.tracks = append(d.tracks, track{repeat: t.Repeat, group: t.Group, groupWindow: t.GroupWindow,
+			quoted: t.Quoted, outerLimit: t.OuterLimit, stretch: t.Stretch, earnings: t.Earnings,
+			late: t.LateEarnings, kind: t.Kind, meanWork: t.Quoted, unit: t.Earnings})
+		d.someRepeatable = d.someRepeatable || t.Repeat == Repeatable
+		if d.shortestQuoted == 0 || t.Quoted < d.shortestQuoted {
+			d.shortestQuoted = t.Quoted
+		}
+	}
+	for _, t := range s.Tenant {
+		d.tenants = append(d.tenants, tenant{perS: t.QuotaPerS / float64(s.Nodes)})
+	}
+	return d, nil
+}
+
+// chance is a number from 0 to 1 drawn from the seed and a counter.
+func (d *Dispatcher) chance() float64 {
+	var b [8]byte
+	d.count++
+	binary.LittleEndian.PutUint32(b[:4], d.seed)
+	binary.LittleEndian.PutUint32(b[4:], d.count)
+	return float64(crc32.ChecksumIEEE(b[:])) / math.MaxUint32
+}
+
+func (d *Dispatcher) at(at time.Duration, j *job, ghost *executor) {
+	d.order++
+	it := dueItem{at: at, order: d.order, job: j, ghost: ghost}
+	if j != nil {
+		it.turn = j.turn
+	}
+	heap.Push(&d.due, it)
+}
+
+func times(t time.Duration, f float64) time.Duration { return time.Duration(float64(t) * f) }
+
+// ---- The list ----
+
+// Listed tells what discovery brought.
+func (d *Dispatcher) Listed(now time.Duration, what ListKind, entries []Entry) {
+	d.asking = false
+	if what == Lost {
+		// Calls load a service that all nodes share: ask again after a spell that differs by node.
+		d.subscribed = false
+		d.askAt = now + times(d.askEvery, 0.5+d.chance())
+		return
+	}
+	if what != WarmCopy {
+		d.subscribed = true
+	}
+	d.lists++
+	for _, n := range entries {
+		d.listed(now, n)
+	}
+	if what != Changes {
+		for _, e := range d.executors {
+			if e.listed != d.lists {
+				e.up = false
+			}
+		}
+	}
+	d.freed = true
+}
+
+func (d *Dispatcher) listed(now time.Duration, n Entry) {
+	e := d.byID[n.Executor]
+	fresh := e == nil
+	if fresh {
+		e = &executor{id: n.Executor, started: n.Started, news: now}
+		d.byID[n.Executor] = e
+		d.executors = append(d.executors, e)
+		d.grant(e, now, d.meanQuota(n))
+		if d.kinds[n.Kind] == nil {
+			d.kinds[n.Kind] = &kind{pace: 1, parallel: 1}
+		}
+	}
+	restarted := !n.LongAgo && (fresh || n.Started > e.started)
+	e.zone, e.kind, e.cell, e.up, e.listed = n.Zone, n.Kind, n.Cell, n.State == Up, d.lists
+	if restarted {
+		e.started = n.Started
+		if until := n.Started + d.warmWithin; until > now {
+			// A fresh executor can do part of its work only, and what we knew of it no longer holds.
+			e.coldUntil, e.inCap, e.strike, e.held, e.colds = until, 1, 0, 0, e.colds[:0]
+			e.startWait = 0
+		}
+	}
+}
+
+// meanQuota is what a new executor starts with: its slice's mean, or the design's start.
+func (d *Dispatcher) meanQuota(n Entry) int {
+	sum, count := 0, 0
+	for _, e := range d.executors {
+		if e.up && e.kind == n.Kind && e.quota > 0 {
+			sum += e.quota
+			count++
+		}
+	}
+	if count == 0 {
+		return firstQuota
+	}
+	return max(1, (sum+count/2)/count)
+}
+
+// grant gives an executor its first tokens, their ages strewn so that nodes don't start on the same one.
+func (d *Dispatcher) grant(e *executor, now time.Duration, quota int) {
+	e.quota = quota
+	for range quota {
+		e.free = append(e.free, now-times(interval, d.chance()))
+	}
+	slices.Sort(e.free)
+}
+
+// ---- Tokens ----
+
+func (d *Dispatcher) release(e *executor, now time.Duration) {
+	e.taken--
+	if e.taken+len(e.free) < e.quota {
+		e.free = append(e.free, now)
+	}
+	d.freed = true
+}
+
+func (d *Dispatcher) step(e *executor, by int, now time.Duration) {
+	e.quota += by
+	if by > 0 {
+		if e.taken+len(e.free) < e.quota {
+			e.free = append(e.free, now)
+			d.freed = true
+		}
+	} else if e.taken+len(e.free) > e.quota && len(e.free) > 0 {
+		e.free = e.free[:len(e.free)-1]
+	}
+}
+
+// pace is the running time that e needs for a unit of work: what was seen, and what running batch jobs that
+// are over their time already show (guards against executors slowed or stalled since their last answer).
+func (d *Dispatcher) pace(e *executor, now time.Duration) float64 {
+	k := d.kinds[e.kind]
+	runs, works := e.runs+k.pace, e.works+1
+	for _, j := range e.out {
+		if !j.running {
+			continue
+		}
+		ran := now - j.startedAt
+		if j.share > 0.02 {
+			ran = max(times(j.shareAt-j.startedAt, 1/j.share), ran)
+		}
+		if w := j.work.Seconds(); ran.Seconds() > w*runs/works {
+			runs += ran.Seconds()
+			works += w
+		}
+	}
+	return runs / works
+}
+
+// usable says whether e takes anything new at all, free token or not.
+func (d *Dispatcher) usable(e *executor, now time.Duration) bool {
+	return e.up && e.held <= now
+}
+
+// open says whether e may take this batch job now: a free token, the cap in flight, rule 2 and rule 4.
+func (d *Dispatcher) open(e *executor, j *job, now time.Duration) bool {
+	if len(e.free) == 0 || !d.usable(e, now) || !d.fits(e, j, now) {
+		return false
+	}
+	if e.inCap > 0 && e.taken >= e.inCap {
+		return false
+	}
+	// An executor back from trouble is tried with what may be repeated.
+	if e.strike > 0.5 && e.inCap > 0 && j.track.repeat != Repeatable && d.someRepeatable {
+		return false
+	}
+	return now >= e.coldUntil || d.withinCold(e, j, now)
+}
+
+// fits says whether e is of the bound kind and, after an allocation that may have run, in the dedup group.
+func (d *Dispatcher) fits(e *executor, j *job, now time.Duration) bool {
+	if j.track.kind != AnyKind && j.track.kind != e.kind {
+		return false
+	}
+	if !j.mayHave || j.track.repeat == Repeatable {
+		return true
+	}
+	if j.track.repeat == OnceOnly || now >= j.firstRan+j.track.groupWindow-d.quantum {
+		return false
+	}
+	switch j.track.group {
+	case GroupZone:
+		return e.zone == j.ranZone
+	case GroupCell:
+		return e.cell == j.ranCell
+	}
+	return true
+}
+
+// withinCold is rule 4: this node's part of the budget of work for a cold executor, judged by what warm
+// executors of its kind take and the least it can do at its age.
+func (d *Dispatcher) withinCold(e *executor, j *job, now time.Duration) bool {
+	k := d.kinds[e.kind]
+	age := float64(now-e.started) / float64(d.warmWithin)
+	part := d.coldShare + (1-d.coldShare)*min(1, max(0, age))
+	budget := d.coldWork * part * float64(k.parallel) / k.pace
+	keep := e.colds[:0]
+	spent := 0.0
+	for _, s := range e.colds {
+		if s.at+d.fallWindow > now {
+			keep = append(keep, s)
+			spent += s.work.Seconds()
+		}
+	}
+	e.colds = keep
+	return spent+hintMargin*j.work.Seconds() <= budget
+}
+
+// ---- Batch jobs ----
+
+// Arrived tells of a batch job that this node has taken. A work of 0 means that no hint came.
+func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID, work, budget time.Duration) {
+	t := &d.tracks[min(max(0, int(tr)), len(d.tracks)-1)]
+	j := &job{id: id, track: t, work: work, hinted: work > 0, came: now, limitAt: now + budget, tenantID: te}
+	if !j.hinted {
+		j.work = t.meanWork
+	} else {
+		t.meanWork = times(t.meanWork, fade) + times(work, 1-fade)
+	}
+	if te >= 0 && int(te) < len(d.tenants) {
+		j.tenant = &d.tenants[te]
+		j.tenant.came++
+	}
+	// A try with less than the full budget is a repeat: its quoted time began with the first try.
+	t.fullBudget = max(t.fullBudget, budget)
+	spent := time.Duration(0)
+	if budget < t.fullBudget-d.quantum {
+		spent = max(0, t.outerLimit-budget)
+	}
+	j.quotedAt = now - spent + min(t.quoted+times(j.work, t.stretch), t.outerLimit)
+	e := d.earnings(j)
+	t.unit = t.unit*fade + e*(1-fade)
+	slow := 1 - (1-fade)/4
+	if d.meanEarnings == 0 {
+		d.meanEarnings, d.perEarned = e, e/j.work.Seconds()
+	}
+	d.meanEarnings = d.meanEarnings*slow + e*(1-slow)
+	d.perEarned = d.perEarned*slow + e/j.work.Seconds()*(1-slow)
+	if spent == 0 {
+		t.asked += e
+	}
+	d.jobs[id] = j
+	d.hold(j, now)
+	d.at(now, j, nil)
+	d.freed = true
+}
+
+func (d *Dispatcher) hold(j *job, now time.Duration) {
+	if !j.isHeld {
+		j.isHeld, j.heldAt = true, now
+		d.held = append(d.held, j)
+	}
+}
+
+func (d *Dispatcher) earnings(j *job) float64 {
+	if d.perWork {
+		return j.track.earnings * j.work.Seconds()
+	}
+	return j.track.earnings
+}
+
+// value is what handling j in its quoted time adds to the operators' measure, in mean batch jobs: its part
+// of all earnings, and, in the worst-served track, its part of that track's.
+func (d *Dispatcher) value(j *job) float64 {
+	e := d.earnings(j)
+	v := d.wholeWeight * e / d.meanEarnings
+	if j.track == d.worst {
+		asked := 0.0
+		for i := range d.tracks {
+			asked += d.tracks[i].asked / max(d.tracks[i].unit, 1e-9)
+		}
+		part := j.track.asked / max(j.track.unit, 1e-9) / max(asked, 1e-9)
+		v += d.trackWeight * e / max(j.track.unit, 1e-9) / max(part, 0.05)
+	}
+	if t := j.tenant; t != nil && t.rate > t.perS && t.perS > 0 {
+		v *= d.overage + (1-d.overage)*t.perS/t.rate
+	}
+	return v
+}
+
+// patience is how long j waits for its own zone before another zone's tokens open to it: the part of its
+// slack that the price of crossing is of its value. Below its price it never crosses.
+func (d *Dispatcher) patience(j *job) time.Duration {
+	if d.crossPrice == 0 {
+		return 0
+	}
+	part := d.crossPrice / max(d.value(j), 1e-9)
+	if part >= 1 {
+		return math.MaxInt64 / 4
+	}
+	return times(max(0, j.quotedAt-j.heldAt-j.work), part)
+}
+
+// pick finds the executor with the oldest free token that j may take now. A token is passed over where the
+// executor's pace can't answer in time, unless the batch job is late anyway.
+func (d *Dispatcher) pick(j *job, now time.Duration, not *executor) *executor {
+	late := j.quotedAt < now+j.work/2
+	cross := now-j.heldAt >= d.patience(j)
+	home := false
+	var best *executor
+	for _, e := range d.executors {
+		if !home && e.zone == d.zone && d.usable(e, now) && d.fits(e, j, now) {
+			home = true
+		}
+		if e == not || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(d.abroad(e), d.abroad(best)), cmp.Compare(e.free[0], best.free[0])) < 0 {
+			best = e
+		}
+	}
+	if best != nil && d.abroad(best) > 0 && home && !cross {
+		return nil
+	}
+	return best
+}
+
+func (d *Dispatcher) abroad(e *executor) int {
+	if d.crossPrice > 0 && e.zone != d.zone {
+		return 1
+	}
+	return 0
+}
+
+func (d *Dispatcher) inTime(e *executor, j *job, now time.Duration) bool {
+	return now+e.startWait+times(j.work, d.pace(e, now)) <= j.quotedAt
+}
+
+// Place says where to send a batch job, or not yet, or never.
+func (d *Dispatcher) Place(now time.Duration, id JobID) Decision {
+	j := d.jobs[id]
+	if j == nil || j.over || j.on != nil {
+		return Decision{}
+	}
+	d.hold(j, now)
+	if now >= j.limitAt-d.quantum {
+		return d.giveUp(j)
+	}
+	if j.sent >= d.maxAllocations || (j.mayHave && !d.mayRepeat(j, now)) {
+		return d.giveUp(j)
+	}
+	best := math.Inf(1)
+	for _, e := range d.executors {
+		if e.up && d.fits(e, j, now) {
+			best = min(best, d.pace(e, now))
+		}
+	}
+	if math.IsInf(best, 1) {
+		best = 1
+	}
+	lastStart := j.quotedAt - times(j.work, best)
+	if j.track.late > 0 {
+		lastStart = j.limitAt - times(j.work, best)
+	}
+	if now > lastStart && d.mayPushBack(j) {
+		return d.giveUp(j)
+	}
+	if e := d.pick(j, now, nil); e != nil {
+		return d.send(j, e, now)
+	}
+	d.waited = true
+	next := min(max(lastStart, now)+d.quantum, j.limitAt-d.quantum)
+	if open := j.heldAt + d.patience(j); open > now {
+		next = min(next, open)
+	}
+	j.turn++
+	d.at(max(next, now+d.quantum), j, nil)
+	return Decision{Act: Hold}
+}
+
+// mayRepeat is rule 2 for a further allocation.
+func (d *Dispatcher) mayRepeat(j *job, now time.Duration) bool {
+	switch j.track.repeat {
+	case Repeatable:
+		return true
+	case OnceOnly:
+		return !j.mayHave
+	}
+	return !j.mayHave || now < j.firstRan+j.track.groupWindow-d.quantum
+}
+
+// mayPushBack is rule 2 for a pushback.
+func (d *Dispatcher) mayPushBack(j *job) bool {
+	return !j.mayHave || j.track.repeat == Repeatable || j.track.repeat == Tagged && j.track.group == GroupAll
+}
+
+func (d *Dispatcher) giveUp(j *job) Decision {
+	d.forget(j)
+	if d.mayPushBack(j) {
+		return Decision{Act: PushBack, ComeBack: d.comeBack}
+	}
+	return Decision{Act: BreakOff}
+}
+
+func (d *Dispatcher) unhold(j *job) {
+	if j.isHeld {
+		j.isHeld = false
+		i := slices.Index(d.held, j)
+		d.held = slices.Delete(d.held, i, i+1)
+	}
+}
+
+func (d *Dispatcher) forget(j *job) {
+	d.unhold(j)
+	j.over = true
+	j.turn++
+	delete(d.jobs, j.id)
+}
+
+func (d *Dispatcher) send(j *job, e *executor, now time.Duration) Decision {
+	wait := now - j.heldAt
+	d.unhold(j)
+	e.ourWait += wait
+	e.free = e.free[1:]
+	e.taken++
+	e.dry = e.dry || len(e.free) == 0
+	if len(e.out) == 0 {
+		e.news = now
+	}
+	e.out = append(e.out, j)
+	if now < e.coldUntil {
+		e.colds = append(e.colds, spend{now, times(j.work, hintMargin)})
+	}
+	j.on, j.sentAt, j.running, j.share, j.stopping = e, now, false, 0, false
+	j.sent++
+	j.turn++
+	d.at(now+d.lookAfter(j, e), j, nil)
+	allow := time.Duration(0)
+	if !d.mayCancel && d.mayRepeat(j, now) && j.track.repeat == Repeatable {
+		allow = 3*times(j.work, d.pace(e, now)) + j.track.quoted
+	}
+	return Decision{Act: Send, Executor: e.id, AllowFor: allow}
+}
+
+// lookAfter is when an allocation that is out gets its next look.
+func (d *Dispatcher) lookAfter(j *job, e *executor) time.Duration {
+	return max(d.shortestQuoted/4, 2*e.startWait, d.quantum)
+}
+
+// ---- News of allocations ----
+
+// Started tells that an executor has begun on an allocation.
+func (d *Dispatcher) Started(now time.Duration, id JobID, n AllocationID) {
+	j := d.jobs[id]
+	if j == nil || j.on == nil || int(n) != j.sent-1 || j.running {
+		return
+	}
+	e := j.on
+	j.running, j.startedAt, j.shareAt = true, now, now
+	e.news = now
+	d.queued(e, j, now-j.sentAt)
+	running := 0
+	for _, o := range e.out {
+		if o.running {
+			running++
+		}
+	}
+	if k := d.kinds[e.kind]; now >= e.coldUntil {
+		k.parallel = max(k.parallel, running)
+	}
+	e.startedOther = e.startedOther || j.tenantID != e.fullFrom
+}
+
+// queued books an allocation's wait at the executor.
+func (d *Dispatcher) queued(e *executor, j *job, wait time.Duration) {
+	wait = max(0, wait-d.quantum)
+	e.startWait = times(e.startWait, fade) + times(wait, 1-fade)
+	e.workerWait += wait
+	slack := j.quotedAt - j.came - j.work
+	if j.sentAt-j.heldAt+wait > times(slack, slackTarget) {
+		e.slow = true
+	}
+}
+
+// Progressed tells how much of an allocation is done.
+func (d *Dispatcher) Progressed(now time.Duration, id JobID, n AllocationID, share float64) {
+	j := d.jobs[id]
+	if j == nil || j.on == nil || int(n) != j.sent-1 {
+		return
+	}
+	j.on.news = now
+	j.share, j.shareAt = share, now
+}
+
+// Left tells that the client has gone: nothing more is owed.
+func (d *Dispatcher) Left(now time.Duration, id JobID) {
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	if j.on == nil {
+		d.forget(j)
+		return
+	}
+	j.over = true
+	j.turn++
+	d.at(now, j, nil)
+}
+
+// Ended says what to do after an allocation's outcome. Final: the batch job is over by it or before it.
+func (d *Dispatcher) Ended(now time.Duration, id JobID, n AllocationID, how Outcome, final bool) Decision {
+	j := d.jobs[id]
+	if j == nil || j.on == nil || int(n) != j.sent-1 {
+		return Decision{}
+	}
+	d.settle(j, how, now)
+	if final || j.over {
+		d.forget(j)
+		return Decision{}
+	}
+	if how != NoRoom && how != NoRoute && how != NotSent && !j.mayHave {
+		j.mayHave, j.firstRan, j.ranZone, j.ranCell = true, j.sentAt, j.on.zone, j.on.cell
+	}
+	j.on = nil
+	j.turn++
+	return d.Place(now, id)
+}
+
+// settle draws from an outcome what it says of the executor, and frees the token now or later.
+func (d *Dispatcher) settle(j *job, how Outcome, now time.Duration) {
+	e := j.on
+	i := slices.Index(e.out, j)
+	e.out = slices.Delete(e.out, i, i+1)
+	est := times(j.work, d.pace(e, now))
+	switch how {
+	case Handled:
+		e.news = now
+		d.handled(j, e, now)
+		d.release(e, now)
+	case NoRoom:
+		// Full counts as queuing at the executor, unless only one tenant meets it.
+		e.workerWait += est
+		e.slow = true
+		e.fullMany = e.fullMany || e.fullFrom != j.tenantID
+		e.fullFrom = j.tenantID
+		d.ghost(e, now+est)
+	case NotSent:
+		d.release(e, now)
+	case Errored, NoRoute, Cut:
+		d.strike(e, now, "after an outcome that was no answer")
+		d.release(e, now)
+	case TooSlow, CalledOff:
+		// The executor may still be on it: the token stays taken until the work would be over.
+		begun := now
+		if j.running {
+			begun = j.startedAt
+		}
+		d.ghost(e, max(now, begun+est))
+	}
+}
+
+func (d *Dispatcher) ghost(e *executor, until time.Duration) { d.at(until, nil, e) }
+
+func (d *Dispatcher) handled(j *job, e *executor, now time.Duration) {
+	if now <= j.quotedAt {
+		j.track.given += d.earnings(j)
+	}
+	e.strike = max(0, e.strike-forgive)
+	if e.inCap > 0 {
+		if e.inCap++; e.inCap > e.quota {
+			e.inCap = 0
+		}
+	}
+	ran := now - j.startedAt
+	if !j.running {
+		// Without start notices: latency against the track's recent floor.
+		ran = min(now-j.sentAt, times(j.work, d.pace(e, now)))
+		d.queued(e, j, now-j.sentAt-ran)
+	}
+	if !j.hinted {
+		j.track.meanWork = times(j.track.meanWork, 0.95) + times(ran, 0.05)
+	}
+	e.runs = e.runs*fade + ran.Seconds()
+	e.works = e.works*fade + j.work.Seconds()
+	k := d.kinds[e.kind]
+	k.pace += 0.05 * min(1, j.work.Seconds()) * (ran.Seconds()/j.work.Seconds() - k.pace)
+	k.pace = max(k.pace, 0.05)
+}
+
+// strike holds an executor's tokens back: a quick error frees a token at once and would draw more.
+func (d *Dispatcher) strike(e *executor, now time.Duration, why string) {
+	if e.held > now {
+		return
+	}
+	e.strike = min(maxStrikes, e.strike+1)
+	base := d.shortestQuoted
+	for i := range d.tracks {
+		base = max(base, d.tracks[i].meanWork)
+	}
+	hold := times(base, math.Exp2(e.strike-1))
+	e.held, e.inCap = now+hold, 1
+	if e.strike == maxStrikes {
+		d.notes = append(d.notes, fmt.Sprintf("%s held back for %v %s", e.id, hold.Round(time.Millisecond), why))
+	}
+	d.at(e.held, nil, nil)
+}
+
+// ---- The interval ----
+
+func (d *Dispatcher) everyInterval(now time.Duration) {
+	for _, e := range d.executors {
+		for _, j := range e.out {
+			if !j.running && d.tellsStart {
+				e.workerWait += max(0, now-max(j.sentAt, now-interval)-d.quantum)
+			}
+		}
+		if e.fullMany || !e.startedOther {
+			d.adjust(e, now)
+		}
+		d.watchSilence(e, now)
+		e.workerWait, e.ourWait, e.slow, e.dry = 0, 0, false, len(e.free) == 0
+		e.fullFrom, e.fullMany, e.startedOther = -1, false, false
+	}
+	d.waited, d.freed = len(d.held) > 0, true
+	d.worst = nil
+	least := math.Inf(1)
+	for i := range d.tracks {
+		t := &d.tracks[i]
+		t.asked *= 0.95
+		t.given *= 0.95
+		if part := t.given / t.asked; t.asked > 0 && part < least {
+			least, d.worst = part, t
+		}
+	}
+	for i := range d.tenants {
+		t := &d.tenants[i]
+		t.rate = t.rate*0.8 + float64(t.came)/interval.Seconds()*0.2
+		t.came = 0
+	}
+}
+
+// adjust is the design's single step.
+func (d *Dispatcher) adjust(e *executor, now time.Duration) {
+	r := 0.0
+	if sum := e.workerWait + e.ourWait; sum > 0 {
+		r = float64(e.workerWait) / float64(sum)
+	}
+	switch {
+	case e.slow && r > theta && len(d.held) == 0 && e.quota > 1:
+		d.step(e, -1, now)
+	case d.waited && e.dry && r < theta && e.quota < quotaCap:
+		d.step(e, 1, now)
+	}
+}
+
+// watchSilence guards against an executor that takes batch jobs and answers none: no start, progress or
+// outcome for longer than all that is out there should take.
+func (d *Dispatcher) watchSilence(e *executor, now time.Duration) {
+	if len(e.out) == 0 || !e.up {
+		return
+	}
+	longest := time.Duration(0)
+	for _, j := range e.out {
+		longest = max(longest, j.work)
+	}
+	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
+	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted {
+		d.strike(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
+	}
+}
+
+// ---- Due times ----
+
+// Wait says what has fallen due, or until when nothing will.
+func (d *Dispatcher) Wait(now time.Duration) Due {
+	if len(d.notes) > 0 {
+		text := d.notes[0]
+		d.notes = d.notes[1:]
+		return Due{Task: Note, Text: text}
+	}
+	for now >= d.tick {
+		d.tick += interval
+		d.everyInterval(now)
+	}
+	if d.mustAsk && !d.subscribed && !d.asking && now >= d.askAt {
+		d.asking = true
+		return Due{Task: Subscribe}
+	}
+	if due, ok := d.nextHeld(now); ok {
+		return due
+	}
+	for len(d.due) > 0 && d.due[0].at <= now {
+		it := heap.Pop(&d.due).(dueItem)
+		if it.ghost != nil {
+			d.release(it.ghost, now)
+		}
+		if it.job == nil {
+			d.freed = true
+			continue
+		}
+		j := it.job
+		if j.turn != it.turn {
+			continue
+		}
+		if j.on == nil {
+			return Due{Task: PlaceJob, Job: j.id}
+		}
+		if d.look(j, now) {
+			j.stopping = true
+			return Due{Task: StopJob, Job: j.id, Allocation: AllocationID(j.sent - 1)}
+		}
+	}
+	if due, ok := d.nextHeld(now); ok {
+		return due
+	}
+	at := d.tick
+	if len(d.due) > 0 {
+		at = min(at, d.due[0].at)
+	}
+	if d.mustAsk && !d.subscribed && !d.asking {
+		at = min(at, d.askAt)
+	}
+	return Due{At: at}
+}
+
+// nextHeld names a held batch job that a token is open to, once after each change that may have opened one.
+func (d *Dispatcher) nextHeld(now time.Duration) (Due, bool) {
+	if !d.freed {
+		return Due{}, false
+	}
+	if j := d.next(now); j != nil {
+		return Due{Task: PlaceJob, Job: j.id}, true
+	}
+	d.freed = false
+	return Due{}, false
+}
+
+// next is the release order: of the held batch jobs that a free token is open to, the one with the least
+// slack to its quoted time, weighed by what it earns for its work; late ones after all others.
+func (d *Dispatcher) next(now time.Duration) *job {
+	any := false
+	for _, e := range d.executors {
+		any = any || len(e.free) > 0 && d.usable(e, now)
+	}
+	if !any {
+		return nil
+	}
+	var best *job
+	least := math.Inf(1)
+	for _, j := range d.held {
+		slack := (j.quotedAt - now - j.work).Seconds()
+		density := d.value(j) / j.work.Seconds()
+		if slack < 0 {
+			slack = j.track.outerLimit.Seconds()
+			density *= max(j.track.late, 1e-3)
+		}
+		if s := (slack + 0.01) / max(density, 1e-9); s < least && d.pick(j, now, nil) != nil {
+			best, least = j, s
+		}
+	}
+	return best
+}
+
+// look says whether to stop waiting for an allocation: the client has left, it has not started and moving
+// it or giving it up is better, or the executor crawls and another token would answer sooner.
+func (d *Dispatcher) look(j *job, now time.Duration) bool {
+	if j.stopping || !d.mayCancel {
+		return false
+	}
+	e := j.on
+	if j.over {
+		return !j.running
+	}
+	again := d.lookAfter(j, e)
+	d.at(now+again, j, nil)
+	mayMove := j.sent < d.maxAllocations && d.couldMove(j, now)
+	if !j.running && d.tellsStart {
+		if mayMove && d.elsewhere(j, now) != nil {
+			return true
+		}
+		return j.track.late == 0 && now+times(j.work, d.pace(e, now)/2) > j.quotedAt
+	}
+	if !mayMove || !j.running {
+		return false
+	}
+	usual := d.kinds[e.kind].pace
+	if e.held <= now && d.pace(e, now) < crawl*usual {
+		return false
+	}
+	left := now - j.startedAt
+	if j.share > 0.02 {
+		left = times(j.shareAt-j.startedAt, (1-j.share)/j.share)
+	}
+	to := d.elsewhere(j, now)
+	return to != nil && left > 2*times(j.work, d.pace(to, now)) && now-j.startedAt > times(j.work, crawl*usual)
+}
+
+// couldMove is rule 2 seen ahead: the allocation that is out will count as one that may have run.
+func (d *Dispatcher) couldMove(j *job, now time.Duration) bool {
+	if j.track.repeat == Tagged {
+		first := j.sentAt
+		if j.mayHave {
+			first = j.firstRan
+		}
+		return now < first+j.track.groupWindow-2*d.quantum
+	}
+	return j.track.repeat == Repeatable
+}
+
+// elsewhere is the executor that j would go to if it were stopped now.
+func (d *Dispatcher) elsewhere(j *job, now time.Duration) *executor {
+	was, zone, cell, first := j.mayHave, j.ranZone, j.ranCell, j.firstRan
+	if !was {
+		j.mayHave, j.ranZone, j.ranCell, j.firstRan = true, j.on.zone, j.on.cell, j.sentAt
+	}
+	e := d.pick(j, now, j.on)
+	j.mayHave, j.ranZone, j.ranCell, j.firstRan = was, zone, cell, first
+	return e
+}
--- /dev/null
+++ b/policy/types.go
@@ -0,0 +1,165 @@
+package policy
+
+import "time"
+
+// Each kind of id is a type of its own. The places of tracks, tenants, zones and kinds count from 0.
+type (
+	JobID        string
+	ExecutorID   string
+	AllocationID int
+	TrackID      int
+	TenantID     int
+	ZoneID       int
+	KindID       int
+	CellID       int
+)
+
+// AnyKind is the bound kind of a track that every executor may run.
+const AnyKind KindID = -1
+
+// Repeat says how often a track's batch job may take effect.
+type Repeat int
+
+const (
+	Repeatable Repeat = iota
+	Tagged
+	OnceOnly
+)
+
+// Group says which executors drop repeats of a tagged batch job.
+type Group int
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Outcome is how an allocation ended.
+type Outcome int
+
+const (
+	Handled   Outcome = iota
+	Errored           // the executor answered with an error; it may have run
+	NoRoom            // turned away unseen; it never ran
+	TooSlow           // no answer in time; it may have run, or may still
+	NoRoute           // no connection; it never ran
+	Cut               // the connection broke; it may have run
+	CalledOff         // we stopped waiting; it may have run
+	NotSent           // it never left this node
+)
+
+// Track is a kind of batch job with its own handling.
+type Track struct {
+	Repeat       Repeat
+	Group        Group
+	GroupWindow  time.Duration
+	Quoted       time.Duration
+	Stretch      float64 // the quoted time grows by this multiple of the job's own running time
+	OuterLimit   time.Duration
+	Earnings     float64
+	LateEarnings float64 // part of the earnings paid between the quoted time and the outer limit
+	Kind         KindID
+}
+
+// Tenant is a customer with a share for all nodes together.
+type Tenant struct{ QuotaPerS float64 }
+
+// Settings is what an instance is handed at its start.
+type Settings struct {
+	Seed   uint32
+	Nodes  int
+	Zone   ZoneID
+	Tracks []Track
+	Tenant []Tenant
+
+	EarnPerWork     bool
+	OverageEarnings float64
+	CrossZonePrice  float64
+	WholeWeight     float64 // of earnings over the whole day and over its worst stretch
+	TrackWeight     float64 // of the worst-served track
+	TenantWeight    float64 // of the worst-served tenant
+
+	MaxAllocations int
+	MayCancel      bool
+	MaxComeBack    time.Duration // 0: the client is not told when to come back
+	Quantum        time.Duration
+
+	MustAsk       bool // the list comes only when asked for
+	AskWithin     time.Duration
+	ColdShare     float64
+	WarmWithin    time.Duration
+	FallMultiple  float64
+	FallWindow    time.Duration
+	TellsStart    bool
+	ProgressEvery time.Duration
+}
+
+// ListKind says what a list brings.
+type ListKind int
+
+const (
+	Changes ListKind = iota
+	Whole
+	WarmCopy
+	Lost
+)
+
+// State is an executor's state in the list.
+type State int
+
+const (
+	Up State = iota
+	Draining
+	Gone
+)
+
+// Entry is one executor in a list. Age is how long ago it last started; a negative one: long ago.
+type Entry struct {
+	Executor ExecutorID
+	Zone     ZoneID
+	Kind     KindID
+	Cell     CellID
+	State    State
+	Started  time.Duration
+	LongAgo  bool
+}
+
+// Act is what becomes of a batch job.
+type Act int
+
+const (
+	Nothing Act = iota // it is over, or still out
+	Send
+	Hold
+	PushBack
+	BreakOff
+)
+
+// Decision is the answer to where to send a batch job and what to do after an outcome.
+type Decision struct {
+	Act      Act
+	Executor ExecutorID
+	AllowFor time.Duration // 0: until the outer limit
+	ComeBack time.Duration // 0: no advice
+}
+
+// Task is what has fallen due.
+type Task int
+
+const (
+	Sleep     Task = iota // nothing before Due.At
+	PlaceJob              // ask where to send Due.Job
+	StopJob               // stop waiting for Due.Allocation of Due.Job
+	Subscribe             // ask for the list and its changes
+	Note                  // write Due.Text to the log
+)
+
+// Due is the answer to how long to wait.
+type Due struct {
+	Task       Task
+	At         time.Duration
+	Job        JobID
+	Allocation AllocationID
+	Text       string
+}
