--- a/policy/policy.go
+++ b/policy/policy.go
@@ -598,7 +598,7 @@
 	if e := d.pick(j, now, nil); e != nil {
 		return d.send(j, e, now)
 	}
-	d.waited = true
+	d.waited = d.waited || now <= j.quotedAt-j.work
 	next := min(max(lastStart, now)+d.quantum, j.limitAt-d.quantum)
 	if open := j.heldAt + d.patience(j); open > now {
 		next = min(next, open)
@@ -648,9 +648,9 @@
 }
 
 func (d *Dispatcher) send(j *job, e *executor, now time.Duration) Decision {
-	wait := now - j.heldAt
 	d.unhold(j)
-	e.ourWait += wait
+	// A late batch job waits because others go first, not for want of tokens: only its time until then counts.
+	e.ourWait += max(0, min(now, j.quotedAt-j.work)-j.heldAt)
 	e.free = e.free[1:]
 	e.taken++
 	e.dry = e.dry || len(e.free) == 0
@@ -851,7 +851,10 @@
 		e.workerWait, e.ourWait, e.slow, e.dry = 0, 0, false, len(e.free) == 0
 		e.fullFrom, e.fullMany, e.startedOther = -1, false, false
 	}
-	d.waited, d.freed = len(d.held) > 0, true
+	d.waited, d.freed = false, true
+	for _, j := range d.held {
+		d.waited = d.waited || now <= j.quotedAt-j.work
+	}
 	d.worst = nil
 	least := math.Inf(1)
 	for i := range d.tracks {
