--- a/policy/policy.go
+++ b/policy/policy.go
@@ -98,8 +98,10 @@
 	workerWait   time.Duration // this interval's queuing at the executor and here
 	ourWait      time.Duration
 	slow, dry    bool // this interval: slowdown over target; no free token left
+	full         bool // this interval: met 'full', by many tenants, while others were started
 	fullFrom     TenantID
 	fullMany     bool
+	fullWait     time.Duration
 	startedOther bool
 }
 
@@ -698,7 +700,7 @@
 	if k := d.kinds[e.kind]; now >= e.coldUntil {
 		k.parallel = max(k.parallel, running)
 	}
-	e.startedOther = e.startedOther || j.tenantID != e.fullFrom
+	e.startedOther = e.startedOther || !e.full || j.tenantID != e.fullFrom
 }
 
 // queued books an allocation's wait at the executor.
@@ -769,10 +771,9 @@
 		d.release(e, now)
 	case NoRoom:
 		// Full counts as queuing at the executor, unless only one tenant meets it.
-		e.workerWait += est
-		e.slow = true
-		e.fullMany = e.fullMany || e.fullFrom != j.tenantID
-		e.fullFrom = j.tenantID
+		e.fullWait += est
+		e.fullMany = e.fullMany || e.full && e.fullFrom != j.tenantID
+		e.full, e.fullFrom = true, j.tenantID
 		d.ghost(e, now+est)
 	case NotSent:
 		d.release(e, now)
@@ -844,12 +845,14 @@
 				e.workerWait += max(0, now-max(j.sentAt, now-interval)-d.quantum)
 			}
 		}
-		if e.fullMany || !e.startedOther {
-			d.adjust(e, now)
+		if e.fullMany || e.full && !e.startedOther {
+			e.workerWait += e.fullWait
+			e.slow = true
 		}
+		d.adjust(e, now)
 		d.watchSilence(e, now)
 		e.workerWait, e.ourWait, e.slow, e.dry = 0, 0, false, len(e.free) == 0
-		e.fullFrom, e.fullMany, e.startedOther = -1, false, false
+		e.full, e.fullMany, e.startedOther, e.fullWait = false, false, false, 0
 	}
 	d.waited, d.freed = false, true
 	for _, j := range d.held {
@@ -879,7 +882,7 @@
 		r = float64(e.workerWait) / float64(sum)
 	}
 	switch {
-	case e.slow && r > theta && len(d.held) == 0 && e.quota > 1:
+	case e.slow && r > theta && !d.waited && e.quota > 1:
 		d.step(e, -1, now)
 	case d.waited && e.dry && r < theta && e.quota < quotaCap:
 		d.step(e, 1, now)
