Held queue counts as empty at the tail when waits at the executor outweigh it

Cause: in overload something always waits here, so quotas never fell and start waits stood at 1.2 s.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,7 @@
 // The matters that the design leaves open, as plain ratios.
 const (
 	theta       = 0.3             // worker-side share of queuing above which the executor's queue is to blame
+	heldEmpty   = 0.5             // over this r, what waits here counts as an empty held queue at the tail
 	slackTarget = 0.5             // slowdown target: this part of the slack in the quoted time spent queuing
 	firstQuota  = 2               // the design's start
 	quotaCap    = 8               // the design's finite cap
@@ -882,7 +883,7 @@
 		r = float64(e.workerWait) / float64(sum)
 	}
 	switch {
-	case e.slow && r > theta && !d.waited && e.quota > 1:
+	case e.slow && r > theta && (!d.waited || r > heldEmpty) && e.quota > 1:
 		d.step(e, -1, now)
 	case d.waited && e.dry && r < theta && e.quota < quotaCap:
 		d.step(e, 1, now)
