Seen waits and paces fade with each interval

Cause: an executor passed over for a long start wait or slow pace got nothing and so kept the figure.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -853,6 +853,9 @@
 		d.adjust(e, now)
 		d.watchSilence(e, now)
 		e.workerWait, e.ourWait, e.slow, e.dry = 0, 0, false, len(e.free) == 0
+		// What was seen grows old, or an executor passed over for it would never be tried again.
+		e.startWait = times(e.startWait, fade)
+		e.runs, e.works = e.runs*fade, e.works*fade
 		e.full, e.fullMany, e.startedOther, e.fullWait = false, false, false, 0
 	}
 	d.waited, d.freed = false, true
