--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -128,6 +128,7 @@
 func readSettings(text []byte) (policy.Settings, error) {
 	var w struct {
 		Balancers int
+		Number    int `json:"my-number"`
 		Locality  int
 		Quantum   float64 `json:"quantum-s"`
 		Discovery string
@@ -175,7 +176,7 @@
 		return s, fmt.Errorf("settings: %v", err)
 	}
 	s = policy.Settings{
-		Nodes: w.Balancers, Zone: policy.ZoneID(w.Locality), Quantum: seconds(w.Quantum),
+		Node: w.Number, Nodes: w.Balancers, Zone: policy.ZoneID(w.Locality), Quantum: seconds(w.Quantum),
 		MustAsk: w.Discovery == "ask", AskWithin: seconds(w.Rules.AskWithin),
 		EarnPerWork: w.PerWork == "work", OverageEarnings: w.Overage, CrossZonePrice: w.Prices.CrossZone,
 		WholeWeight: w.ScoreParts["whole"] + w.ScoreParts["worst-window"],
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,7 @@
 	firstQuota  = 2               // the design's start
 	quotaCap    = 8               // the design's finite cap
 	interval    = 1 * time.Second // the design's interval
+	sharers     = 3               // nodes whose slices an executor is in
 	fade        = 0.85            // weight that an older observation keeps when a new one comes
 	maxStrikes  = 3.0             // hold-back doubles up to 2^3 mean running times
 	forgive     = 0.25            // part of a strike that one handled batch job takes back
@@ -79,6 +80,7 @@
 	zone      ZoneID
 	kind      KindID
 	cell      CellID
+	near      bool // this node is one of the few whose slice it is in
 	up        bool
 	listed    int // the list that named it last
 	started   time.Duration
@@ -167,6 +169,7 @@
 // Dispatcher is one node's decisions.
 type Dispatcher struct {
 	seed, count uint32
+	node, nodes int
 	zone        ZoneID
 	tracks      []track
 	tenants     []tenant
@@ -224,7 +227,7 @@
 		return nil, errors.New("settings: the cold share is not between 0 and 1")
 	}
 	d := &Dispatcher{
-		seed: s.Seed, zone: s.Zone, kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{},
+		seed: s.Seed, node: s.Node, nodes: s.Nodes, zone: s.Zone, kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{},
 		jobs: map[JobID]*job{}, perWork: s.EarnPerWork, overage: s.OverageEarnings,
 		crossPrice: s.CrossZonePrice, wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
@@ -303,7 +306,7 @@
 	e := d.byID[n.Executor]
 	fresh := e == nil
 	if fresh {
-		e = &executor{id: n.Executor, started: n.Started, news: now}
+		e = &executor{id: n.Executor, started: n.Started, news: now, near: d.shares(n.Executor)}
 		d.byID[n.Executor] = e
 		d.executors = append(d.executors, e)
 		d.grant(e, now, d.meanQuota(n))
@@ -323,6 +326,23 @@
 	}
 }
 
+// shares says whether an executor is in this node's slice: every executor is in the slices of a few nodes,
+// which all nodes reckon alike from its id. Guards against many nodes, whose least quotas add up to a jam.
+func (d *Dispatcher) shares(id ExecutorID) bool {
+	sum := crc32.ChecksumIEEE([]byte(id))
+	mine, before := rank(sum, d.node), 0
+	for n := range d.nodes {
+		if rank(sum, n) < mine {
+			before++
+		}
+	}
+	return before < sharers
+}
+
+func rank(sum uint32, node int) uint32 {
+	return crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(nil, sum), uint32(node)))
+}
+
 // meanQuota is what a new executor starts with: its slice's mean, or the design's start.
 func (d *Dispatcher) meanQuota(n Entry) int {
 	sum, count := 0, 0
@@ -539,16 +559,17 @@
 func (d *Dispatcher) pick(j *job, now time.Duration, not *executor) *executor {
 	late := j.quotedAt < now+j.work/2
 	cross := now-j.heldAt >= d.patience(j)
+	far := now-j.heldAt >= times(j.quotedAt-j.heldAt-j.work, slackTarget)
 	home := false
 	var best *executor
 	for _, e := range d.executors {
 		if !home && e.zone == d.zone && d.usable(e, now) && d.fits(e, j, now) {
 			home = true
 		}
-		if e == not || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
+		if e == not || !e.near && !far || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(d.abroad(e), d.abroad(best)), cmp.Compare(e.free[0], best.free[0])) < 0 {
+		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), cmp.Compare(e.free[0], best.free[0])) < 0 {
 			best = e
 		}
 	}
--- a/policy/types.go
+++ b/policy/types.go
@@ -68,6 +68,7 @@
 // Settings is what an instance is handed at its start.
 type Settings struct {
 	Seed   uint32
+	Node   int // this node's number
 	Nodes  int
 	Zone   ZoneID
 	Tracks []Track
