--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	firstQuota  = 2               // the design's start
 	quotaCap    = 8               // the design's finite cap
 	interval    = 1 * time.Second // the design's interval
-	sharers     = 3               // nodes whose slices an executor is in
+	sharers     = 4               // nodes whose slices an executor is in
 	fade        = 0.85            // weight that an older observation keeps when a new one comes
 	maxStrikes  = 3.0             // hold-back doubles up to 2^3 mean running times
 	forgive     = 0.25            // part of a strike that one handled batch job takes back
