--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,6 @@
 	quotaCap    = 8               // the design's finite cap
 	interval    = 1 * time.Second // the design's interval
 	sharers     = 4               // nodes whose slices an executor is in
-	maxRests    = 4               // an executor at a quota of one is left no less than a fifth of it
 	fade        = 0.85            // weight that an older observation keeps when a new one comes
 	maxStrikes  = 3.0             // hold-back doubles up to 2^3 mean running times
 	forgive     = 0.25            // part of a strike that one handled batch job takes back
@@ -95,7 +94,6 @@
 	colds  []spend         // work sent while cold, within the window
 	strike float64
 	held   time.Duration // tokens are held back until then
-	rests  int           // at a quota of one: so many times its batch job's time the token rests after it
 	news   time.Duration // last sign of life
 
 	runs, works  float64 // running time seen and work done, fading
@@ -792,12 +790,7 @@
 	case Handled:
 		e.news = now
 		d.handled(j, e, now)
-		// Guards against nodes whose quotas of one still add up to a queue: the last token rests a while.
-		if e.rests > 0 {
-			d.ghost(e, now+times(now-j.sentAt, float64(e.rests)))
-		} else {
-			d.release(e, now)
-		}
+		d.release(e, now)
 	case NoRoom:
 		// Full counts as queuing at the executor, unless only one tenant meets it.
 		e.fullWait += est
@@ -914,14 +907,8 @@
 		r = float64(e.workerWait) / float64(sum)
 	}
 	switch {
-	case e.slow && r > theta && (!d.waited || r > heldEmpty):
-		if e.quota > 1 {
-			d.step(e, -1, now)
-		} else if e.rests < maxRests {
-			e.rests++
-		}
-	case d.waited && e.dry && r < theta && e.rests > 0:
-		e.rests--
+	case e.slow && r > theta && (!d.waited || r > heldEmpty) && e.quota > 1:
+		d.step(e, -1, now)
 	case d.waited && e.dry && r < theta && e.quota < quotaCap:
 		d.step(e, 1, now)
 	}
