Over-share tenants are measured against the others at this node

Cause: a node with more than its part of the traffic saw every tenant over its share, and crossed less.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,6 +65,7 @@
 type tenant struct {
 	perS float64 // this node's part of the quota
 	rate float64
+	over float64 // its part of this node's traffic against its part of all quotas, scaled by the load
 	came int
 }
 
@@ -535,8 +536,8 @@
 		part := j.track.asked / max(j.track.unit, 1e-9) / max(asked, 1e-9)
 		v += d.trackWeight * e / max(j.track.unit, 1e-9) / max(part, 0.05)
 	}
-	if t := j.tenant; t != nil && t.rate > t.perS && t.perS > 0 {
-		v *= d.overage + (1-d.overage)*t.perS/t.rate
+	if t := j.tenant; t != nil && t.over > 1 {
+		v *= d.overage + (1-d.overage)/t.over
 	}
 	return v
 }
@@ -893,10 +894,19 @@
 			least, d.worst = part, t
 		}
 	}
+	rates, quotas := 0.0, 0.0
 	for i := range d.tenants {
 		t := &d.tenants[i]
 		t.rate = t.rate*0.8 + float64(t.came)/interval.Seconds()*0.2
 		t.came = 0
+		rates += t.rate
+		quotas += t.perS
+	}
+	// A node with more traffic than the others sees every tenant over its share of the nodes' mean: so a
+	// tenant is measured against the others at this node.
+	for i := range d.tenants {
+		t := &d.tenants[i]
+		t.over = t.rate / max(t.perS, 1e-9) * min(quotas/max(rates, 1e-9), 1)
 	}
 }
 
