--- a/policy/policy.go
+++ b/policy/policy.go
@@ -588,7 +588,32 @@
 }
 
 func (d *Dispatcher) inTime(e *executor, j *job, now time.Duration) bool {
-	return now+e.startWait+times(j.work, d.pace(e, now)) <= j.quotedAt
+	pace := d.pace(e, now)
+	return now+d.waitAt(e, pace, now)+times(j.work, pace) <= j.quotedAt
+}
+
+// waitAt is how long a batch job sent to e now would wait there: what starts were seen to take, or, where
+// ours alone fill as many places as its kind was seen to have, until the first of those is done.
+func (d *Dispatcher) waitAt(e *executor, pace float64, now time.Duration) time.Duration {
+	places := d.kinds[e.kind].parallel
+	if len(e.out) < places {
+		return e.startWait
+	}
+	first, queued := time.Duration(math.MaxInt64), time.Duration(0)
+	for _, o := range e.out {
+		left := times(o.work, pace)
+		if !o.running {
+			queued += left
+			continue
+		}
+		// One that is over its time already is taken to need as long again as it is over.
+		left -= now - o.startedAt
+		first = min(first, max(left, -left))
+	}
+	if first == math.MaxInt64 {
+		first = e.startWait
+	}
+	return max(e.startWait, first+queued/time.Duration(places))
 }
 
 // Place says where to send a batch job, or not yet, or never.
