Unstarted allocations that look too late are left to run

Cause: hints are rough; a stop breaks off what would often have been in time, and once-only can't go on.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1074,7 +1074,7 @@
 		if mayMove && d.elsewhere(j, now) != nil {
 			return true
 		}
-		return j.track.late == 0 && now+times(j.work, d.pace(e, now)/2) > j.quotedAt
+		return false
 	}
 	if !mayMove || !j.running {
 		return false
