--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,18 +30,18 @@
 
 // The matters that the design leaves open, as plain ratios.
 const (
-	theta       = 0.3             // worker-side share of queuing above which the executor's queue is to blame
-	heldEmpty   = 0.5             // over this r, what waits here counts as an empty held queue at the tail
-	slackTarget = 0.5             // slowdown target: this part of the slack in the quoted time spent queuing
-	firstQuota  = 2               // the design's start
-	quotaCap    = 8               // the design's finite cap
-	interval    = 1 * time.Second // the design's interval
-	sharers     = 4               // nodes whose slices an executor is in
-	fade        = 0.85            // weight that an older observation keeps when a new one comes
-	maxStrikes  = 3.0             // hold-back doubles up to 2^3 mean running times
-	forgive     = 0.25            // part of a strike that one handled batch job takes back
-	crawl       = 2.0             // times the usual pace from which an executor counts as crawling
-	hintMargin  = 1.25            // hints are rough: what the cold budget adds to them
+	theta       = 0.3  // worker-side share of queuing above which the executor's queue is to blame
+	heldEmpty   = 0.5  // over this r, what waits here counts as an empty held queue at the tail
+	slackTarget = 0.5  // slowdown target: this part of the slack in the quoted time spent queuing
+	firstQuota  = 2    // the design's start
+	quotaCap    = 8    // the design's finite cap
+	intervals   = 0.4  // the interval, as a part of the shortest outer limit
+	sharers     = 4    // nodes whose slices an executor is in
+	fade        = 0.85 // weight that an older observation keeps when a new one comes
+	maxStrikes  = 3.0  // hold-back doubles up to 2^3 mean running times
+	forgive     = 0.25 // part of a strike that one handled batch job takes back
+	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
+	hintMargin  = 1.25 // what is added to a mean or a rough hint where too little would harm
 )
 
 // track holds a track's derived figures and running averages.
@@ -122,6 +122,7 @@
 	tenantID TenantID
 	work     time.Duration
 	hinted   bool
+	margin   float64 // what a prediction for it must leave over
 	came     time.Duration
 	quotedAt time.Duration
 	limitAt  time.Duration
@@ -181,7 +182,8 @@
 	held        []*job
 	due         dueHeap
 	order       int
-	tick        time.Duration
+	tick        time.Duration // when the interval ends
+	interval    time.Duration
 	lists       int
 	waited      bool // batch jobs were held in this interval
 	freed       bool // a token has come free since the last look
@@ -234,7 +236,7 @@
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
 		quantum: max(s.Quantum, time.Millisecond), tellsStart: s.TellsStart, mustAsk: s.MustAsk,
 		askEvery: s.AskWithin / 8, coldShare: s.ColdShare, warmWithin: s.WarmWithin,
-		fallWindow: s.FallWindow, tick: interval, longestProgress: s.ProgressEvery,
+		fallWindow: s.FallWindow, longestProgress: s.ProgressEvery,
 	}
 	d.coldWork = s.FallMultiple * s.FallWindow.Seconds() / float64(s.Nodes)
 	for i, t := range s.Tracks {
@@ -244,6 +246,9 @@
 		d.tracks = append(d.tracks, track{repeat: t.Repeat, group: t.Group, groupWindow: t.GroupWindow,
 			quoted: t.Quoted, outerLimit: t.OuterLimit, stretch: t.Stretch, earnings: t.Earnings,
 			late: t.LateEarnings, kind: t.Kind, meanWork: t.Quoted, unit: t.Earnings})
+		if by := times(t.OuterLimit, intervals); d.interval == 0 || by < d.interval {
+			d.interval, d.tick = by, by
+		}
 		d.someRepeatable = d.someRepeatable || t.Repeat == Repeatable
 		if d.shortestQuoted == 0 || t.Quoted < d.shortestQuoted {
 			d.shortestQuoted = t.Quoted
@@ -363,7 +368,7 @@
 func (d *Dispatcher) grant(e *executor, now time.Duration, quota int) {
 	e.quota = quota
 	for range quota {
-		e.free = append(e.free, now-times(interval, d.chance()))
+		e.free = append(e.free, now-times(d.interval, d.chance()))
 	}
 	slices.Sort(e.free)
 }
@@ -475,9 +480,9 @@
 // Arrived tells of a batch job that this node has taken. A work of 0 means that no hint came.
 func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID, work, budget time.Duration) {
 	t := &d.tracks[min(max(0, int(tr)), len(d.tracks)-1)]
-	j := &job{id: id, track: t, work: work, hinted: work > 0, came: now, limitAt: now + budget, tenantID: te}
+	j := &job{id: id, track: t, work: work, hinted: work > 0, came: now, limitAt: now + budget, tenantID: te, margin: 1}
 	if !j.hinted {
-		j.work = t.meanWork
+		j.work, j.margin = t.meanWork, hintMargin
 	} else {
 		t.meanWork = times(t.meanWork, fade) + times(work, 1-fade)
 	}
@@ -589,7 +594,7 @@
 
 func (d *Dispatcher) inTime(e *executor, j *job, now time.Duration) bool {
 	pace := d.pace(e, now)
-	return now+d.waitAt(e, pace, now)+times(j.work, pace) <= j.quotedAt
+	return now+times(d.waitAt(e, pace, now)+times(j.work, pace), j.margin) <= j.quotedAt
 }
 
 // waitAt is how long a batch job sent to e now would wait there: what starts were seen to take, or, where
@@ -890,7 +895,7 @@
 	for _, e := range d.executors {
 		for _, j := range e.out {
 			if !j.running && d.tellsStart {
-				e.workerWait += max(0, now-max(j.sentAt, now-interval)-d.quantum)
+				e.workerWait += max(0, now-max(j.sentAt, now-d.interval)-d.quantum)
 			}
 		}
 		if e.fullMany || e.full && !e.startedOther {
@@ -922,7 +927,7 @@
 	rates, quotas := 0.0, 0.0
 	for i := range d.tenants {
 		t := &d.tenants[i]
-		t.rate = t.rate*0.8 + float64(t.came)/interval.Seconds()*0.2
+		t.rate = t.rate*0.8 + float64(t.came)/d.interval.Seconds()*0.2
 		t.came = 0
 		rates += t.rate
 		quotas += t.perS
@@ -975,7 +980,7 @@
 		return Due{Task: Note, Text: text}
 	}
 	for now >= d.tick {
-		d.tick += interval
+		d.tick += d.interval
 		d.everyInterval(now)
 	}
 	if d.mustAsk && !d.subscribed && !d.asking && now >= d.askAt {
