Traces of decisions kept and read; far executors open on time; slices spread evenly

Cause, found by the first trace of many nodes: the time at which executors outside the slice open was no due time, and a bare checksum spread slices unevenly.

--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -154,7 +154,6 @@
 		Domain struct {
 			Kind       []int     `json:"class-kind"`
 			Stretch    []float64 `json:"class-stretch"`
-			ProgressS  float64   `json:"progress-s"`
 			TellsStart bool      `json:"tells-start"`
 		}
 		Projects []struct {
@@ -179,12 +178,12 @@
 		Node: w.Number, Nodes: w.Balancers, Zone: policy.ZoneID(w.Locality), Quantum: seconds(w.Quantum),
 		MustAsk: w.Discovery == "ask", AskWithin: seconds(w.Rules.AskWithin),
 		EarnPerWork: w.PerWork == "work", OverageEarnings: w.Overage, CrossZonePrice: w.Prices.CrossZone,
-		WholeWeight: w.ScoreParts["whole"] + w.ScoreParts["worst-window"],
-		TrackWeight: w.ScoreParts["worst-class"], TenantWeight: w.ScoreParts["worst-tenant"],
+		WholeWeight:    w.ScoreParts["whole"] + w.ScoreParts["worst-window"],
+		TrackWeight:    w.ScoreParts["worst-class"],
 		MaxAllocations: w.Caps.Allocations, MayCancel: w.Caps.Cancel,
 		ColdShare: w.Rules.ColdShare, WarmWithin: seconds(w.Rules.WarmWithin),
 		FallMultiple: w.Rules.FallMultiple, FallWindow: seconds(w.Rules.FallS),
-		TellsStart: w.Domain.TellsStart, ProgressEvery: seconds(w.Domain.ProgressS),
+		TellsStart: w.Domain.TellsStart,
 	}
 	if w.Caps.RetryAfter {
 		s.MaxComeBack = seconds(w.Caps.MaxComeBackS)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,179 +44,6 @@
 	hintMargin  = 1.25 // what is added to a mean or a rough hint where too little would harm
 )
 
-// track holds a track's derived figures and running averages.
-type track struct {
-	repeat       Repeat
-	group        Group
-	groupWindow  time.Duration
-	quoted       time.Duration
-	outerLimit   time.Duration
-	stretch      float64
-	earnings     float64
-	late         float64
-	kind         KindID
-	fullBudget   time.Duration // largest budget seen: that of a batch job's first try
-	meanWork     time.Duration // running average, as time on a standard core
-	asked, given float64       // earnings asked for and handled in quoted time, fading
-	unit         float64       // mean earnings of one batch job
-}
-
-// tenant holds a tenant's quota and how fast it is asking at this node.
-type tenant struct {
-	perS float64 // this node's part of the quota
-	rate float64
-	over float64 // its part of this node's traffic against its part of all quotas, scaled by the load
-	came int
-}
-
-// kind holds what warm executors of one kind were seen to take.
-type kind struct {
-	pace     float64 // running time for each unit of work
-	parallel int     // most batch jobs of ours running at once
-}
-
-// executor is what this node knows of one executor.
-type executor struct {
-	id        ExecutorID
-	zone      ZoneID
-	kind      KindID
-	cell      CellID
-	near      bool // this node is one of the few whose slice it is in
-	up        bool
-	listed    int // the list that named it last
-	started   time.Duration
-	coldUntil time.Duration
-
-	quota  int
-	free   []time.Duration // since when each free token is free, oldest first
-	taken  int             // tokens taken by allocations out and by ghosts
-	out    []*job          // allocations out
-	inCap  int             // cap in flight that grows with answers; 0 for none
-	colds  []spend         // work sent while cold, within the window
-	strike float64
-	held   time.Duration // tokens are held back until then
-	news   time.Duration // last sign of life
-
-	runs, works  float64 // running time seen and work done, fading
-	startWait    time.Duration
-	workerWait   time.Duration // this interval's queuing at the executor and here
-	ourWait      time.Duration
-	slow, dry    bool // this interval: slowdown over target; no free token left
-	full         bool // this interval: met 'full', by many tenants, while others were started
-	fullFrom     TenantID
-	fullMany     bool
-	fullWait     time.Duration
-	startedOther bool
-}
-
-type spend struct {
-	at   time.Duration
-	work time.Duration
-}
-
-// job is a batch job in hand.
-type job struct {
-	id       JobID
-	track    *track
-	tenant   *tenant
-	tenantID TenantID
-	work     time.Duration
-	hinted   bool
-	margin   float64 // what a prediction for it must leave over
-	came     time.Duration
-	quotedAt time.Duration
-	limitAt  time.Duration
-	heldAt   time.Duration // since when it is held
-	isHeld   bool
-	over     bool // the client has its answer or has left
-
-	on        *executor // nil while no allocation is out
-	sent      int
-	sentAt    time.Duration
-	startedAt time.Duration
-	running   bool
-	share     float64
-	shareAt   time.Duration
-	stopping  bool
-	mayHave   bool // an earlier allocation may have run
-	firstRan  time.Duration
-	ranZone   ZoneID
-	ranCell   CellID
-	turn      int // guards due times that are no longer wanted
-}
-
-type dueItem struct {
-	at    time.Duration
-	order int
-	turn  int
-	job   *job
-	ghost *executor
-}
-
-type dueHeap []dueItem
-
-func (h dueHeap) Len() int { return len(h) }
-func (h dueHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
-}
-func (h dueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *dueHeap) Push(x any)   { *h = append(*h, x.(dueItem)) }
-func (h *dueHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
-// Dispatcher is one node's decisions.
-type Dispatcher struct {
-	seed, count uint32
-	node, nodes int
-	zone        ZoneID
-	tracks      []track
-	tenants     []tenant
-	kinds       map[KindID]*kind
-	executors   []*executor
-	byID        map[ExecutorID]*executor
-	jobs        map[JobID]*job
-	held        []*job
-	due         dueHeap
-	order       int
-	tick        time.Duration // when the interval ends
-	interval    time.Duration
-	lists       int
-	waited      bool // batch jobs were held in this interval
-	freed       bool // a token has come free since the last look
-	notes       []string
-
-	perWork         bool
-	overage         float64
-	crossPrice      float64
-	wholeWeight     float64
-	trackWeight     float64
-	worst           *track
-	meanEarnings    float64
-	perEarned       float64 // mean earnings for each unit of work
-	maxAllocations  int
-	mayCancel       bool
-	comeBack        time.Duration
-	quantum         time.Duration
-	tellsStart      bool
-	mustAsk         bool
-	subscribed      bool
-	asking          bool
-	askAt           time.Duration
-	askEvery        time.Duration
-	coldShare       float64
-	warmWithin      time.Duration
-	coldWork        float64 // this node's part of the cold budget, for each unit of capacity
-	fallWindow      time.Duration
-	holdBase        time.Duration
-	someRepeatable  bool
-	shortestQuoted  time.Duration
-	longestProgress time.Duration
-}
-
 // New turns settings into the figures that decisions use.
 func New(s Settings) (*Dispatcher, error) {
 	switch {
@@ -230,13 +57,14 @@
 		return nil, errors.New("settings: the cold share is not between 0 and 1")
 	}
 	d := &Dispatcher{
-		seed: s.Seed, node: s.Node, nodes: s.Nodes, zone: s.Zone, kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{},
+		seed: s.Seed, node: s.Node, nodes: s.Nodes, zone: s.Zone,
+		kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{},
 		jobs: map[JobID]*job{}, perWork: s.EarnPerWork, overage: s.OverageEarnings,
 		crossPrice: s.CrossZonePrice, wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
 		quantum: max(s.Quantum, time.Millisecond), tellsStart: s.TellsStart, mustAsk: s.MustAsk,
 		askEvery: s.AskWithin / 8, coldShare: s.ColdShare, warmWithin: s.WarmWithin,
-		fallWindow: s.FallWindow, longestProgress: s.ProgressEvery,
+		fallWindow: s.FallWindow,
 	}
 	d.coldWork = s.FallMultiple * s.FallWindow.Seconds() / float64(s.Nodes)
 	for i, t := range s.Tracks {
@@ -346,7 +174,10 @@
 }
 
 func rank(sum uint32, node int) uint32 {
-	return crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(nil, sum), uint32(node)))
+	b := binary.LittleEndian.AppendUint32(nil, sum)
+	b = binary.LittleEndian.AppendUint32(b, uint32(node))
+	// A checksum alone is linear in the node; the golden ratio's odd multiplier mends that.
+	return crc32.ChecksumIEEE(b) * 0x9e3779b1
 }
 
 // meanQuota is what a new executor starts with: its slice's mean, or the design's start.
@@ -478,9 +309,11 @@
 // ---- Batch jobs ----
 
 // Arrived tells of a batch job that this node has taken. A work of 0 means that no hint came.
-func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID, work, budget time.Duration) {
+func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID,
+	work, budget time.Duration) {
 	t := &d.tracks[min(max(0, int(tr)), len(d.tracks)-1)]
-	j := &job{id: id, track: t, work: work, hinted: work > 0, came: now, limitAt: now + budget, tenantID: te, margin: 1}
+	j := &job{id: id, track: t, tenantID: te, work: work, hinted: work > 0, margin: 1, came: now,
+		limitAt: now + budget}
 	if !j.hinted {
 		j.work, j.margin = t.meanWork, hintMargin
 	} else {
@@ -529,7 +362,7 @@
 }
 
 // value is what handling j in its quoted time adds to the operators' measure, in mean batch jobs: its part
-// of all earnings, and, in the worst-served track, its part of that track's.
+// of all earnings, and, in the track that fares worst, its part of that track's.
 func (d *Dispatcher) value(j *job) float64 {
 	e := d.earnings(j)
 	v := d.wholeWeight * e / d.meanEarnings
@@ -565,7 +398,7 @@
 func (d *Dispatcher) pick(j *job, now time.Duration, not *executor) *executor {
 	late := j.quotedAt < now+j.work/2
 	cross := now-j.heldAt >= d.patience(j)
-	far := now-j.heldAt >= times(j.quotedAt-j.heldAt-j.work, slackTarget)
+	far := now >= j.farAt()
 	home := false
 	var best *executor
 	for _, e := range d.executors {
@@ -585,6 +418,11 @@
 	return best
 }
 
+// farAt is when the executors outside this node's slice open to a held batch job.
+func (j *job) farAt() time.Duration {
+	return j.heldAt + times(max(0, j.quotedAt-j.heldAt-j.work), slackTarget)
+}
+
 func (d *Dispatcher) abroad(e *executor) int {
 	if d.crossPrice > 0 && e.zone != d.zone {
 		return 1
@@ -655,8 +493,10 @@
 	}
 	d.waited = d.waited || now <= j.quotedAt-j.work
 	next := min(max(lastStart, now)+d.quantum, j.limitAt-d.quantum)
-	if open := j.heldAt + d.patience(j); open > now {
-		next = min(next, open)
+	for _, open := range [...]time.Duration{j.heldAt + d.patience(j), j.farAt()} {
+		if open > now {
+			next = min(next, open)
+		}
 	}
 	j.turn++
 	d.at(max(next, now+d.quantum), j, nil)
@@ -704,7 +544,7 @@
 
 func (d *Dispatcher) send(j *job, e *executor, now time.Duration) Decision {
 	d.unhold(j)
-	// A late batch job waits because others go first, not for want of tokens: only its time until then counts.
+	// A late batch job waits because others go first, not for want of tokens: its time until then counts.
 	e.ourWait += max(0, min(now, j.quotedAt-j.work)-j.heldAt)
 	e.free = e.free[1:]
 	e.taken++
@@ -884,7 +724,8 @@
 	hold := times(base, math.Exp2(e.strike-1))
 	e.held, e.inCap = now+hold, 1
 	if e.strike == maxStrikes {
-		d.notes = append(d.notes, fmt.Sprintf("%s held back for %v %s", e.id, hold.Round(time.Millisecond), why))
+		text := fmt.Sprintf("%s held back for %v %s", e.id, hold.Round(time.Millisecond), why)
+		d.notes = append(d.notes, text)
 	}
 	d.at(e.held, nil, nil)
 }
@@ -1092,8 +933,11 @@
 	if j.share > 0.02 {
 		left = times(j.shareAt-j.startedAt, (1-j.share)/j.share)
 	}
+	if now-j.startedAt <= times(j.work, crawl*usual) {
+		return false
+	}
 	to := d.elsewhere(j, now)
-	return to != nil && left > 2*times(j.work, d.pace(to, now)) && now-j.startedAt > times(j.work, crawl*usual)
+	return to != nil && left > 2*times(j.work, d.pace(to, now))
 }
 
 // couldMove is rule 2 seen ahead: the allocation that is out will count as one that may have run.
--- /dev/null
+++ b/policy/trace_test.go
@@ -0,0 +1,220 @@
+package policy
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A trace file in testdata holds what is told to a dispatcher and, behind arrows, what it decided:
+//
+//	settings once zones          words that change the base settings
+//	1s list a b:1 c:0:2:5s       whole list: executor[:zone[:kind[:started so long ago[:state]]]]
+//	1s change a:0:0:-:L          changes only; lost: the subscription broke
+//	2s job j1 work=300ms         a batch job comes (track, tenant, work, budget)
+//	2s started j1                then progress j1 0.5, ended j1 cut, left j1
+//	9s wait                      let time pass until then
+//	9s quotas                    show each executor's quota
+type player struct {
+	t     *testing.T
+	d     *Dispatcher
+	shot  map[JobID]AllocationID
+	on    map[JobID]ExecutorID
+	lines []string
+}
+
+var base = Settings{
+	Seed: 7, Nodes: 1, WholeWeight: 1, MaxAllocations: 3, MayCancel: true, MaxComeBack: 2 * time.Second,
+	Quantum: time.Millisecond, AskWithin: 8 * time.Second, ColdShare: 0.25, WarmWithin: 8 * time.Second,
+	FallMultiple: 4, FallWindow: time.Second, TellsStart: true, OverageEarnings: 0.1, EarnPerWork: true,
+	Tracks: []Track{
+		{Quoted: 300 * time.Millisecond, Stretch: 2, OuterLimit: 5 * time.Second, Earnings: 1, Kind: AnyKind,
+			GroupWindow: 2 * time.Second},
+		{Quoted: 300 * time.Millisecond, Stretch: 2, OuterLimit: 5 * time.Second, Earnings: 4, Kind: 1},
+	},
+}
+
+func settings(words []string) Settings {
+	s := base
+	s.Tracks = append([]Track(nil), base.Tracks...)
+	first := &s.Tracks[0]
+	change := map[string]func(){
+		"once":     func() { first.Repeat, s.Tracks[1].Repeat = OnceOnly, OnceOnly },
+		"tagged":   func() { first.Repeat = Tagged },
+		"zone":     func() { first.Group = GroupZone },
+		"cell":     func() { first.Group = GroupCell },
+		"late":     func() { first.LateEarnings = 0.5 },
+		"ask":      func() { s.MustAsk = true },
+		"mute":     func() { s.TellsStart = false },
+		"nocancel": func() { s.MayCancel = false },
+		"price":    func() { s.CrossZonePrice = 0.25 },
+		"nodes8":   func() { s.Nodes = 8 },
+		"tenants":  func() { s.Tenant = []Tenant{{10}, {10}} },
+	}
+	for _, w := range words {
+		change[w]()
+	}
+	return s
+}
+
+func span(t *testing.T, text string) time.Duration {
+	t.Helper()
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func (p *player) say(now time.Duration, format string, args ...any) {
+	p.lines = append(p.lines, fmt.Sprintf("    -> %v ", now)+fmt.Sprintf(format, args...))
+}
+
+func (p *player) decided(now time.Duration, id JobID, what Decision) {
+	switch what.Act {
+	case Send:
+		p.shot[id]++
+		p.on[id] = what.Executor
+		p.say(now, "send %s to %s%s", id, what.Executor, allow(" for ", what.AllowFor))
+	case PushBack:
+		p.say(now, "push back %s%s", id, allow(", come back in ", what.ComeBack))
+	case BreakOff:
+		p.say(now, "break off %s", id)
+	}
+}
+
+func allow(words string, t time.Duration) string {
+	if t == 0 {
+		return ""
+	}
+	return words + t.String()
+}
+
+// run lets time pass until then, doing what falls due as an adapter would.
+func (p *player) run(until time.Duration) {
+	now := until
+	for guard := 0; guard < 10000; guard++ {
+		due := p.d.Wait(now)
+		switch due.Task {
+		case PlaceJob:
+			p.decided(now, due.Job, p.d.Place(now, due.Job))
+		case StopJob:
+			p.say(now, "stop waiting for %s on %s", due.Job, p.on[due.Job])
+		case Subscribe:
+			p.say(now, "subscribe")
+		case Note:
+			p.say(now, "note: %s", due.Text)
+		case Sleep:
+			return
+		}
+	}
+	p.t.Fatal("it never sleeps")
+}
+
+// pass steps through all due times up to then.
+func (p *player) pass(from, until time.Duration) {
+	for now := from; now < until; {
+		due := p.d.Wait(now)
+		if due.Task != Sleep {
+			p.t.Fatalf("something was left due at %v: %+v", now, due)
+		}
+		now = due.At
+		if now <= until {
+			p.run(now)
+		}
+	}
+}
+
+func entry(t *testing.T, now time.Duration, text string) Entry {
+	parts := append(strings.Split(text, ":"), make([]string, 5)...)
+	n := Entry{Executor: ExecutorID(parts[0]), LongAgo: true}
+	zone, _ := strconv.Atoi(parts[1])
+	kind, _ := strconv.Atoi(parts[2])
+	n.Zone, n.Kind, n.Cell = ZoneID(zone), KindID(kind), CellID(zone)
+	if parts[3] != "" && parts[3] != "-" {
+		n.Started, n.LongAgo = now-span(t, parts[3]), false
+	}
+	n.State = map[string]State{"": Up, "L": Draining, "D": Gone}[parts[4]]
+	return n
+}
+
+var outcomeWords = map[string]Outcome{"handled": Handled, "errored": Errored, "no-room": NoRoom,
+	"too-slow": TooSlow, "no-route": NoRoute, "cut": Cut, "called-off": CalledOff, "not-sent": NotSent}
+
+// play runs a trace file's own lines and gives the file as it should be.
+func play(t *testing.T, text string) string {
+	p := &player{t: t, shot: map[JobID]AllocationID{}, on: map[JobID]ExecutorID{}}
+	last := time.Duration(0)
+	for line := range strings.Lines(text) {
+		line = strings.TrimRight(line, "\n")
+		if strings.HasPrefix(line, "    -> ") {
+			continue
+		}
+		words := strings.Fields(line)
+		if len(words) == 0 || words[0] == "#" {
+			p.lines = append(p.lines, line)
+			continue
+		}
+		if words[0] == "settings" {
+			p.lines = append(p.lines, line)
+			var err error
+			if p.d, err = New(settings(words[1:])); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		now := span(t, words[0])
+		p.pass(last, now)
+		p.lines = append(p.lines, line)
+		p.tell(now, words[1], words[2:])
+		p.run(now)
+		last = now
+	}
+	return strings.Join(p.lines, "\n") + "\n"
+}
+
+func (p *player) tell(now time.Duration, what string, words []string) {
+	id, n := JobID(""), AllocationID(0)
+	if len(words) > 0 {
+		id = JobID(words[0])
+		n = p.shot[id] - 1
+	}
+	switch what {
+	case "list", "change", "lost", "copy":
+		var entries []Entry
+		for _, w := range words {
+			entries = append(entries, entry(p.t, now, w))
+		}
+		kinds := map[string]ListKind{"list": Whole, "change": Changes, "lost": Lost, "copy": WarmCopy}
+		p.d.Listed(now, kinds[what], entries)
+	case "job":
+		args := map[string]string{"track": "0", "tenant": "0", "work": "300ms", "budget": "5s"}
+		for _, w := range words[1:] {
+			key, value, _ := strings.Cut(w, "=")
+			args[key] = value
+		}
+		track, _ := strconv.Atoi(args["track"])
+		tenant, _ := strconv.Atoi(args["tenant"])
+		work, budget := span(p.t, args["work"]), span(p.t, args["budget"])
+		p.d.Arrived(now, id, TrackID(track), TenantID(tenant), work, budget)
+	case "started":
+		p.d.Started(now, id, n)
+	case "progress":
+		share, _ := strconv.ParseFloat(words[1], 64)
+		p.d.Progressed(now, id, n, share)
+	case "ended":
+		final := words[1] == "handled" || len(words) > 2
+		p.decided(now, id, p.d.Ended(now, id, n, outcomeWords[words[1]], final))
+	case "left":
+		p.d.Left(now, id)
+	case "quotas":
+		for _, e := range p.d.executors {
+			p.say(now, "%s has a quota of %d", e.id, e.quota)
+		}
+	case "wait":
+	default:
+		p.t.Fatalf("unknown word %q", what)
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -78,22 +78,20 @@
 	OverageEarnings float64
 	CrossZonePrice  float64
 	WholeWeight     float64 // of earnings over the whole day and over its worst stretch
-	TrackWeight     float64 // of the worst-served track
-	TenantWeight    float64 // of the worst-served tenant
+	TrackWeight     float64 // of the track that fares worst
 
 	MaxAllocations int
 	MayCancel      bool
 	MaxComeBack    time.Duration // 0: the client is not told when to come back
 	Quantum        time.Duration
 
-	MustAsk       bool // the list comes only when asked for
-	AskWithin     time.Duration
-	ColdShare     float64
-	WarmWithin    time.Duration
-	FallMultiple  float64
-	FallWindow    time.Duration
-	TellsStart    bool
-	ProgressEvery time.Duration
+	MustAsk      bool // the list comes only when asked for
+	AskWithin    time.Duration
+	ColdShare    float64
+	WarmWithin   time.Duration
+	FallMultiple float64
+	FallWindow   time.Duration
+	TellsStart   bool
 }
 
 // ListKind says what a list brings.
