Hold-back of one span without growth, and moves abroad only for small change

Cause: doubled spans kept sound executors idle, and each move to another zone paid its price again. Half and twice the span, and a longer silence, were no better.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,9 +37,8 @@
 	quotaCap    = 8    // the design's finite cap
 	intervals   = 0.4  // the interval, as a part of the shortest outer limit
 	sharers     = 4    // nodes whose slices an executor is in
+	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
-	maxStrikes  = 3.0  // hold-back doubles up to 2^3 mean running times
-	forgive     = 0.25 // part of a strike that one handled batch job takes back
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
 	hintMargin  = 1.25 // what is added to a mean or a rough hint where too little would harm
 )
@@ -77,7 +76,6 @@
 		if by := times(t.OuterLimit, intervals); d.interval == 0 || by < d.interval {
 			d.interval, d.tick = by, by
 		}
-		d.someRepeatable = d.someRepeatable || t.Repeat == Repeatable
 		if d.shortestQuoted == 0 || t.Quoted < d.shortestQuoted {
 			d.shortestQuoted = t.Quoted
 		}
@@ -154,7 +152,7 @@
 		e.started = n.Started
 		if until := n.Started + d.warmWithin; until > now {
 			// A fresh executor can do part of its work only, and what we knew of it no longer holds.
-			e.coldUntil, e.inCap, e.strike, e.held, e.colds = until, 1, 0, 0, e.colds[:0]
+			e.coldUntil, e.inCap, e.held, e.colds = until, 1, 0, e.colds[:0]
 			e.startWait = 0
 		}
 	}
@@ -260,10 +258,6 @@
 	if e.inCap > 0 && e.taken >= e.inCap {
 		return false
 	}
-	// An executor back from trouble is tried with what may be repeated.
-	if e.strike > 0.5 && e.inCap > 0 && j.track.repeat != Repeatable && d.someRepeatable {
-		return false
-	}
 	return now >= e.coldUntil || d.withinCold(e, j, now)
 }
 
@@ -671,7 +665,7 @@
 	case NotSent:
 		d.release(e, now)
 	case Errored, NoRoute, Cut:
-		d.strike(e, now, "after an outcome that was no answer")
+		d.holdBack(e, now, "after an outcome that was no answer")
 		d.release(e, now)
 	case TooSlow, CalledOff:
 		// The executor may still be on it: the token stays taken until the work would be over.
@@ -689,7 +683,6 @@
 	if now <= j.quotedAt {
 		j.track.given += d.earnings(j)
 	}
-	e.strike = max(0, e.strike-forgive)
 	if e.inCap > 0 {
 		if e.inCap++; e.inCap > e.quota {
 			e.inCap = 0
@@ -711,22 +704,20 @@
 	k.pace = max(k.pace, 0.05)
 }
 
-// strike holds an executor's tokens back: a quick error frees a token at once and would draw more.
-func (d *Dispatcher) strike(e *executor, now time.Duration, why string) {
+// holdBack holds an executor's tokens back for as long as a batch job takes: a quick error frees a token at
+// once and would draw more. After that it is tried with one in flight.
+func (d *Dispatcher) holdBack(e *executor, now time.Duration, why string) {
 	if e.held > now {
 		return
 	}
-	e.strike = min(maxStrikes, e.strike+1)
-	base := d.shortestQuoted
+	span := d.shortestQuoted
 	for i := range d.tracks {
-		base = max(base, d.tracks[i].meanWork)
+		span = max(span, d.tracks[i].meanWork)
 	}
-	hold := times(base, math.Exp2(e.strike-1))
-	e.held, e.inCap = now+hold, 1
-	if e.strike == maxStrikes {
-		text := fmt.Sprintf("%s held back for %v %s", e.id, hold.Round(time.Millisecond), why)
-		d.notes = append(d.notes, text)
+	if e.inCap == 0 {
+		d.notes = append(d.notes, fmt.Sprintf("%s held back for %v %s", e.id, span.Round(time.Millisecond), why))
 	}
+	e.held, e.inCap = now+span, 1
 	d.at(e.held, nil, nil)
 }
 
@@ -807,7 +798,7 @@
 	}
 	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
 	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted {
-		d.strike(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
+		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
 	}
 }
 
@@ -917,7 +908,9 @@
 	d.at(now+again, j, nil)
 	mayMove := j.sent < d.maxAllocations && d.couldMove(j, now)
 	if !j.running && d.tellsStart {
-		if mayMove && d.elsewhere(j, now) != nil {
+		// A move pays the price of crossing again, so it must be small change.
+		to := d.elsewhere(j, now)
+		if mayMove && to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j)) {
 			return true
 		}
 		return false
--- a/policy/state.go
+++ b/policy/state.go
@@ -47,8 +47,6 @@
 	warmWithin     time.Duration
 	coldWork       float64 // this node's part of the cold budget, for each unit of capacity
 	fallWindow     time.Duration
-	holdBase       time.Duration
-	someRepeatable bool
 	shortestQuoted time.Duration
 }
 
@@ -95,15 +93,14 @@
 	started   time.Duration
 	coldUntil time.Duration
 
-	quota  int
-	free   []time.Duration // since when each free token is free, oldest first
-	taken  int             // tokens taken by allocations out and by ghosts
-	out    []*job          // allocations out
-	inCap  int             // cap in flight that grows with answers; 0 for none
-	colds  []spend         // work sent while cold, within the window
-	strike float64
-	held   time.Duration // tokens are held back until then
-	news   time.Duration // last sign of life
+	quota int
+	free  []time.Duration // since when each free token is free, oldest first
+	taken int             // tokens taken by allocations out and by ghosts
+	out   []*job          // allocations out
+	inCap int             // cap in flight that grows with answers; 0 for none
+	colds []spend         // work sent while cold, within the window
+	held  time.Duration   // tokens are held back until then
+	news  time.Duration   // last sign of life
 
 	runs, works  float64 // running time seen and work done, fading
 	startWait    time.Duration
