--- a/policy/policy.go
+++ b/policy/policy.go
@@ -806,15 +806,15 @@
 
 // Wait says what has fallen due, or until when nothing will.
 func (d *Dispatcher) Wait(now time.Duration) Due {
+	for now >= d.tick {
+		d.tick += d.interval
+		d.everyInterval(now)
+	}
 	if len(d.notes) > 0 {
 		text := d.notes[0]
 		d.notes = d.notes[1:]
 		return Due{Task: Note, Text: text}
 	}
-	for now >= d.tick {
-		d.tick += d.interval
-		d.everyInterval(now)
-	}
 	if d.mustAsk && !d.subscribed && !d.asking && now >= d.askAt {
 		d.asking = true
 		return Due{Task: Subscribe}
