--- a/policy/policy.go
+++ b/policy/policy.go
@@ -402,6 +402,10 @@
 		if e == not || !e.near && !far || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
 			continue
 		}
+		// A late batch job must not queue before those still to come: it goes where nothing of ours is out.
+		if late && len(e.out) > 0 {
+			continue
+		}
 		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), cmp.Compare(e.free[0], best.free[0])) < 0 {
 			best = e
 		}
@@ -593,7 +597,7 @@
 // queued books an allocation's wait at the executor.
 func (d *Dispatcher) queued(e *executor, j *job, wait time.Duration) {
 	wait = max(0, wait-d.quantum)
-	e.startWait = times(e.startWait, fade) + times(wait, 1-fade)
+	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
 	e.workerWait += wait
 	slack := j.quotedAt - j.came - j.work
 	if j.sentAt-j.heldAt+wait > times(slack, slackTarget) {
