--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	firstQuota  = 2    // the design's start
 	quotaCap    = 8    // the design's finite cap
 	intervals   = 0.4  // the interval, as a part of the shortest outer limit
-	sharers     = 4    // nodes whose slices an executor is in
+	sharers     = 3               // nodes whose slices an executor is in, from twice as many nodes on
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
@@ -161,6 +161,9 @@
 // shares says whether an executor is in this node's slice: every executor is in the slices of a few nodes,
 // which all nodes reckon alike from its id. Guards against many nodes, whose least quotas add up to a jam.
 func (d *Dispatcher) shares(id ExecutorID) bool {
+	if d.nodes < 2*sharers {
+		return true
+	}
 	sum := crc32.ChecksumIEEE([]byte(id))
 	mine, before := rank(sum, d.node), 0
 	for n := range d.nodes {
@@ -392,7 +395,7 @@
 func (d *Dispatcher) pick(j *job, now time.Duration, not *executor) *executor {
 	late := j.quotedAt < now+j.work/2
 	cross := now-j.heldAt >= d.patience(j)
-	far := now >= j.farAt()
+	far := !d.nearby(j, now)
 	home := false
 	var best *executor
 	for _, e := range d.executors {
@@ -416,9 +419,14 @@
 	return best
 }
 
-// farAt is when the executors outside this node's slice open to a held batch job.
-func (j *job) farAt() time.Duration {
-	return j.heldAt + times(max(0, j.quotedAt-j.heldAt-j.work), slackTarget)
+// nearby says whether any executor of this node's slice could run j; if none, the others are open to it.
+func (d *Dispatcher) nearby(j *job, now time.Duration) bool {
+	for _, e := range d.executors {
+		if e.near && d.usable(e, now) && d.fits(e, j, now) {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Dispatcher) abroad(e *executor) int {
@@ -491,10 +499,8 @@
 	}
 	d.waited = d.waited || now <= j.quotedAt-j.work
 	next := min(max(lastStart, now)+d.quantum, j.limitAt-d.quantum)
-	for _, open := range [...]time.Duration{j.heldAt + d.patience(j), j.farAt()} {
-		if open > now {
-			next = min(next, open)
-		}
+	if open := j.heldAt + d.patience(j); open > now {
+		next = min(next, open)
 	}
 	j.turn++
 	d.at(max(next, now+d.quantum), j, nil)
