--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	firstQuota  = 2    // the design's start
 	quotaCap    = 8    // the design's finite cap
 	intervals   = 0.4  // the interval, as a part of the shortest outer limit
-	sharers     = 3               // nodes whose slices an executor is in, from twice as many nodes on
+	sharers     = 3    // nodes whose slices an executor is in, from twice as many nodes on
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
