Plainer code: rule 2 in one place, looks in one shape; hopeless tagged batch jobs end at once

Cause: the read-through. A tagged batch job that may have run and can earn nothing more was held until its outer limit; machines replaced under new ids were kept for ever.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -127,7 +127,7 @@
 	if what != Changes {
 		for _, e := range d.executors {
 			if e.listed != d.lists {
-				e.up = false
+				e.up, e.gone = false, true
 			}
 		}
 	}
@@ -147,7 +147,8 @@
 		}
 	}
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
-	e.zone, e.kind, e.cell, e.up, e.listed = n.Zone, n.Kind, n.Cell, n.State == Up, d.lists
+	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
+	e.up, e.gone = n.State == Up, n.State == Gone
 	if restarted {
 		e.started = n.Started
 		if until := n.Started + d.warmWithin; until > now {
@@ -272,16 +273,9 @@
 	if !j.mayHave || j.track.repeat == Repeatable {
 		return true
 	}
-	if j.track.repeat == OnceOnly || now >= j.firstRan+j.track.groupWindow-d.quantum {
-		return false
-	}
-	switch j.track.group {
-	case GroupZone:
-		return e.zone == j.ranZone
-	case GroupCell:
-		return e.cell == j.ranCell
-	}
-	return true
+	sameGroup := j.track.group == GroupAll || j.track.group == GroupZone && e.zone == j.ranZone ||
+		j.track.group == GroupCell && e.cell == j.ranCell
+	return sameGroup && d.mayRepeat(j, now)
 }
 
 // withinCold is rule 4: this node's part of the budget of work for a cold executor, judged by what warm
@@ -421,12 +415,9 @@
 
 // nearby says whether any executor of this node's slice could run j; if none, the others are open to it.
 func (d *Dispatcher) nearby(j *job, now time.Duration) bool {
-	for _, e := range d.executors {
-		if e.near && d.usable(e, now) && d.fits(e, j, now) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.executors, func(e *executor) bool {
+		return e.near && d.usable(e, now) && d.fits(e, j, now)
+	})
 }
 
 func (d *Dispatcher) abroad(e *executor) int {
@@ -472,10 +463,7 @@
 		return Decision{}
 	}
 	d.hold(j, now)
-	if now >= j.limitAt-d.quantum {
-		return d.giveUp(j)
-	}
-	if j.sent >= d.maxAllocations || (j.mayHave && !d.mayRepeat(j, now)) {
+	if now >= j.limitAt-d.quantum || j.sent >= d.maxAllocations || !d.mayRepeat(j, now) {
 		return d.giveUp(j)
 	}
 	best := math.Inf(1)
@@ -491,7 +479,7 @@
 	if j.track.late > 0 {
 		lastStart = j.limitAt - times(j.work, best)
 	}
-	if now > lastStart && d.mayPushBack(j) {
+	if now > lastStart {
 		return d.giveUp(j)
 	}
 	if e := d.pick(j, now, nil); e != nil {
@@ -509,13 +497,10 @@
 
 // mayRepeat is rule 2 for a further allocation.
 func (d *Dispatcher) mayRepeat(j *job, now time.Duration) bool {
-	switch j.track.repeat {
-	case Repeatable:
+	if !j.mayHave || j.track.repeat == Repeatable {
 		return true
-	case OnceOnly:
-		return !j.mayHave
 	}
-	return !j.mayHave || now < j.firstRan+j.track.groupWindow-d.quantum
+	return j.track.repeat == Tagged && now < j.firstRan+j.track.groupWindow-d.quantum
 }
 
 // mayPushBack is rule 2 for a pushback.
@@ -563,7 +548,7 @@
 	j.on, j.sentAt, j.running, j.share, j.stopping = e, now, false, 0, false
 	j.sent++
 	j.turn++
-	d.at(now+d.lookAfter(j, e), j, nil)
+	d.at(now+d.lookAfter(e), j, nil)
 	allow := time.Duration(0)
 	if !d.mayCancel && d.mayRepeat(j, now) && j.track.repeat == Repeatable {
 		allow = 3*times(j.work, d.pace(e, now)) + j.track.quoted
@@ -572,7 +557,7 @@
 }
 
 // lookAfter is when an allocation that is out gets its next look.
-func (d *Dispatcher) lookAfter(j *job, e *executor) time.Duration {
+func (d *Dispatcher) lookAfter(e *executor) time.Duration {
 	return max(d.shortestQuoted/4, 2*e.startWait, d.quantum)
 }
 
@@ -734,6 +719,13 @@
 // ---- The interval ----
 
 func (d *Dispatcher) everyInterval(now time.Duration) {
+	// Machines that are replaced come under new ids: those gone are dropped once nothing of ours is there.
+	d.executors = slices.DeleteFunc(d.executors, func(e *executor) bool {
+		if e.gone && e.taken == 0 {
+			delete(d.byID, e.id)
+		}
+		return e.gone && e.taken == 0
+	})
 	for _, e := range d.executors {
 		for _, j := range e.out {
 			if !j.running && d.tellsStart {
@@ -829,8 +821,8 @@
 		d.asking = true
 		return Due{Task: Subscribe}
 	}
-	if due, ok := d.nextHeld(now); ok {
-		return due
+	if j := d.next(now); j != nil {
+		return Due{Task: PlaceJob, Job: j.id}
 	}
 	for len(d.due) > 0 && d.due[0].at <= now {
 		it := heap.Pop(&d.due).(dueItem)
@@ -853,8 +845,8 @@
 			return Due{Task: StopJob, Job: j.id, Allocation: AllocationID(j.sent - 1)}
 		}
 	}
-	if due, ok := d.nextHeld(now); ok {
-		return due
+	if j := d.next(now); j != nil {
+		return Due{Task: PlaceJob, Job: j.id}
 	}
 	at := d.tick
 	if len(d.due) > 0 {
@@ -866,26 +858,11 @@
 	return Due{At: at}
 }
 
-// nextHeld names a held batch job that a token is open to, once after each change that may have opened one.
-func (d *Dispatcher) nextHeld(now time.Duration) (Due, bool) {
-	if !d.freed {
-		return Due{}, false
-	}
-	if j := d.next(now); j != nil {
-		return Due{Task: PlaceJob, Job: j.id}, true
-	}
-	d.freed = false
-	return Due{}, false
-}
-
 // next is the release order: of the held batch jobs that a free token is open to, the one with the least
-// slack to its quoted time, weighed by what it earns for its work; late ones after all others.
+// slack to its quoted time, weighed by what it earns for its work; late ones after all others. It is asked
+// once after each change that may have opened a token.
 func (d *Dispatcher) next(now time.Duration) *job {
-	any := false
-	for _, e := range d.executors {
-		any = any || len(e.free) > 0 && d.usable(e, now)
-	}
-	if !any {
+	if !d.freed || !slices.ContainsFunc(d.executors, func(e *executor) bool { return len(e.free) > 0 }) {
 		return nil
 	}
 	var best *job
@@ -901,11 +878,12 @@
 			best, least = j, s
 		}
 	}
+	d.freed = best != nil
 	return best
 }
 
-// look says whether to stop waiting for an allocation: the client has left, it has not started and moving
-// it or giving it up is better, or the executor crawls and another token would answer sooner.
+// look says whether to stop waiting for an allocation: the client has left, it has not started and another
+// token is open to it, or the executor crawls and another token would answer sooner.
 func (d *Dispatcher) look(j *job, now time.Duration) bool {
 	if j.stopping || !d.mayCancel {
 		return false
@@ -914,49 +892,29 @@
 	if j.over {
 		return !j.running
 	}
-	again := d.lookAfter(j, e)
-	d.at(now+again, j, nil)
-	mayMove := j.sent < d.maxAllocations && d.couldMove(j, now)
-	if !j.running && d.tellsStart {
-		// A move pays the price of crossing again, so it must be small change.
-		to := d.elsewhere(j, now)
-		if mayMove && to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j)) {
-			return true
-		}
-		return false
-	}
-	if !mayMove || !j.running {
+	d.at(now+d.lookAfter(e), j, nil)
+	ran, usual := now-j.startedAt, d.kinds[e.kind].pace
+	crawls := e.held > now || d.pace(e, now) >= crawl*usual
+	if j.running && (!crawls || ran <= times(j.work, crawl*usual)) || !j.running && !d.tellsStart {
 		return false
 	}
-	usual := d.kinds[e.kind].pace
-	if e.held <= now && d.pace(e, now) < crawl*usual {
-		return false
+	to := d.elsewhere(j, now)
+	if to == nil || !j.running {
+		// A move pays the price of crossing again, so it must be small change.
+		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
 	}
-	left := now - j.startedAt
+	left := ran
 	if j.share > 0.02 {
 		left = times(j.shareAt-j.startedAt, (1-j.share)/j.share)
 	}
-	if now-j.startedAt <= times(j.work, crawl*usual) {
-		return false
-	}
-	to := d.elsewhere(j, now)
-	return to != nil && left > 2*times(j.work, d.pace(to, now))
-}
-
-// couldMove is rule 2 seen ahead: the allocation that is out will count as one that may have run.
-func (d *Dispatcher) couldMove(j *job, now time.Duration) bool {
-	if j.track.repeat == Tagged {
-		first := j.sentAt
-		if j.mayHave {
-			first = j.firstRan
-		}
-		return now < first+j.track.groupWindow-2*d.quantum
-	}
-	return j.track.repeat == Repeatable
+	return left > 2*times(j.work, d.pace(to, now))
 }
 
-// elsewhere is the executor that j would go to if it were stopped now.
+// elsewhere is the executor that j would go to if it were stopped now, as one that may have run.
 func (d *Dispatcher) elsewhere(j *job, now time.Duration) *executor {
+	if j.sent >= d.maxAllocations {
+		return nil
+	}
 	was, zone, cell, first := j.mayHave, j.ranZone, j.ranCell, j.firstRan
 	if !was {
 		j.mayHave, j.ranZone, j.ranCell, j.firstRan = true, j.on.zone, j.on.cell, j.sentAt
--- a/policy/state.go
+++ b/policy/state.go
@@ -89,7 +89,8 @@
 	cell      CellID
 	near      bool // this node is one of the few whose slice it is in
 	up        bool
-	listed    int // the list that named it last
+	gone      bool // taken off the list
+	listed    int  // the list that named it last
 	started   time.Duration
 	coldUntil time.Duration
 
