--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,7 @@
 	firstQuota  = 2    // the design's start
 	quotaCap    = 8    // the design's finite cap
 	intervals   = 0.4  // the interval, as a part of the shortest outer limit
+	lateSharers = 2    // nodes that send an executor their late batch jobs
 	sharers     = 3    // nodes whose slices an executor is in, from twice as many nodes on
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
@@ -138,7 +139,8 @@
 	e := d.byID[n.Executor]
 	fresh := e == nil
 	if fresh {
-		e = &executor{id: n.Executor, started: n.Started, news: now, near: d.shares(n.Executor)}
+		e = &executor{id: n.Executor, started: n.Started, news: now, place: d.placeAt(n.Executor)}
+		e.near = d.nodes < 2*sharers || e.place < sharers
 		d.byID[n.Executor] = e
 		d.executors = append(d.executors, e)
 		d.grant(e, now, d.meanQuota(n))
@@ -159,12 +161,9 @@
 	}
 }
 
-// shares says whether an executor is in this node's slice: every executor is in the slices of a few nodes,
-// which all nodes reckon alike from its id. Guards against many nodes, whose least quotas add up to a jam.
-func (d *Dispatcher) shares(id ExecutorID) bool {
-	if d.nodes < 2*sharers {
-		return true
-	}
+// placeAt is this node's place among all nodes for an executor, which all reckon alike from its id: an
+// executor is in the slices of the first few. Guards against many nodes, whose least quotas add up to a jam.
+func (d *Dispatcher) placeAt(id ExecutorID) int {
 	sum := crc32.ChecksumIEEE([]byte(id))
 	mine, before := rank(sum, d.node), 0
 	for n := range d.nodes {
@@ -172,7 +171,7 @@
 			before++
 		}
 	}
-	return before < sharers
+	return before
 }
 
 func rank(sum uint32, node int) uint32 {
@@ -399,8 +398,9 @@
 		if e == not || !e.near && !far || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
 			continue
 		}
-		// A late batch job must not queue before those still to come: it goes where nothing of ours is out.
-		if late && len(e.out) > 0 {
+		// A late batch job must not fill the places of those still to come: it goes where nothing of ours is
+		// out, and, where it may be held until the outer limit, where few nodes send their late ones.
+		if late && (len(e.out) > 0 || e.place >= lateSharers && j.track.late > 0) {
 			continue
 		}
 		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), cmp.Compare(e.free[0], best.free[0])) < 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -88,6 +88,7 @@
 	kind      KindID
 	cell      CellID
 	near      bool // this node is one of the few whose slice it is in
+	place     int  // this node among all for it
 	up        bool
 	gone      bool // taken off the list
 	listed    int  // the list that named it last
