--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,7 @@
 	firstQuota  = 2    // the design's start
 	quotaCap    = 8    // the design's finite cap
 	intervals   = 0.4  // the interval, as a part of the shortest outer limit
+	lateWait    = 0.5  // part of the outer limit that a late batch job is held
 	lateSharers = 2    // nodes that send an executor their late batch jobs
 	sharers     = 3    // nodes whose slices an executor is in, from twice as many nodes on
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
@@ -477,7 +478,8 @@
 	}
 	lastStart := j.quotedAt - times(j.work, best)
 	if j.track.late > 0 {
-		lastStart = j.limitAt - times(j.work, best)
+		// Not to the outer limit: who has waited half of it with nothing out is told to come back instead.
+		lastStart = min(j.limitAt, j.heldAt+times(j.track.outerLimit, lateWait)) - times(j.work, best)
 	}
 	if now > lastStart {
 		return d.giveUp(j)
