Dead figures and repeated checks taken out; behaviour as it was

Cause: a last read of the whole change. A mean that nothing read, a rule-2 test that its own condition implied, the subscription test written twice, and the reading of an allocation's ids written twice in the adapter.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -291,11 +291,7 @@
 }
 
 func (n *instance) done(now time.Duration, f *fields) error {
-	id, err := f.need("id")
-	if err != nil {
-		return err
-	}
-	shot, err := f.whole("shot", true)
+	id, shot, err := f.allocation()
 	if err != nil {
 		return err
 	}
@@ -319,11 +315,7 @@
 }
 
 func (n *instance) notice(now time.Duration, f *fields, stream bool) error {
-	id, err := f.need("id")
-	if err != nil {
-		return err
-	}
-	shot, err := f.whole("shot", true)
+	id, shot, err := f.allocation()
 	if err != nil {
 		return err
 	}
--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -18,7 +18,7 @@
 
 type pair struct{ key, value []byte }
 
-// textFields run to the end of their line.
+// textField runs to the end of its line.
 const textField = "profile-data"
 
 // split reads a line and gives its message's name.
@@ -101,6 +101,14 @@
 	return x, nil
 }
 
+// allocation reads which allocation of which batch job a line is about.
+func (f *fields) allocation() (id []byte, shot int64, err error) {
+	if id, err = f.need("id"); err == nil {
+		shot, err = f.whole("shot", true)
+	}
+	return id, shot, err
+}
+
 func (f *fields) seconds(key string) (time.Duration, error) {
 	if _, err := f.need(key); err != nil {
 		return 0, err
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -186,7 +186,7 @@
 func (d *Dispatcher) meanQuota(n Entry) int {
 	sum, count := 0, 0
 	for _, e := range d.executors {
-		if e.up && e.kind == n.Kind && e.quota > 0 {
+		if e.up && e.kind == n.Kind && e.quota > 0 { // a new one has none yet
 			sum += e.quota
 			count++
 		}
@@ -194,7 +194,7 @@
 	if count == 0 {
 		return firstQuota
 	}
-	return max(1, (sum+count/2)/count)
+	return (sum + count/2) / count
 }
 
 // grant gives an executor its first tokens, their ages strewn so that nodes don't start on the same one.
@@ -325,10 +325,9 @@
 	t.unit = t.unit*fade + e*(1-fade)
 	slow := 1 - (1-fade)/4
 	if d.meanEarnings == 0 {
-		d.meanEarnings, d.perEarned = e, e/j.work.Seconds()
+		d.meanEarnings = e
 	}
 	d.meanEarnings = d.meanEarnings*slow + e*(1-slow)
-	d.perEarned = d.perEarned*slow + e/j.work.Seconds()*(1-slow)
 	if spent == 0 {
 		t.asked += e
 	}
@@ -552,7 +551,7 @@
 	j.turn++
 	d.at(now+d.lookAfter(e), j, nil)
 	allow := time.Duration(0)
-	if !d.mayCancel && d.mayRepeat(j, now) && j.track.repeat == Repeatable {
+	if !d.mayCancel && j.track.repeat == Repeatable {
 		allow = 3*times(j.work, d.pace(e, now)) + j.track.quoted
 	}
 	return Decision{Act: Send, Executor: e.id, AllowFor: allow}
@@ -819,7 +818,8 @@
 		d.notes = d.notes[1:]
 		return Due{Task: Note, Text: text}
 	}
-	if d.mustAsk && !d.subscribed && !d.asking && now >= d.askAt {
+	mustSubscribe := d.mustAsk && !d.subscribed && !d.asking
+	if mustSubscribe && now >= d.askAt {
 		d.asking = true
 		return Due{Task: Subscribe}
 	}
@@ -854,7 +854,7 @@
 	if len(d.due) > 0 {
 		at = min(at, d.due[0].at)
 	}
-	if d.mustAsk && !d.subscribed && !d.asking {
+	if mustSubscribe {
 		at = min(at, d.askAt)
 	}
 	return Due{At: at}
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,7 +32,6 @@
 	trackWeight    float64
 	worst          *track
 	meanEarnings   float64
-	perEarned      float64 // mean earnings for each unit of work
 	maxAllocations int
 	mayCancel      bool
 	comeBack       time.Duration
--- a/policy/types.go
+++ b/policy/types.go
@@ -113,7 +113,7 @@
 	Gone
 )
 
-// Entry is one executor in a list. Age is how long ago it last started; a negative one: long ago.
+// Entry is one executor in a list. Started is when it last started, unless that was long ago.
 type Entry struct {
 	Executor ExecutorID
 	Zone     ZoneID
