Slices are the executors that rank highest in a hash of node and executor

Now each node ranks executors once and uses the highest usable ones, six for each zone side and bound kind at least, three nodes an executor while that gives more; the next in rank steps in for what is lost or held back. The trace found a known executor that comes back as another kind: the module broke on it; mended. Late batch jobs: each node's highest ranks.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,8 @@
 	intervals   = 0.4  // the interval, as a part of the shortest outer limit
 	lateWait    = 0.5  // part of the outer limit that a late batch job is held
 	lateSharers = 2    // nodes that send an executor their late batch jobs
-	sharers     = 3    // nodes whose slices an executor is in, from twice as many nodes on
+	sharers     = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
+	leastSlice  = 6    // executors of each zone side and bound kind in a slice at least
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
@@ -72,6 +73,9 @@
 		if t.OuterLimit <= 0 || t.Quoted <= 0 {
 			return nil, fmt.Errorf("settings: track %d has no quoted time or no outer limit", i)
 		}
+		if !slices.Contains(d.needs, t.Kind) {
+			d.needs = append(d.needs, t.Kind)
+		}
 		d.tracks = append(d.tracks, track{repeat: t.Repeat, group: t.Group, groupWindow: t.GroupWindow,
 			quoted: t.Quoted, outerLimit: t.OuterLimit, stretch: t.Stretch, earnings: t.Earnings,
 			late: t.LateEarnings, kind: t.Kind, meanWork: t.Quoted, unit: t.Earnings})
@@ -123,31 +127,41 @@
 		d.subscribed = true
 	}
 	d.lists++
+	added := false
 	for _, n := range entries {
-		d.listed(now, n)
+		added = d.listed(now, n) || added
 	}
 	if what != Changes {
-		for _, e := range d.executors {
+		for _, e := range d.ranked {
 			if e.listed != d.lists {
 				e.up, e.gone = false, true
 			}
 		}
 	}
-	d.freed = true
+	// Machines that are replaced come under new ids: those gone are dropped once nothing of ours is there.
+	d.ranked = slices.DeleteFunc(d.ranked, func(e *executor) bool {
+		if e.gone && e.taken == 0 {
+			delete(d.byID, e.id)
+		}
+		return e.gone && e.taken == 0
+	})
+	if added {
+		slices.SortFunc(d.ranked, func(a, b *executor) int {
+			return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
+		})
+	}
+	d.stale, d.freed = true, true
 }
 
-func (d *Dispatcher) listed(now time.Duration, n Entry) {
+func (d *Dispatcher) listed(now time.Duration, n Entry) (fresh bool) {
 	e := d.byID[n.Executor]
-	fresh := e == nil
-	if fresh {
-		e = &executor{id: n.Executor, started: n.Started, news: now, place: d.placeAt(n.Executor)}
-		e.near = d.nodes < 2*sharers || e.place < sharers
+	if fresh = e == nil; fresh {
+		e = &executor{id: n.Executor, started: n.Started, news: now, rank: d.rankOf(n.Executor)}
 		d.byID[n.Executor] = e
-		d.executors = append(d.executors, e)
-		d.grant(e, now, d.meanQuota(n))
-		if d.kinds[n.Kind] == nil {
-			d.kinds[n.Kind] = &kind{pace: 1, parallel: 1}
-		}
+		d.ranked = append(d.ranked, e)
+	}
+	if d.kinds[n.Kind] == nil { // also where a known executor comes back as another kind
+		d.kinds[n.Kind] = &kind{pace: 1, parallel: 1}
 	}
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
 	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
@@ -160,47 +174,75 @@
 			e.startWait = 0
 		}
 	}
+	return fresh
 }
 
-// placeAt is this node's place among all nodes for an executor, which all reckon alike from its id: an
-// executor is in the slices of the first few. Guards against many nodes, whose least quotas add up to a jam.
-func (d *Dispatcher) placeAt(id ExecutorID) int {
-	sum := crc32.ChecksumIEEE([]byte(id))
-	mine, before := rank(sum, d.node), 0
-	for n := range d.nodes {
-		if rank(sum, n) < mine {
-			before++
-		}
-	}
-	return before
-}
-
-func rank(sum uint32, node int) uint32 {
-	b := binary.LittleEndian.AppendUint32(nil, sum)
-	b = binary.LittleEndian.AppendUint32(b, uint32(node))
+// rankOf is an executor's rank at this node: a hash of both, reckoned once.
+func (d *Dispatcher) rankOf(id ExecutorID) uint32 {
+	b := binary.LittleEndian.AppendUint32([]byte(id), uint32(d.node))
 	// A checksum alone is linear in the node; the golden ratio's odd multiplier mends that.
 	return crc32.ChecksumIEEE(b) * 0x9e3779b1
 }
 
-// meanQuota is what a new executor starts with: its slice's mean, or the design's start.
-func (d *Dispatcher) meanQuota(n Entry) int {
+// reslice picks the executors that this node uses: where it can't use all, those that rank highest, in its
+// own zone and beyond it, for each bound kind. One that is lost or held back makes room for the next in rank.
+func (d *Dispatcher) reslice(now time.Duration) {
+	d.stale = false
+	size := len(d.ranked)
+	d.lateSlice = max(1, (lateSharers*size+d.nodes-1)/d.nodes)
+	if d.nodes >= 2*sharers {
+		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
+	}
+	for _, e := range d.slice {
+		e.near = false
+	}
+	d.slice = d.slice[:0]
+	want := [2]int{}
+	counts := make([]int, 2*len(d.needs))
+	for _, e := range d.ranked {
+		if want == [2]int{len(d.needs), len(d.needs)} {
+			break
+		}
+		if !d.usable(e, now) {
+			continue
+		}
+		side := d.abroad(e)
+		for i, need := range d.needs {
+			n := &counts[side*len(d.needs)+i]
+			if need != AnyKind && need != e.kind || *n >= size {
+				continue
+			}
+			e.near = true
+			if *n++; *n == size {
+				want[side]++
+			}
+		}
+		if e.near {
+			d.slice = append(d.slice, e)
+			d.grant(e, now)
+		}
+	}
+}
+
+// grant gives an executor its first tokens: its slice's mean quota, or the design's start. Their ages are
+// strewn so that nodes don't start on the same one.
+func (d *Dispatcher) grant(e *executor, now time.Duration) {
+	if e.quota > 0 {
+		return
+	}
 	sum, count := 0, 0
-	for _, e := range d.executors {
-		if e.up && e.kind == n.Kind && e.quota > 0 { // a new one has none yet
-			sum += e.quota
+	for _, o := range d.met {
+		if o.up && o.kind == e.kind {
+			sum += o.quota
 			count++
 		}
 	}
-	if count == 0 {
-		return firstQuota
+	e.quota = firstQuota
+	if count > 0 {
+		e.quota = (sum + count/2) / count
 	}
-	return (sum + count/2) / count
-}
-
-// grant gives an executor its first tokens, their ages strewn so that nodes don't start on the same one.
-func (d *Dispatcher) grant(e *executor, now time.Duration, quota int) {
-	e.quota = quota
-	for range quota {
+	d.met = append(d.met, e)
+	for range e.quota {
 		e.free = append(e.free, now-times(d.interval, d.chance()))
 	}
 	slices.Sort(e.free)
@@ -388,19 +430,18 @@
 func (d *Dispatcher) pick(j *job, now time.Duration, not *executor) *executor {
 	late := j.quotedAt < now+j.work/2
 	cross := now-j.heldAt >= d.patience(j)
-	far := !d.nearby(j, now)
 	home := false
 	var best *executor
-	for _, e := range d.executors {
+	for i, e := range d.candidates(j) {
 		if !home && e.zone == d.zone && d.usable(e, now) && d.fits(e, j, now) {
 			home = true
 		}
-		if e == not || !e.near && !far || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
+		if e == not || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
 			continue
 		}
 		// A late batch job must not fill the places of those still to come: it goes where nothing of ours is
 		// out, and, where it may be held until the outer limit, where few nodes send their late ones.
-		if late && (len(e.out) > 0 || e.place >= lateSharers && j.track.late > 0) {
+		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
 			continue
 		}
 		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), cmp.Compare(e.free[0], best.free[0])) < 0 {
@@ -413,11 +454,12 @@
 	return best
 }
 
-// nearby says whether any executor of this node's slice could run j; if none, the others are open to it.
-func (d *Dispatcher) nearby(j *job, now time.Duration) bool {
-	return slices.ContainsFunc(d.executors, func(e *executor) bool {
-		return e.near && d.usable(e, now) && d.fits(e, j, now)
-	})
+// candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
+func (d *Dispatcher) candidates(j *job) []*executor {
+	if j.mayHave && j.track.repeat == Tagged && j.track.group != GroupAll {
+		return d.ranked
+	}
+	return d.slice
 }
 
 func (d *Dispatcher) abroad(e *executor) int {
@@ -467,7 +509,7 @@
 		return d.giveUp(j)
 	}
 	best := math.Inf(1)
-	for _, e := range d.executors {
+	for _, e := range d.candidates(j) {
 		if e.up && d.fits(e, j, now) {
 			best = min(best, d.pace(e, now))
 		}
@@ -714,20 +756,15 @@
 		d.notes = append(d.notes, fmt.Sprintf("%s held back for %v %s", e.id, span.Round(time.Millisecond), why))
 	}
 	e.held, e.inCap = now+span, 1
+	d.stale = true
 	d.at(e.held, nil, nil)
 }
 
 // ---- The interval ----
 
 func (d *Dispatcher) everyInterval(now time.Duration) {
-	// Machines that are replaced come under new ids: those gone are dropped once nothing of ours is there.
-	d.executors = slices.DeleteFunc(d.executors, func(e *executor) bool {
-		if e.gone && e.taken == 0 {
-			delete(d.byID, e.id)
-		}
-		return e.gone && e.taken == 0
-	})
-	for _, e := range d.executors {
+	d.met = slices.DeleteFunc(d.met, func(e *executor) bool { return e.gone && e.taken == 0 })
+	for _, e := range d.met {
 		for _, j := range e.out {
 			if !j.running && d.tellsStart {
 				e.workerWait += max(0, now-max(j.sentAt, now-d.interval)-d.quantum)
@@ -745,7 +782,7 @@
 		e.runs, e.works = e.runs*fade, e.works*fade
 		e.full, e.fullMany, e.startedOther, e.fullWait = false, false, false, 0
 	}
-	d.waited, d.freed = false, true
+	d.waited, d.freed, d.stale = false, true, true
 	for _, j := range d.held {
 		d.waited = d.waited || now <= j.quotedAt-j.work
 	}
@@ -830,9 +867,10 @@
 		it := heap.Pop(&d.due).(dueItem)
 		if it.ghost != nil {
 			d.release(it.ghost, now)
+			continue
 		}
 		if it.job == nil {
-			d.freed = true
+			d.stale, d.freed = true, true
 			continue
 		}
 		j := it.job
@@ -864,7 +902,10 @@
 // slack to its quoted time, weighed by what it earns for its work; late ones after all others. It is asked
 // once after each change that may have opened a token.
 func (d *Dispatcher) next(now time.Duration) *job {
-	if !d.freed || !slices.ContainsFunc(d.executors, func(e *executor) bool { return len(e.free) > 0 }) {
+	if d.stale {
+		d.reslice(now)
+	}
+	if !d.freed {
 		return nil
 	}
 	var best *job
--- a/policy/state.go
+++ b/policy/state.go
@@ -12,7 +12,12 @@
 	tracks      []track
 	tenants     []tenant
 	kinds       map[KindID]*kind
-	executors   []*executor
+	ranked      []*executor // all on the list, highest rank first
+	slice       []*executor // those that this node uses, in the same order
+	met         []*executor // those that have been in a slice and have tokens
+	needs       []KindID    // bound kinds of the tracks
+	lateSlice   int         // executors of the slice that late batch jobs may use
+	stale       bool        // the slice must be picked anew
 	byID        map[ExecutorID]*executor
 	jobs        map[JobID]*job
 	held        []*job
@@ -86,8 +91,8 @@
 	zone      ZoneID
 	kind      KindID
 	cell      CellID
-	near      bool // this node is one of the few whose slice it is in
-	place     int  // this node among all for it
+	rank      uint32
+	near      bool // in this node's slice
 	up        bool
 	gone      bool // taken off the list
 	listed    int  // the list that named it last
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -16,7 +16,7 @@
 //	2s job j1 work=300ms         a batch job comes (track, tenant, work, budget)
 //	2s started j1                then progress j1 0.5, ended j1 cut, left j1
 //	9s wait                      let time pass until then
-//	9s quotas                    show each executor's quota
+//	9s quotas                    show each executor's quota; slice: the executors in use
 type player struct {
 	t     *testing.T
 	d     *Dispatcher
@@ -210,9 +210,15 @@
 	case "left":
 		p.d.Left(now, id)
 	case "quotas":
-		for _, e := range p.d.executors {
+		for _, e := range p.d.met {
 			p.say(now, "%s has a quota of %d", e.id, e.quota)
 		}
+	case "slice":
+		names := []string{}
+		for _, e := range p.d.slice {
+			names = append(names, string(e.id))
+		}
+		p.say(now, "the slice is %s", strings.Join(names, " "))
 	case "wait":
 	default:
 		p.t.Fatalf("unknown word %q", what)
