--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -150,10 +150,8 @@
 			n.guard(func() { n.brain.Left(now, policy.JobID(id)) })
 		}
 		return err
-	case "PROBE_RESULT":
-		return n.probed(now, f)
-	case "HEARD":
-		return nil // this module does not talk to other nodes
+	case "PROBE_RESULT", "HEARD":
+		return nil // this module neither probes nor talks to other nodes
 	}
 	return fmt.Errorf("unknown message %q", name)
 }
@@ -297,10 +295,14 @@
 	if err != nil {
 		return err
 	}
-	how, err := f.outcome()
+	text, err := f.need("disposition")
 	if err != nil {
 		return err
 	}
+	how, ok := outcomes[string(text)]
+	if !ok {
+		return fmt.Errorf("field disposition: unknown value %q", text)
+	}
 	settled, err := f.whole("settled", false)
 	if err != nil {
 		return err
@@ -312,23 +314,6 @@
 	return nil
 }
 
-func (n *instance) probed(now time.Duration, f *fields) error {
-	id, err := f.need("executor")
-	if err != nil {
-		return err
-	}
-	how, err := f.outcome()
-	if err != nil {
-		return err
-	}
-	took, err := f.secondsOr0("cost-time-s")
-	if err != nil {
-		return err
-	}
-	n.guard(func() { n.brain.Probed(now, policy.ExecutorID(id), how, took) })
-	return nil
-}
-
 func (n *instance) notice(now time.Duration, f *fields, stream bool) error {
 	id, shot, err := f.allocation()
 	if err != nil {
@@ -371,9 +356,6 @@
 		case policy.Subscribe:
 			n.say("WATCH", "enable", "1")
 			n.out = append(n.out, '\n')
-		case policy.Probe:
-			n.say("ASK_LOAD", "executor", string(due.Executor))
-			n.out = append(n.out, '\n')
 		case policy.Note:
 			n.say("PRINT", "msg", due.Text)
 			n.out = append(n.out, '\n')
--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -109,18 +109,6 @@
 	return id, shot, err
 }
 
-func (f *fields) outcome() (policy.Outcome, error) {
-	text, err := f.need("disposition")
-	if err != nil {
-		return 0, err
-	}
-	how, ok := outcomes[string(text)]
-	if !ok {
-		return 0, fmt.Errorf("field disposition: unknown value %q", text)
-	}
-	return how, nil
-}
-
 func (f *fields) seconds(key string) (time.Duration, error) {
 	if _, err := f.need(key); err != nil {
 		return 0, err
@@ -160,7 +148,6 @@
 		ScoreParts map[string]float64 `json:"score-parts"`
 		Caps       struct {
 			Cancel       bool
-			Probes       bool
 			Allocations  int     `json:"max-allocations"`
 			RetryAfter   bool    `json:"retry-after"`
 			MaxComeBackS float64 `json:"max-retry-after-s"`
@@ -201,7 +188,7 @@
 		EarnPerWork: w.PerWork == "work", OverageEarnings: w.Overage, CrossZonePrice: w.Prices.CrossZone,
 		WholeWeight:    w.ScoreParts["whole"] + w.ScoreParts["worst-window"],
 		TrackWeight:    w.ScoreParts["worst-class"],
-		MaxAllocations: w.Caps.Allocations, MayCancel: w.Caps.Cancel, MayProbe: w.Caps.Probes,
+		MaxAllocations: w.Caps.Allocations, MayCancel: w.Caps.Cancel,
 		ColdShare: w.Rules.ColdShare, WarmWithin: seconds(w.Rules.WarmWithin),
 		FallMultiple: w.Rules.FallMultiple, FallWindow: seconds(w.Rules.FallS),
 		TellsStart: w.Domain.TellsStart,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,7 +39,6 @@
 	lateWait    = 0.5  // part of the outer limit that a late batch job is held
 	lateSharers = 2    // nodes that send an executor their late batch jobs
 	sharers     = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
-	probesOut   = 3    // probes out at once
 	leastSlice  = 6    // executors of each zone side and bound kind in a slice at least
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
@@ -62,15 +61,13 @@
 	d := &Dispatcher{
 		seed: s.Seed, node: s.Node, nodes: s.Nodes, zone: s.Zone,
 		kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{},
-		jobs: map[JobID]*job{}, zones: map[ZoneID]time.Duration{}, perWork: s.EarnPerWork, overage: s.OverageEarnings,
+		jobs: map[JobID]*job{}, perWork: s.EarnPerWork, overage: s.OverageEarnings,
 		crossPrice: s.CrossZonePrice, wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
 		quantum: max(s.Quantum, time.Millisecond), tellsStart: s.TellsStart, mustAsk: s.MustAsk,
 		askEvery: s.AskWithin / 8, coldShare: s.ColdShare, warmWithin: s.WarmWithin,
 		fallWindow: s.FallWindow,
 	}
-	// One node alone knows all that it sends.
-	d.mayProbe = s.MayProbe && s.Nodes > 1
 	d.coldWork = s.FallMultiple * s.FallWindow.Seconds() / float64(s.Nodes)
 	for i, t := range s.Tracks {
 		if t.OuterLimit <= 0 || t.Quoted <= 0 {
@@ -300,10 +297,7 @@
 }
 
 // open says whether e may take this batch job now: a free token, the cap in flight, rule 2 and rule 4.
-func (d *Dispatcher) open(e *executor, j *job, now time.Duration, probing bool) bool {
-	if d.mayProbe && (probing && (e.probing || e.vouched > now) || !probing && e.vouched <= now) {
-		return false
-	}
+func (d *Dispatcher) open(e *executor, j *job, now time.Duration) bool {
 	if len(e.free) == 0 || !d.usable(e, now) || !d.fits(e, j, now) {
 		return false
 	}
@@ -380,7 +374,6 @@
 		t.asked += e
 	}
 	d.jobs[id] = j
-	d.asks = true
 	d.hold(j, now)
 	d.at(now, j, nil)
 	d.freed = true
@@ -434,7 +427,7 @@
 
 // pick finds the executor with the oldest free token that j may take now. A token is passed over where the
 // executor's pace can't answer in time, unless the batch job is late anyway.
-func (d *Dispatcher) pick(j *job, now time.Duration, not *executor, probing bool) *executor {
+func (d *Dispatcher) pick(j *job, now time.Duration, not *executor) *executor {
 	late := j.quotedAt < now+j.work/2
 	cross := now-j.heldAt >= d.patience(j)
 	home := false
@@ -443,7 +436,7 @@
 		if !home && e.zone == d.zone && d.usable(e, now) && d.fits(e, j, now) {
 			home = true
 		}
-		if e == not || !d.open(e, j, now, probing) || (!late && !d.inTime(e, j, now)) {
+		if e == not || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
 			continue
 		}
 		// A late batch job must not fill the places of those still to come: it goes where nothing of ours is
@@ -485,9 +478,6 @@
 // ours alone fill as many places as its kind was seen to have, until the first of those is done.
 func (d *Dispatcher) waitAt(e *executor, pace float64, now time.Duration) time.Duration {
 	places := d.kinds[e.kind].parallel
-	if e.vouched > now || d.mayProbe && len(e.out) < places {
-		return 0
-	}
 	if len(e.out) < places {
 		return e.startWait
 	}
@@ -535,7 +525,7 @@
 	if now > lastStart {
 		return d.giveUp(j)
 	}
-	if e := d.pick(j, now, nil, false); e != nil {
+	if e := d.pick(j, now, nil); e != nil {
 		return d.send(j, e, now)
 	}
 	d.waited = d.waited || now <= j.quotedAt-j.work
@@ -590,7 +580,6 @@
 	e.ourWait += max(0, min(now, j.quotedAt-j.work)-j.heldAt)
 	e.free = e.free[1:]
 	e.taken++
-	e.vouched = 0
 	e.dry = e.dry || len(e.free) == 0
 	if len(e.out) == 0 {
 		e.news = now
@@ -881,7 +870,7 @@
 			continue
 		}
 		if it.job == nil {
-			d.stale, d.freed, d.asks = true, true, true
+			d.stale, d.freed = true, true
 			continue
 		}
 		j := it.job
@@ -899,9 +888,6 @@
 	if j := d.next(now); j != nil {
 		return Due{Task: PlaceJob, Job: j.id}
 	}
-	if e := d.probe(now); e != nil {
-		return Due{Task: Probe, Executor: e.id}
-	}
 	at := d.tick
 	if len(d.due) > 0 {
 		at = min(at, d.due[0].at)
@@ -931,7 +917,7 @@
 			slack = j.track.outerLimit.Seconds()
 			density *= max(j.track.late, 1e-3)
 		}
-		if s := (slack + 0.01) / max(density, 1e-9); s < least && d.pick(j, now, nil, false) != nil {
+		if s := (slack + 0.01) / max(density, 1e-9); s < least && d.pick(j, now, nil) != nil {
 			best, least = j, s
 		}
 	}
@@ -939,53 +925,6 @@
 	return best
 }
 
-// probe picks the executor of whose free token a held batch job wants to know whether the others have left it
-// a place. Each batch job asks one after another.
-func (d *Dispatcher) probe(now time.Duration) *executor {
-	if !d.mayProbe || !d.asks {
-		return nil
-	}
-	for _, j := range d.held {
-		if now < j.probedUntil || d.probes >= probesOut {
-			continue
-		}
-		if e := d.pick(j, now, nil, true); e != nil {
-			e.probing, j.probedUntil = true, now+d.quickAt(e)
-			d.probes++
-			d.at(j.probedUntil, nil, nil)
-			return e
-		}
-	}
-	d.asks = false
-	return nil
-}
-
-// quickAt is how soon a probe comes back from an executor that has a place free.
-func (d *Dispatcher) quickAt(e *executor) time.Duration {
-	return d.zones[e.zone] + d.shortestQuoted/16
-}
-
-// Probed tells what became of a probe.
-func (d *Dispatcher) Probed(now time.Duration, id ExecutorID, how Outcome, took time.Duration) {
-	e := d.byID[id]
-	if e == nil || !e.probing {
-		return
-	}
-	e.probing = false
-	d.probes--
-	d.freed, d.asks = true, true
-	switch how {
-	case Handled:
-		e.news = now
-		if was, ok := d.zones[e.zone]; !ok || took < was {
-			d.zones[e.zone] = took
-		}
-		e.vouched = now + d.shortestQuoted/16
-	case NoRoute, Cut, Errored:
-		d.holdBack(e, now, "after a probe that got no answer")
-	}
-}
-
 // look says whether to stop waiting for an allocation: the client has left, it has not started and another
 // token is open to it, or the executor crawls and another token would answer sooner.
 func (d *Dispatcher) look(j *job, now time.Duration) bool {
@@ -1023,7 +962,7 @@
 	if !was {
 		j.mayHave, j.ranZone, j.ranCell, j.firstRan = true, j.on.zone, j.on.cell, j.sentAt
 	}
-	e := d.pick(j, now, j.on, false)
+	e := d.pick(j, now, j.on)
 	j.mayHave, j.ranZone, j.ranCell, j.firstRan = was, zone, cell, first
 	return e
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,10 +29,6 @@
 	waited      bool // batch jobs were held in this interval
 	freed       bool // a token has come free since the last look
 	notes       []string
-	zones       map[ZoneID]time.Duration // the quickest probe from each zone
-	mayProbe    bool
-	asks        bool // a held batch job may want to probe
-	probes      int  // probes out
 
 	perWork        bool
 	overage        float64
@@ -114,8 +110,6 @@
 
 	runs, works  float64 // running time seen and work done, fading
 	startWait    time.Duration
-	probing      bool          // a probe is out
-	vouched      time.Duration // until then a place is known to be free
 	workerWait   time.Duration // this interval's queuing at the executor and here
 	ourWait      time.Duration
 	slow, dry    bool // this interval: slowdown over target; no free token left
@@ -145,8 +139,6 @@
 	limitAt  time.Duration
 	heldAt   time.Duration // since when it is held
 	isHeld   bool
-
-	probedUntil time.Duration // until then a probe for it may still come back at once
 	over     bool // the client has its answer or has left
 
 	on        *executor // nil while no allocation is out
--- a/policy/types.go
+++ b/policy/types.go
@@ -82,7 +82,6 @@
 
 	MaxAllocations int
 	MayCancel      bool
-	MayProbe       bool
 	MaxComeBack    time.Duration // 0: the client is not told when to come back
 	Quantum        time.Duration
 
@@ -152,7 +151,6 @@
 	PlaceJob              // ask where to send Due.Job
 	StopJob               // stop waiting for Due.Allocation of Due.Job
 	Subscribe             // ask for the list and its changes
-	Probe                 // probe Due.Executor
 	Note                  // write Due.Text to the log
 )
 
@@ -162,6 +160,5 @@
 	At         time.Duration
 	Job        JobID
 	Allocation AllocationID
-	Executor   ExecutorID
 	Text       string
 }
