--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,7 @@
 	waited      bool // batch jobs were held in this interval
 	freed       bool // a token has come free since the last look
 	notes       []string
+	sizes       [24]float64 // work by size, fading
 
 	perWork        bool
 	overage        float64
@@ -92,6 +93,7 @@
 	kind      KindID
 	cell      CellID
 	rank      uint32
+	band      int
 	near      bool // in this node's slice
 	up        bool
 	gone      bool // taken off the list
@@ -139,6 +141,7 @@
 	limitAt  time.Duration
 	heldAt   time.Duration // since when it is held
 	isHeld   bool
+	band     int
 	over     bool // the client has its answer or has left
 
 	on        *executor // nil while no allocation is out
