Tokens age at the rate of their executor's weight in the list; least slice of four

Cause: with many nodes each has a token at least on large and small executors alike, so the small ones held four to six batch jobs on two cores while large ones idled. The list tells size (less load where it is live) to all nodes. Where all weights are alike it is the plain oldest token.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -253,9 +253,11 @@
 	kind, err2 := f.whole("model", false)
 	cell, err3 := f.whole("bay", false)
 	started, err4 := f.secondsOr0("start-time-s")
+	weight, err5 := f.number("power-hint")
 	n.Executor, n.Zone, n.Kind = policy.ExecutorID(id), policy.ZoneID(zone), policy.KindID(kind)
 	n.Cell, n.Started, n.LongAgo = policy.CellID(cell), started-base, started == 0
-	return n, errors.Join(err1, err2, err3, err4)
+	n.Weight = weight
+	return n, errors.Join(err1, err2, err3, err4, err5)
 }
 
 func (n *instance) submit(now time.Duration, f *fields) error {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,8 +39,7 @@
 	lateWait    = 0.5  // part of the outer limit that a late batch job is held
 	lateSharers = 2    // nodes that send an executor their late batch jobs
 	sharers     = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
-	bands       = 4 // slices by size, from shorter to longer batch jobs
-	leastSlice  = 2 // executors of each zone side and bound kind in a slice at least
+	leastSlice  = 4    // executors of each zone side and bound kind in a slice at least
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
@@ -157,7 +156,7 @@
 func (d *Dispatcher) listed(now time.Duration, n Entry) (fresh bool) {
 	e := d.byID[n.Executor]
 	if fresh = e == nil; fresh {
-		e = &executor{id: n.Executor, band: int(crc32.ChecksumIEEE([]byte(n.Executor)) * 0x9e3779b1 >> 8 % bands), started: n.Started, news: now, rank: d.rankOf(n.Executor)}
+		e = &executor{id: n.Executor, started: n.Started, news: now, rank: d.rankOf(n.Executor)}
 		d.byID[n.Executor] = e
 		d.ranked = append(d.ranked, e)
 	}
@@ -166,7 +165,7 @@
 	}
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
 	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
-	e.up, e.gone = n.State == Up, n.State == Gone
+	e.up, e.gone, e.weight = n.State == Up, n.State == Gone, max(n.Weight, 1e-3)
 	if restarted {
 		e.started = n.Started
 		if until := n.Started + d.warmWithin; until > now {
@@ -199,9 +198,9 @@
 	}
 	d.slice = d.slice[:0]
 	want := [2]int{}
-	counts := make([]int, 2*len(d.needs)*bands)
+	counts := make([]int, 2*len(d.needs))
 	for _, e := range d.ranked {
-		if want == [2]int{len(d.needs) * bands, len(d.needs) * bands} {
+		if want == [2]int{len(d.needs), len(d.needs)} {
 			break
 		}
 		if !d.usable(e, now) {
@@ -209,7 +208,7 @@
 		}
 		side := d.abroad(e)
 		for i, need := range d.needs {
-			n := &counts[(side*len(d.needs)+i)*bands+e.band]
+			n := &counts[side*len(d.needs)+i]
 			if need != AnyKind && need != e.kind || *n >= size {
 				continue
 			}
@@ -374,30 +373,12 @@
 	if spent == 0 {
 		t.asked += e
 	}
-	j.band = d.bandOf(j)
 	d.jobs[id] = j
 	d.hold(j, now)
 	d.at(now, j, nil)
 	d.freed = true
 }
 
-// bandOf is the slice by size that j belongs to: each has an equal part of all work.
-func (d *Dispatcher) bandOf(j *job) int {
-	b := min(max(0, int(8+2*math.Log2(j.work.Seconds()/d.shortestQuoted.Seconds()))), len(d.sizes)-1)
-	all, below := 0.0, 0.0
-	for i := range d.sizes {
-		d.sizes[i] *= 0.99
-		all += d.sizes[i]
-		if i < b {
-			below += d.sizes[i]
-		}
-	}
-	d.sizes[b] += j.work.Seconds()
-	below += d.sizes[b] / 2
-	all += j.work.Seconds()
-	return min(int(below/all*bands), bands-1)
-}
-
 func (d *Dispatcher) hold(j *job, now time.Duration) {
 	if !j.isHeld {
 		j.isHeld, j.heldAt = true, now
@@ -450,15 +431,6 @@
 	late := j.quotedAt < now+j.work/2
 	cross := now-j.heldAt >= d.patience(j)
 	home := false
-	misfit := func(e *executor) int {
-		if d.nodes < 2*sharers || e.band == j.band {
-			return 0
-		}
-		if e.band > j.band {
-			return 1
-		}
-		return 2
-	}
 	var best *executor
 	for i, e := range d.candidates(j) {
 		if !home && e.zone == d.zone && d.usable(e, now) && d.fits(e, j, now) {
@@ -472,7 +444,7 @@
 		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
 			continue
 		}
-		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), misfit(e)-misfit(best), cmp.Compare(e.free[0], best.free[0])) < 0 {
+		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), cmp.Compare(best.age(now), e.age(now))) < 0 {
 			best = e
 		}
 	}
@@ -482,6 +454,12 @@
 	return best
 }
 
+// age is how old the executor's oldest free token counts as: it ages at the rate of the executor's weight in
+// the list. Guards against many nodes, each with one token at least, that use small and large executors alike.
+func (e *executor) age(now time.Duration) float64 {
+	return e.weight * float64(now-e.free[0])
+}
+
 // candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
 func (d *Dispatcher) candidates(j *job) []*executor {
 	if j.mayHave && j.track.repeat == Tagged && j.track.group != GroupAll {
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,7 +29,6 @@
 	waited      bool // batch jobs were held in this interval
 	freed       bool // a token has come free since the last look
 	notes       []string
-	sizes       [24]float64 // work by size, fading
 
 	perWork        bool
 	overage        float64
@@ -93,8 +92,8 @@
 	kind      KindID
 	cell      CellID
 	rank      uint32
-	band      int
-	near      bool // in this node's slice
+	weight    float64 // what the list weighs it
+	near      bool    // in this node's slice
 	up        bool
 	gone      bool // taken off the list
 	listed    int  // the list that named it last
@@ -141,7 +140,6 @@
 	limitAt  time.Duration
 	heldAt   time.Duration // since when it is held
 	isHeld   bool
-	band     int
 	over     bool // the client has its answer or has left
 
 	on        *executor // nil while no allocation is out
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -11,7 +11,7 @@
 // A trace file in testdata holds what is told to a dispatcher and, behind arrows, what it decided:
 //
 //	settings once zones          words that change the base settings
-//	1s list a b:1 c:0:2:5s       whole list: executor[:zone[:kind[:started so long ago[:state]]]]
+//	1s list a b:1 c:0:2:5s       whole list: executor[:zone[:kind[:started so long ago[:state[:weight]]]]]
 //	1s change a:0:0:-:L          changes only; lost: the subscription broke
 //	2s job j1 work=300ms         a batch job comes (track, tenant, work, budget)
 //	2s started j1                then progress j1 0.5, ended j1 cut, left j1
@@ -128,8 +128,8 @@
 }
 
 func entry(t *testing.T, now time.Duration, text string) Entry {
-	parts := append(strings.Split(text, ":"), make([]string, 5)...)
-	n := Entry{Executor: ExecutorID(parts[0]), LongAgo: true}
+	parts := append(strings.Split(text, ":"), make([]string, 6)...)
+	n := Entry{Executor: ExecutorID(parts[0]), LongAgo: true, Weight: 1}
 	zone, _ := strconv.Atoi(parts[1])
 	kind, _ := strconv.Atoi(parts[2])
 	n.Zone, n.Kind, n.Cell = ZoneID(zone), KindID(kind), CellID(zone)
@@ -137,6 +137,9 @@
 		n.Started, n.LongAgo = now-span(t, parts[3]), false
 	}
 	n.State = map[string]State{"": Up, "L": Draining, "D": Gone}[parts[4]]
+	if parts[5] != "" {
+		n.Weight, _ = strconv.ParseFloat(parts[5], 64)
+	}
 	return n
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -120,6 +120,7 @@
 	Kind     KindID
 	Cell     CellID
 	State    State
+	Weight   float64 // its size, or its size less its load, against the others'
 	Started  time.Duration
 	LongAgo  bool
 }
