--- a/policy/policy.go
+++ b/policy/policy.go
@@ -444,7 +444,7 @@
 		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
 			continue
 		}
-		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), cmp.Compare(best.age(now), e.age(now))) < 0 {
+		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), cmp.Compare(d.age(best, now), d.age(e, now))) < 0 {
 			best = e
 		}
 	}
@@ -456,8 +456,8 @@
 
 // age is how old the executor's oldest free token counts as: it ages at the rate of the executor's weight in
 // the list. Guards against many nodes, each with one token at least, that use small and large executors alike.
-func (e *executor) age(now time.Duration) float64 {
-	return e.weight * float64(now-e.free[0])
+func (d *Dispatcher) age(e *executor, now time.Duration) float64 {
+	return e.weight * float64(now-e.free[0]) / (d.pace(e, now) * (1 + e.startWait.Seconds()/d.shortestQuoted.Seconds()))
 }
 
 // candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
