--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -23,6 +23,7 @@
 	armed time.Duration // when its timer is due; 0 for none
 	brain *policy.Dispatcher
 	out   []byte // this batch's actions
+	load  [3]int // where a load report has batch jobs held, waiting and places free; -1 where it has not
 	busy  bool   // it has had an event in this batch
 }
 
@@ -171,7 +172,8 @@
 	}
 	a.nodes[who] = n
 	a.touch(n)
-	settings, err := readSettings(text)
+	settings, load, err := readSettings(text)
+	n.load = load
 	if err == nil {
 		settings.Seed = uint32(seed) ^ uint32(uint64(seed)>>32)
 		n.guard(func() { n.brain, err = policy.New(settings) })
@@ -309,7 +311,12 @@
 	if err != nil {
 		return err
 	}
+	report, reported := f.report(n.load)
+	executor, _ := f.get("executor")
 	n.guard(func() {
+		if reported {
+			n.brain.Reported(policy.ExecutorID(executor), report[0], report[1], report[2])
+		}
 		job := policy.JobID(id)
 		n.carryOut(job, n.brain.Ended(now, job, policy.AllocationID(shot), how, settled == 1))
 	})
--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -109,6 +110,27 @@
 	return id, shot, err
 }
 
+// report reads the wanted values of a load report, if one came along that has them all.
+func (f *fields) report(at [3]int) (values [3]float64, ok bool) {
+	text, ok := f.get("gauge")
+	if !ok || min(at[0], at[1], at[2]) < 0 {
+		return values, false
+	}
+	for i := 0; len(text) > 0; i++ {
+		var one []byte
+		one, text, _ = bytes.Cut(text, []byte{','})
+		if w := slices.Index(at[:], i); w >= 0 {
+			x, err := strconv.ParseFloat(string(one), 64)
+			if err != nil {
+				return values, false
+			}
+			values[w] = x
+			at[w] = -1
+		}
+	}
+	return values, at == [3]int{-1, -1, -1}
+}
+
 func (f *fields) seconds(key string) (time.Duration, error) {
 	if _, err := f.need(key); err != nil {
 		return 0, err
@@ -132,14 +154,16 @@
 	"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell,
 }
 
-// readSettings decodes the settings, skipping keys it does not know.
-func readSettings(text []byte) (policy.Settings, error) {
+// readSettings decodes the settings, skipping keys it does not know, and says where load reports have what
+// the module wants of them.
+func readSettings(text []byte) (s policy.Settings, load [3]int, err error) {
 	var w struct {
 		Balancers int
 		Number    int `json:"my-number"`
 		Locality  int
 		Quantum   float64 `json:"quantum-s"`
 		Discovery string
+		Weights   string
 		PerWork   string  `json:"earnings-per"`
 		Overage   float64 `json:"overage-earnings"`
 		Prices    struct {
@@ -163,7 +187,9 @@
 			Kind       []int     `json:"class-kind"`
 			Stretch    []float64 `json:"class-stretch"`
 			TellsStart bool      `json:"tells-start"`
+			X0         string    `json:"report-x0"`
 		}
+		Report   struct{ Fields []string }
 		Projects []struct {
 			Quota float64 `json:"quota-per-s"`
 		}
@@ -178,13 +204,18 @@
 			Earnings float64
 		}
 	}
-	var s policy.Settings
 	if err := json.Unmarshal(text, &w); err != nil {
-		return s, fmt.Errorf("settings: %v", err)
+		return s, load, fmt.Errorf("settings: %v", err)
+	}
+	for i, name := range [...]string{"active", "waiting", "x0"} {
+		load[i] = slices.Index(w.Report.Fields, name)
+	}
+	if w.Domain.X0 != "free slots" {
+		load[2] = -1
 	}
 	s = policy.Settings{
 		Node: w.Number, Nodes: w.Balancers, Zone: policy.ZoneID(w.Locality), Quantum: seconds(w.Quantum),
-		MustAsk: w.Discovery == "ask", AskWithin: seconds(w.Rules.AskWithin),
+		LiveWeights: w.Weights == "live", MustAsk: w.Discovery == "ask", AskWithin: seconds(w.Rules.AskWithin),
 		EarnPerWork: w.PerWork == "work", OverageEarnings: w.Overage, CrossZonePrice: w.Prices.CrossZone,
 		WholeWeight:    w.ScoreParts["whole"] + w.ScoreParts["worst-window"],
 		TrackWeight:    w.ScoreParts["worst-class"],
@@ -202,11 +233,11 @@
 	for i, t := range w.Tracks {
 		repeat, ok := repeats[t.Repeat]
 		if !ok {
-			return s, fmt.Errorf("settings: track %d: unknown repeat %q", i, t.Repeat)
+			return s, load, fmt.Errorf("settings: track %d: unknown repeat %q", i, t.Repeat)
 		}
 		group, ok := groups[t.Scope]
 		if !ok {
-			return s, fmt.Errorf("settings: track %d: unknown dedup-scope %q", i, t.Scope)
+			return s, load, fmt.Errorf("settings: track %d: unknown dedup-scope %q", i, t.Scope)
 		}
 		track := policy.Track{Repeat: repeat, Group: group, GroupWindow: seconds(t.Window),
 			Quoted: seconds(t.Quoted), Stretch: t.Stretch, OuterLimit: seconds(t.Limit), Earnings: t.Earnings,
@@ -219,5 +250,5 @@
 		}
 		s.Tracks = append(s.Tracks, track)
 	}
-	return s, nil
+	return s, load, nil
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,11 +64,10 @@
 		jobs: map[JobID]*job{}, perWork: s.EarnPerWork, overage: s.OverageEarnings,
 		crossPrice: s.CrossZonePrice, wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
-		quantum: max(s.Quantum, time.Millisecond), tellsStart: s.TellsStart, mustAsk: s.MustAsk,
+		quantum: max(s.Quantum, time.Millisecond), tellsStart: s.TellsStart, mustAsk: s.MustAsk, liveWeights: s.LiveWeights,
 		askEvery: s.AskWithin / 8, coldShare: s.ColdShare, warmWithin: s.WarmWithin,
 		fallWindow: s.FallWindow,
 	}
-	d.coldWork = s.FallMultiple * s.FallWindow.Seconds() / float64(s.Nodes)
 	for i, t := range s.Tracks {
 		if t.OuterLimit <= 0 || t.Quoted <= 0 {
 			return nil, fmt.Errorf("settings: track %d has no quoted time or no outer limit", i)
@@ -86,6 +85,10 @@
 			d.shortestQuoted = t.Quoted
 		}
 	}
+	// The cold budget of one place over the shortest quoted time: so many nodes can each send something.
+	d.carriers = int(s.FallMultiple * s.ColdShare * s.FallWindow.Seconds() / d.shortestQuoted.Seconds())
+	d.carriers = max(1, min(d.carriers, s.Nodes))
+	d.coldWork = s.FallMultiple * s.FallWindow.Seconds() / float64(d.carriers)
 	for _, t := range s.Tenant {
 		d.tenants = append(d.tenants, tenant{perS: t.QuotaPerS / float64(s.Nodes)})
 	}
@@ -160,12 +163,20 @@
 		d.byID[n.Executor] = e
 		d.ranked = append(d.ranked, e)
 	}
+	at := int(crc32.ChecksumIEEE([]byte(n.Executor)) % uint32(d.nodes))
+	e.carried = (d.node%d.nodes-at+d.nodes)%d.nodes < d.carriers
 	if d.kinds[n.Kind] == nil { // also where a known executor comes back as another kind
 		d.kinds[n.Kind] = &kind{pace: 1, parallel: 1}
 	}
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
 	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
 	e.up, e.gone, e.weight = n.State == Up, n.State == Gone, max(n.Weight, 1e-3)
+	if d.liveWeights {
+		// Live weights are the size over one and the batch jobs held a core; an idle one shows its kind's size.
+		k := d.kinds[n.Kind]
+		k.size = max(k.size, n.Weight)
+		e.load = k.size/e.weight - 1
+	}
 	if restarted {
 		e.started = n.Started
 		if until := n.Started + d.warmWithin; until > now {
@@ -206,6 +217,12 @@
 		if !d.usable(e, now) {
 			continue
 		}
+		if now < e.coldUntil {
+			e.near = true // beside the others: it can do part of its work only
+			d.slice = append(d.slice, e)
+			d.grant(e, now)
+			continue
+		}
 		side := d.abroad(e)
 		for i, need := range d.needs {
 			n := &counts[side*len(d.needs)+i]
@@ -293,7 +310,7 @@
 
 // usable says whether e takes anything new at all, free token or not.
 func (d *Dispatcher) usable(e *executor, now time.Duration) bool {
-	return e.up && e.held <= now
+	return e.up && e.held <= now && (e.carried || now >= e.coldUntil)
 }
 
 // open says whether e may take this batch job now: a free token, the cap in flight, rule 2 and rule 4.
@@ -365,6 +382,7 @@
 	j.quotedAt = now - spent + min(t.quoted+times(j.work, t.stretch), t.outerLimit)
 	e := d.earnings(j)
 	t.unit = t.unit*fade + e*(1-fade)
+	d.meanWork = times(d.meanWork, 0.95) + times(j.work, 0.05)
 	slow := 1 - (1-fade)/4
 	if d.meanEarnings == 0 {
 		d.meanEarnings = e
@@ -426,17 +444,26 @@
 }
 
 // pick finds the executor with the oldest free token that j may take now. A token is passed over where the
-// executor's pace can't answer in time, unless the batch job is late anyway.
+// executor's pace can't answer in time, unless the batch job is late anyway. Those of its own zone come first,
+// but for executors where it would wait longer than another zone's price is worth.
 func (d *Dispatcher) pick(j *job, now time.Duration, not *executor) *executor {
 	late := j.quotedAt < now+j.work/2
-	cross := now-j.heldAt >= d.patience(j)
+	patience := d.patience(j)
 	home := false
 	var best *executor
+	bestOrder := 0
 	for i, e := range d.candidates(j) {
-		if !home && e.zone == d.zone && d.usable(e, now) && d.fits(e, j, now) {
-			home = true
+		if !d.usable(e, now) || !d.fits(e, j, now) {
+			continue
 		}
-		if e == not || !d.open(e, j, now) || (!late && !d.inTime(e, j, now)) {
+		pace := d.pace(e, now)
+		wait := d.waitAt(e, pace, now)
+		order := d.abroad(e)
+		if order == 0 && times(d.meanWork, (e.load-1)*pace) > patience {
+			order = 2
+		}
+		home = home || order == 0
+		if e == not || !d.open(e, j, now) || (!late && now+times(wait+times(j.work, pace), j.margin) > j.quotedAt) {
 			continue
 		}
 		// A late batch job must not fill the places of those still to come: it goes where nothing of ours is
@@ -444,11 +471,11 @@
 		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
 			continue
 		}
-		if best == nil || cmp.Or(d.abroad(e)-d.abroad(best), cmp.Compare(d.age(best, now), d.age(e, now))) < 0 {
-			best = e
+		if best == nil || cmp.Or(order-bestOrder, cmp.Compare(d.age(best, now), d.age(e, now))) < 0 {
+			best, bestOrder = e, order
 		}
 	}
-	if best != nil && d.abroad(best) > 0 && home && !cross {
+	if bestOrder > 0 && home && now-j.heldAt < patience {
 		return nil
 	}
 	return best
@@ -475,17 +502,14 @@
 	return 0
 }
 
-func (d *Dispatcher) inTime(e *executor, j *job, now time.Duration) bool {
-	pace := d.pace(e, now)
-	return now+times(d.waitAt(e, pace, now)+times(j.work, pace), j.margin) <= j.quotedAt
-}
-
 // waitAt is how long a batch job sent to e now would wait there: what starts were seen to take, or, where
 // ours alone fill as many places as its kind was seen to have, until the first of those is done.
 func (d *Dispatcher) waitAt(e *executor, pace float64, now time.Duration) time.Duration {
+	// What the list tells of its load: more held than it has cores wait in turn.
+	listed := times(d.meanWork, max(0, e.load-1)*pace)
 	places := d.kinds[e.kind].parallel
 	if len(e.out) < places {
-		return e.startWait
+		return max(e.startWait, listed)
 	}
 	first, queued := time.Duration(math.MaxInt64), time.Duration(0)
 	for _, o := range e.out {
@@ -501,7 +525,7 @@
 	if first == math.MaxInt64 {
 		first = e.startWait
 	}
-	return max(e.startWait, first+queued/time.Duration(places))
+	return max(e.startWait, listed, first+queued/time.Duration(places))
 }
 
 // Place says where to send a batch job, or not yet, or never.
@@ -655,6 +679,24 @@
 	j.share, j.shareAt = share, now
 }
 
+// Reported tells what an executor says of its load: batch jobs held, those of them that wait, and places free.
+func (d *Dispatcher) Reported(id ExecutorID, held, waiting, free float64) {
+	e := d.byID[id]
+	if e == nil || held-waiting+free < 0.5 {
+		return
+	}
+	places := held - waiting + free
+	k := d.kinds[e.kind]
+	if k.places == 0 {
+		k.places = places
+	}
+	k.places = k.places*0.9 + places*0.1
+	k.parallel = max(1, int(k.places+0.5))
+	if !d.liveWeights {
+		e.load = held / places
+	}
+}
+
 // Left tells that the client has gone: nothing more is owed.
 func (d *Dispatcher) Left(now time.Duration, id JobID) {
 	j := d.jobs[id]
--- a/policy/state.go
+++ b/policy/state.go
@@ -39,6 +39,8 @@
 	meanEarnings   float64
 	maxAllocations int
 	mayCancel      bool
+	liveWeights    bool
+	meanWork       time.Duration
 	comeBack       time.Duration
 	quantum        time.Duration
 	tellsStart     bool
@@ -49,6 +51,7 @@
 	askEvery       time.Duration
 	coldShare      float64
 	warmWithin     time.Duration
+	carriers       int
 	coldWork       float64 // this node's part of the cold budget, for each unit of capacity
 	fallWindow     time.Duration
 	shortestQuoted time.Duration
@@ -82,7 +85,9 @@
 // kind holds what warm executors of one kind were seen to take.
 type kind struct {
 	pace     float64 // running time for each unit of work
-	parallel int     // most batch jobs of ours running at once
+	size     float64 // the largest weight in the list
+	places   float64 // by reports, fading
+	parallel int     // places, by reports or the most batch jobs of ours running at once
 }
 
 // executor is what this node knows of one executor.
@@ -92,7 +97,9 @@
 	kind      KindID
 	cell      CellID
 	rank      uint32
+	carried   bool    // while it is cold, this node is one of the few that may use it
 	weight    float64 // what the list weighs it
+	load      float64 // batch jobs held a core, by the list
 	near      bool    // in this node's slice
 	up        bool
 	gone      bool // taken off the list
--- a/policy/types.go
+++ b/policy/types.go
@@ -85,6 +85,7 @@
 	MaxComeBack    time.Duration // 0: the client is not told when to come back
 	Quantum        time.Duration
 
+	LiveWeights  bool // weights in the list fall with the load
 	MustAsk      bool // the list comes only when asked for
 	AskWithin    time.Duration
 	ColdShare    float64
