So many valuable batch jobs cross zones as bring the zones' listed loads together

Now the zones' mean loads decide how many cross, each batch job by a chance of its own, less its price's part of its value; the listed load does not pass tokens over any more.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -154,6 +154,16 @@
 		})
 	}
 	d.stale, d.freed = true, true
+	if d.liveWeights {
+		held, size := [2]float64{}, [2]float64{}
+		for _, e := range d.ranked {
+			if side := d.abroad(e); d.usable(e, now) {
+				held[side] += e.load * d.kinds[e.kind].size
+				size[side] += d.kinds[e.kind].size
+			}
+		}
+		d.homeLoad, d.awayLoad = held[0]/max(size[0], 1e-9), held[1]/max(size[1], 1e-9)
+	}
 }
 
 func (d *Dispatcher) listed(now time.Duration, n Entry) (fresh bool) {
@@ -362,7 +372,7 @@
 func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID,
 	work, budget time.Duration) {
 	t := &d.tracks[min(max(0, int(tr)), len(d.tracks)-1)]
-	j := &job{id: id, track: t, tenantID: te, work: work, hinted: work > 0, margin: 1, came: now,
+	j := &job{id: id, spread: d.chance(), track: t, tenantID: te, work: work, hinted: work > 0, margin: 1, came: now,
 		limitAt: now + budget}
 	if !j.hinted {
 		j.work, j.margin = t.meanWork, hintMargin
@@ -443,12 +453,22 @@
 	return times(max(0, j.quotedAt-j.heldAt-j.work), part)
 }
 
+// crosses says whether j goes to another zone at once: so many of the batch jobs that are worth it as bring
+// the zones' listed loads together. Each has a chance of its own, so that nodes don't turn with one list.
+func (d *Dispatcher) crosses(j *job) bool {
+	if d.crossPrice == 0 || d.homeLoad <= 1 {
+		return false
+	}
+	return j.spread < (d.homeLoad-d.awayLoad)/d.homeLoad-d.crossPrice/max(d.value(j), 1e-9)
+}
+
 // pick finds the executor with the oldest free token that j may take now. A token is passed over where the
 // executor's pace can't answer in time, unless the batch job is late anyway. Those of its own zone come first,
 // but for executors where it would wait longer than another zone's price is worth.
 func (d *Dispatcher) pick(j *job, now time.Duration, not *executor) *executor {
 	late := j.quotedAt < now+j.work/2
 	patience := d.patience(j)
+	crosses := d.crosses(j)
 	home := false
 	var best *executor
 	bestOrder := 0
@@ -459,8 +479,8 @@
 		pace := d.pace(e, now)
 		wait := d.waitAt(e, pace, now)
 		order := d.abroad(e)
-		if order == 0 && times(d.meanWork, (e.load-1)*pace) > patience {
-			order = 2
+		if crosses {
+			order = 1 - order
 		}
 		home = home || order == 0
 		if e == not || !d.open(e, j, now) || (!late && now+times(wait+times(j.work, pace), j.margin) > j.quotedAt) {
@@ -475,7 +495,7 @@
 			best, bestOrder = e, order
 		}
 	}
-	if bestOrder > 0 && home && now-j.heldAt < patience {
+	if bestOrder > 0 && home && !crosses && now-j.heldAt < patience {
 		return nil
 	}
 	return best
@@ -505,11 +525,9 @@
 // waitAt is how long a batch job sent to e now would wait there: what starts were seen to take, or, where
 // ours alone fill as many places as its kind was seen to have, until the first of those is done.
 func (d *Dispatcher) waitAt(e *executor, pace float64, now time.Duration) time.Duration {
-	// What the list tells of its load: more held than it has cores wait in turn.
-	listed := times(d.meanWork, max(0, e.load-1)*pace)
 	places := d.kinds[e.kind].parallel
 	if len(e.out) < places {
-		return max(e.startWait, listed)
+		return e.startWait
 	}
 	first, queued := time.Duration(math.MaxInt64), time.Duration(0)
 	for _, o := range e.out {
@@ -525,7 +543,7 @@
 	if first == math.MaxInt64 {
 		first = e.startWait
 	}
-	return max(e.startWait, listed, first+queued/time.Duration(places))
+	return max(e.startWait, first+queued/time.Duration(places))
 }
 
 // Place says where to send a batch job, or not yet, or never.
--- a/policy/state.go
+++ b/policy/state.go
@@ -40,6 +40,8 @@
 	maxAllocations int
 	mayCancel      bool
 	liveWeights    bool
+	homeLoad       float64 // batch jobs held a core in this zone and in the others, by the list
+	awayLoad       float64
 	meanWork       time.Duration
 	comeBack       time.Duration
 	quantum        time.Duration
@@ -147,7 +149,8 @@
 	limitAt  time.Duration
 	heldAt   time.Duration // since when it is held
 	isHeld   bool
-	over     bool // the client has its answer or has left
+	spread   float64 // its own chance, so that not all cross at once
+	over     bool    // the client has its answer or has left
 
 	on        *executor // nil while no allocation is out
 	sent      int
