--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,6 +42,7 @@
 	leastSlice  = 4    // executors of each zone side and bound kind in a slice at least
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
+	fullZone    = 1.3  // batch jobs held a core from which a zone counts as full
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
 	hintMargin  = 1.25 // what is added to a mean or a rough hint where too little would harm
 )
@@ -456,7 +457,7 @@
 // crosses says whether j goes to another zone at once: so many of the batch jobs that are worth it as bring
 // the zones' listed loads together. Each has a chance of its own, so that nodes don't turn with one list.
 func (d *Dispatcher) crosses(j *job) bool {
-	if d.crossPrice == 0 || d.homeLoad <= 1 {
+	if d.crossPrice == 0 || d.homeLoad <= fullZone {
 		return false
 	}
 	return j.spread < (d.homeLoad-d.awayLoad)/d.homeLoad-d.crossPrice/max(d.value(j), 1e-9)
