--- a/policy/policy.go
+++ b/policy/policy.go
@@ -528,7 +528,14 @@
 func (d *Dispatcher) waitAt(e *executor, pace float64, now time.Duration) time.Duration {
 	places := d.kinds[e.kind].parallel
 	if len(e.out) < places {
-		return e.startWait
+		// One of ours that has not begun there yet shows that the others have filled it.
+		wait := e.startWait
+		for _, o := range e.out {
+			if !o.running && d.tellsStart && now-o.sentAt > e.startWait+d.shortestQuoted/8 {
+				wait = max(wait, now-o.sentAt+times(o.work, pace/float64(places)))
+			}
+		}
+		return wait
 	}
 	first, queued := time.Duration(math.MaxInt64), time.Duration(0)
 	for _, o := range e.out {
