--- a/policy/policy.go
+++ b/policy/policy.go
@@ -472,7 +472,7 @@
 	crosses := d.crosses(j)
 	home := false
 	var best *executor
-	bestOrder := 0
+	bestOrder, bestAge := 0, 0.0
 	for i, e := range d.candidates(j) {
 		if !d.usable(e, now) || !d.fits(e, j, now) {
 			continue
@@ -492,8 +492,10 @@
 		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
 			continue
 		}
-		if best == nil || cmp.Or(order-bestOrder, cmp.Compare(d.age(best, now), d.age(e, now))) < 0 {
-			best, bestOrder = e, order
+		// It ages at the rate of its executor's weight in the list, over its pace and the waits there.
+		age := e.weight * float64(now-e.free[0]) / (pace * (d.shortestQuoted + wait).Seconds())
+		if best == nil || order < bestOrder || order == bestOrder && age > bestAge {
+			best, bestOrder, bestAge = e, order, age
 		}
 	}
 	if bestOrder > 0 && home && !crosses && now-j.heldAt < patience {
@@ -502,12 +504,6 @@
 	return best
 }
 
-// age is how old the executor's oldest free token counts as: it ages at the rate of the executor's weight in
-// the list. Guards against many nodes, each with one token at least, that use small and large executors alike.
-func (d *Dispatcher) age(e *executor, now time.Duration) float64 {
-	return e.weight * float64(now-e.free[0]) / (d.pace(e, now) * (1 + e.startWait.Seconds()/d.shortestQuoted.Seconds()))
-}
-
 // candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
 func (d *Dispatcher) candidates(j *job) []*executor {
 	if j.mayHave && j.track.repeat == Tagged && j.track.group != GroupAll {
