--- a/policy/policy.go
+++ b/policy/policy.go
@@ -643,7 +643,7 @@
 	j.on, j.sentAt, j.running, j.share, j.stopping = e, now, false, 0, false
 	j.sent++
 	j.turn++
-	d.at(now+d.lookAfter(e), j, nil)
+	d.at(now+d.lookAfter(), j, nil)
 	allow := time.Duration(0)
 	if !d.mayCancel && j.track.repeat == Repeatable {
 		allow = 3*times(j.work, d.pace(e, now)) + j.track.quoted
@@ -652,8 +652,8 @@
 }
 
 // lookAfter is when an allocation that is out gets its next look.
-func (d *Dispatcher) lookAfter(e *executor) time.Duration {
-	return max(d.shortestQuoted/4, 2*e.startWait, d.quantum)
+func (d *Dispatcher) lookAfter() time.Duration {
+	return max(d.shortestQuoted/8, d.quantum)
 }
 
 // ---- News of allocations ----
@@ -1005,7 +1005,7 @@
 	if j.over {
 		return !j.running
 	}
-	d.at(now+d.lookAfter(e), j, nil)
+	d.at(now+d.lookAfter(), j, nil)
 	ran, usual := now-j.startedAt, d.kinds[e.kind].pace
 	crawls := e.held > now || d.pace(e, now) >= crawl*usual
 	if j.running && (!crawls || ran <= times(j.work, crawl*usual)) || !j.running && !d.tellsStart {
