--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -338,7 +338,7 @@
 	n.out = append(n.out, " content="...)
 	var b [wordBytes]byte
 	b[0] = byte(due.Word)
-	binary.BigEndian.PutUint32(b[1:], due.Sum)
+	binary.BigEndian.PutUint32(b[1:], uint32(due.Sum))
 	n.out = base64.StdEncoding.AppendEncode(n.out, b[:])
 	n.out = append(n.out, '\n')
 }
@@ -356,7 +356,8 @@
 	if err != nil || len(b) != wordBytes {
 		return nil // from a node that speaks otherwise: passed over
 	}
-	n.guard(func() { n.brain.Heard(now, policy.NodeID(from), policy.Word(b[0]), binary.BigEndian.Uint32(b[1:])) })
+	sum := policy.Sum(binary.BigEndian.Uint32(b[1:]))
+	n.guard(func() { n.brain.Heard(now, policy.NodeID(from), policy.Word(b[0]), sum) })
 	return nil
 }
 
--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -45,7 +45,7 @@
 	want := `ARM who=node/0 mark=due due-at-s=12.000000
 DONE
 ISSUE who=node/0 id=c:1 executor=executor-a
-ARM who=node/0 mark=due due-at-s=11.075000
+ARM who=node/0 mark=due due-at-s=11.037500
 DONE
 DONE
 RESPOND_ERROR who=node/0 id=c:1
--- /dev/null
+++ b/policy/books.go
@@ -0,0 +1,199 @@
+package policy
+
+import (
+	"cmp"
+	"container/heap"
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"slices"
+	"time"
+)
+
+// Upkeep of what state.go holds, without decisions.
+
+func times(t time.Duration, f float64) time.Duration { return time.Duration(float64(t) * f) }
+
+// chance is a number from 0 to 1 drawn from the seed and a counter.
+func (d *Dispatcher) chance() float64 {
+	var b [8]byte
+	d.count++
+	binary.LittleEndian.PutUint32(b[:4], d.seed)
+	binary.LittleEndian.PutUint32(b[4:], d.count)
+	return float64(crc32.ChecksumIEEE(b[:])) / math.MaxUint32
+}
+
+// at notes a due time of a batch job, of a token that is to come free, or of neither: a look at everything.
+func (d *Dispatcher) at(at time.Duration, j *job, token *executor) {
+	d.order++
+	it := dueItem{at: at, order: d.order, job: j, token: token}
+	if j != nil {
+		it.turn = j.turn
+	}
+	heap.Push(&d.due, it)
+}
+
+// rankAll puts the executors in the order of their ranks and drops those that are gone once nothing of ours
+// is there: machines that are replaced come under new ids.
+func (d *Dispatcher) rankAll(added bool) {
+	d.ranked = slices.DeleteFunc(d.ranked, func(e *executor) bool {
+		drop := e.gone && e.taken == 0
+		if drop {
+			delete(d.byID, e.id)
+			delete(d.bySum, e.sum)
+		}
+		return drop
+	})
+	if added {
+		slices.SortFunc(d.ranked, func(a, b *executor) int {
+			return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
+		})
+	}
+}
+
+// earnings is what a batch job earns, by its work or whatever it is.
+func (d *Dispatcher) earnings(j *job) float64 {
+	if d.perWork {
+		return j.track.earnings * j.work.Seconds()
+	}
+	return j.track.earnings
+}
+
+// abroad is 1 for an executor of another zone, where that has a price.
+func (d *Dispatcher) abroad(e *executor) int {
+	if d.crossPrice > 0 && e.zone != d.zone {
+		return 1
+	}
+	return 0
+}
+
+// ---- Held batch jobs, in the order of their keys, late ones apart ----
+
+func byKey(a, b *job) int { return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.id, b.id)) }
+
+func (d *Dispatcher) heldList(late bool) *[]*job {
+	if late {
+		return &d.heldLate
+	}
+	return &d.held
+}
+
+func (d *Dispatcher) insert(j *job) {
+	list := d.heldList(j.heldLate)
+	i, _ := slices.BinarySearchFunc(*list, j, byKey)
+	*list = slices.Insert(*list, i, j)
+}
+
+func (d *Dispatcher) unhold(j *job) {
+	if j.isHeld {
+		j.isHeld = false
+		list := d.heldList(j.heldLate)
+		i, _ := slices.BinarySearchFunc(*list, j, byKey)
+		*list = slices.Delete(*list, i, i+1)
+	}
+}
+
+func (d *Dispatcher) forget(j *job) {
+	d.unhold(j)
+	j.over = true
+	j.turn++
+	delete(d.jobs, j.id)
+}
+
+// out is the batch job whose allocation n is out now, if it is.
+func (d *Dispatcher) out(id JobID, n AllocationID) *job {
+	if j := d.jobs[id]; j != nil && j.on != nil && int(n) == j.sent-1 {
+		return j
+	}
+	return nil
+}
+
+// ---- Tokens ----
+
+// take uses the oldest free token.
+func (d *Dispatcher) take(e *executor, j *job) {
+	e.free = e.free[1:]
+	e.taken++
+	e.dry = e.dry || len(e.free) == 0
+	if e.given {
+		e.given = false
+		e.lent++
+	}
+	e.out = append(e.out, j)
+}
+
+// release frees a token. Late: the batch job did not start there at once.
+func (d *Dispatcher) release(e *executor, now time.Duration, late bool) {
+	d.giveBack(e, now, late)
+	e.taken--
+	if e.taken+len(e.free) < e.quota {
+		e.free = append(e.free, now)
+	}
+	d.freed = true
+}
+
+// step moves a quota.
+func (d *Dispatcher) step(e *executor, by int, now time.Duration) {
+	e.quota += by
+	if by > 0 {
+		if e.taken+len(e.free) < e.quota {
+			e.free = append(e.free, now)
+			d.freed = true
+		}
+	} else if e.taken+len(e.free) > e.quota && len(e.free) > 0 {
+		e.free = e.free[:len(e.free)-1]
+	}
+}
+
+// ---- Places that nodes lend each other ----
+
+func (d *Dispatcher) tell(now time.Duration, to NodeID, word Word, sum Sum) {
+	if to == d.node {
+		d.Heard(now, to, word, sum)
+		return
+	}
+	d.words = append(d.words, Due{Task: Tell, Node: to, Word: word, Sum: sum})
+}
+
+// giveBack tells the keeper that a place it lent is free again.
+func (d *Dispatcher) giveBack(e *executor, now time.Duration, late bool) {
+	if e.lent > 0 {
+		e.lent--
+		word := Back
+		if late {
+			word = BackLate
+		}
+		d.tell(now, e.keeper, word, e.sum)
+	}
+}
+
+// keepOf is the book that this node keeps of an executor's places.
+func (d *Dispatcher) keepOf(sum Sum) *keep {
+	k := d.kept[sum]
+	if k == nil {
+		k = &keep{sum: sum, quota: firstQuota}
+		d.kept[sum] = k
+		d.keeps = append(d.keeps, k)
+	}
+	return k
+}
+
+func (k *keep) waits(n NodeID) bool { return slices.Contains(k.queue, n) || slices.Contains(k.late, n) }
+
+// back takes a place back; one that has been given up for lost is passed over.
+func (k *keep) back(from NodeID) {
+	if i := slices.IndexFunc(k.lent, func(l lease) bool { return l.to == from }); i >= 0 {
+		k.lent = slices.Delete(k.lent, i, i+1)
+	}
+}
+
+// first takes the node that has waited longest out of the queue, those with late batch jobs last.
+func (k *keep) first() NodeID {
+	from := &k.queue
+	if len(k.queue) == 0 {
+		from = &k.late
+	}
+	n := (*from)[0]
+	*from = (*from)[1:]
+	return n
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,26 +1,28 @@
 // Package policy decides for one node which executor gets which batch job, and when.
 //
-// How it is called: the front tells what it sees (Listed, Arrived, Started, Progressed, Left) and asks
-// three things: Place (where to send this batch job, or not yet, or never), Ended (what to do after this
-// outcome) and Wait (how long to wait, or what has fallen due). Plain values come back; their types, the
-// interface's other half, stand in types.go. All times are spans since the instance's start.
+// How it is called: the front tells what it sees (Listed, Arrived, Started, Progressed, Reported, Heard,
+// Left) and asks three things: Place (where to send this batch job, or not yet, or never), Ended (what to do
+// after this outcome) and Wait (how long to wait, or what has fallen due). Plain values come back; their
+// types, the interface's other half, stand in types.go. All times are spans since the instance's start.
+// What is kept in mind stands in state.go, its upkeep in books.go and seen.go, the start in setup.go.
 //
 // The design decides the ordinary path: batch jobs are held until an executor has a free token under its
 // quota, they take the oldest free token of their slice, and quotas move by single steps. Beside it stand
 // six mechanisms, each the answer to a way in which that breaks:
-//  1. cold cap: a fresh executor has a cap in flight that grows with its answers, and a budget of work.
+//  1. cold cap: a fresh executor has a cap in flight that grows with its answers, and a budget of work that a
+//     few nodes carry for all.
 //  2. hold-back: errors, breaks and silence hold an executor's tokens back; it returns under a cap of one.
-//  3. ghosts: a batch job that we stopped waiting for keeps its token until its work would be over.
-//  4. pace: a token is passed over where the executor's seen pace can't meet the quoted time.
-//  5. move: an allocation that does not start, or crawls, is stopped and sent elsewhere where rule 2 allows.
-//  6. early pushback: a batch job that can earn nothing more gets its final answer at once.
+//  3. pace: a token is passed over where what is seen of its executor can't meet the quoted time, and ages
+//     the slower the less the executor can take.
+//  4. move: an allocation that does not start, or crawls, is stopped and sent elsewhere where rule 2 allows;
+//     its token stays taken until its work would be over.
+//  5. early pushback: a batch job that can earn nothing more gets its final answer at once.
+//  6. keepers: where many nodes may talk, one of them keeps an executor's places for all and lends them.
 package policy
 
 import (
-	"cmp"
 	"container/heap"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"hash/crc32"
 	"math"
@@ -40,82 +42,17 @@
 	lateSharers = 2    // nodes that send an executor their late batch jobs
 	sharers     = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
 	leastSlice  = 4    // executors of each zone side and bound kind in a slice at least
+	fullZone    = 1.3  // batch jobs held a core from which a zone counts as full
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
-	fullZone    = 1.3  // batch jobs held a core from which a zone counts as full
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
 	hintMargin  = 1.25 // what is added to a mean or a rough hint where too little would harm
+	fewLate     = 0.1  // part of starts that may be late where a keeper lends one place more
+	restAfter   = 4    // intervals that a keeper leaves a lowered quota
 )
 
-// New turns settings into the figures that decisions use.
-func New(s Settings) (*Dispatcher, error) {
-	switch {
-	case s.Nodes < 1:
-		return nil, errors.New("settings: fewer than one node")
-	case len(s.Tracks) == 0:
-		return nil, errors.New("settings: no tracks")
-	case s.MaxAllocations < 1:
-		return nil, errors.New("settings: no allocation allowed")
-	case s.ColdShare < 0 || s.ColdShare > 1:
-		return nil, errors.New("settings: the cold share is not between 0 and 1")
-	}
-	d := &Dispatcher{
-		seed: s.Seed, node: s.Node, nodes: s.Nodes, zone: s.Zone,
-		kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{},
-		jobs: map[JobID]*job{}, bySum: map[uint32]*executor{}, kept: map[uint32]*keep{},
-		mayTell: s.MayTell && s.Nodes >= 2*sharers, perWork: s.EarnPerWork, overage: s.OverageEarnings,
-		crossPrice: s.CrossZonePrice, wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
-		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
-		quantum: max(s.Quantum, time.Millisecond), tellsStart: s.TellsStart, mustAsk: s.MustAsk, liveWeights: s.LiveWeights,
-		askEvery: s.AskWithin / 8, coldShare: s.ColdShare, warmWithin: s.WarmWithin,
-		fallWindow: s.FallWindow,
-	}
-	for i, t := range s.Tracks {
-		if t.OuterLimit <= 0 || t.Quoted <= 0 {
-			return nil, fmt.Errorf("settings: track %d has no quoted time or no outer limit", i)
-		}
-		if !slices.Contains(d.needs, t.Kind) {
-			d.needs = append(d.needs, t.Kind)
-		}
-		d.tracks = append(d.tracks, track{repeat: t.Repeat, group: t.Group, groupWindow: t.GroupWindow,
-			quoted: t.Quoted, outerLimit: t.OuterLimit, stretch: t.Stretch, earnings: t.Earnings,
-			late: t.LateEarnings, kind: t.Kind, meanWork: t.Quoted, unit: t.Earnings})
-		if by := times(t.OuterLimit, intervals); d.interval == 0 || by < d.interval {
-			d.interval, d.tick = by, by
-		}
-		if d.shortestQuoted == 0 || t.Quoted < d.shortestQuoted {
-			d.shortestQuoted = t.Quoted
-		}
-	}
-	// The cold budget of one place over the shortest quoted time: so many nodes can each send something.
-	d.carriers = int(s.FallMultiple * s.ColdShare * s.FallWindow.Seconds() / d.shortestQuoted.Seconds())
-	d.carriers = max(1, min(d.carriers, s.Nodes))
-	d.coldWork = s.FallMultiple * s.FallWindow.Seconds() / float64(d.carriers)
-	for _, t := range s.Tenant {
-		d.tenants = append(d.tenants, tenant{perS: t.QuotaPerS / float64(s.Nodes)})
-	}
-	return d, nil
-}
-
-// chance is a number from 0 to 1 drawn from the seed and a counter.
-func (d *Dispatcher) chance() float64 {
-	var b [8]byte
-	d.count++
-	binary.LittleEndian.PutUint32(b[:4], d.seed)
-	binary.LittleEndian.PutUint32(b[4:], d.count)
-	return float64(crc32.ChecksumIEEE(b[:])) / math.MaxUint32
-}
-
-func (d *Dispatcher) at(at time.Duration, j *job, ghost *executor) {
-	d.order++
-	it := dueItem{at: at, order: d.order, job: j, ghost: ghost}
-	if j != nil {
-		it.turn = j.turn
-	}
-	heap.Push(&d.due, it)
-}
-
-func times(t time.Duration, f float64) time.Duration { return time.Duration(float64(t) * f) }
+// many says whether the nodes are so many that one can't use all executors: then it uses a part of them.
+func (d *Dispatcher) many() bool { return d.nodes >= 2*sharers }
 
 // ---- The list ----
 
@@ -128,9 +65,7 @@
 		d.askAt = now + times(d.askEvery, 0.5+d.chance())
 		return
 	}
-	if what != WarmCopy {
-		d.subscribed = true
-	}
+	d.subscribed = d.subscribed || what != WarmCopy
 	d.lists++
 	added := false
 	for _, n := range entries {
@@ -143,54 +78,42 @@
 			}
 		}
 	}
-	// Machines that are replaced come under new ids: those gone are dropped once nothing of ours is there.
-	d.ranked = slices.DeleteFunc(d.ranked, func(e *executor) bool {
-		if e.gone && e.taken == 0 {
-			delete(d.byID, e.id)
-			delete(d.bySum, e.sum)
-		}
-		return e.gone && e.taken == 0
-	})
-	if added {
-		slices.SortFunc(d.ranked, func(a, b *executor) int {
-			return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
-		})
-	}
+	d.rankAll(added)
 	d.stale, d.freed = true, true
 	if d.liveWeights {
-		held, size := [2]float64{}, [2]float64{}
+		held, size := [2]float64{}, [2]float64{1e-9, 1e-9}
 		for _, e := range d.ranked {
 			if side := d.abroad(e); d.usable(e, now) {
 				held[side] += e.load * d.kinds[e.kind].size
 				size[side] += d.kinds[e.kind].size
 			}
 		}
-		d.homeLoad, d.awayLoad = held[0]/max(size[0], 1e-9), held[1]/max(size[1], 1e-9)
+		d.homeLoad, d.awayLoad = held[0]/size[0], held[1]/size[1]
 	}
 }
 
 func (d *Dispatcher) listed(now time.Duration, n Entry) (fresh bool) {
 	e := d.byID[n.Executor]
 	if fresh = e == nil; fresh {
-		e = &executor{id: n.Executor, started: n.Started, news: now, rank: d.rankOf(n.Executor),
-			sum: crc32.ChecksumIEEE([]byte(n.Executor))}
+		e = &executor{id: n.Executor, started: n.Started, news: now, rank: d.rankOf(n.Executor)}
+		e.sum = Sum(crc32.ChecksumIEEE([]byte(n.Executor)))
+		e.keeper = d.keeperOf(e.sum)
+		// The nodes that carry a cold executor follow its number: all reckon the same ones, without asking.
+		place := (int(d.node) + d.nodes - int(e.sum%Sum(d.nodes))) % d.nodes
+		e.carried = place < d.carriers
 		d.byID[n.Executor], d.bySum[e.sum] = e, e
 		d.ranked = append(d.ranked, e)
 	}
-	at := int(e.sum % uint32(d.nodes))
-	if fresh {
-		e.keeper = d.keeperOf(e)
-	}
-	e.carried = (d.node%d.nodes-at+d.nodes)%d.nodes < d.carriers
-	if d.kinds[n.Kind] == nil { // also where a known executor comes back as another kind
-		d.kinds[n.Kind] = &kind{pace: 1, parallel: 1}
+	k := d.kinds[n.Kind]
+	if k == nil { // also where a known executor comes back as another kind
+		k = &kind{pace: 1, parallel: 1}
+		d.kinds[n.Kind] = k
 	}
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
 	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
 	e.up, e.gone, e.weight = n.State == Up, n.State == Gone, max(n.Weight, 1e-3)
 	if d.liveWeights {
 		// Live weights are the size over one and the batch jobs held a core; an idle one shows its kind's size.
-		k := d.kinds[n.Kind]
 		k.size = max(k.size, n.Weight)
 		e.load = k.size/e.weight - 1
 	}
@@ -198,8 +121,7 @@
 		e.started = n.Started
 		if until := n.Started + d.warmWithin; until > now {
 			// A fresh executor can do part of its work only, and what we knew of it no longer holds.
-			e.coldUntil, e.inCap, e.held, e.colds = until, 1, 0, e.colds[:0]
-			e.startWait = 0
+			e.coldUntil, e.inCap, e.held, e.startWait, e.colds = until, 1, 0, 0, e.colds[:0]
 		}
 	}
 	return fresh
@@ -214,44 +136,36 @@
 
 // reslice picks the executors that this node uses: where it can't use all, those that rank highest, in its
 // own zone and beyond it, for each bound kind. One that is lost or held back makes room for the next in rank.
+// Guards against many nodes, whose least quotas add up to a jam, and against nodes that no executor picks.
 func (d *Dispatcher) reslice(now time.Duration) {
 	d.stale = false
 	size := len(d.ranked)
 	d.lateSlice = max(1, (lateSharers*size+d.nodes-1)/d.nodes)
-	if d.nodes >= 2*sharers {
+	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
 	}
-	for _, e := range d.slice {
-		e.near = false
-	}
 	d.slice = d.slice[:0]
-	want := [2]int{}
 	counts := make([]int, 2*len(d.needs))
+	missing := len(counts)
 	for _, e := range d.ranked {
-		if want == [2]int{len(d.needs), len(d.needs)} {
+		if missing == 0 {
 			break
 		}
 		if !d.usable(e, now) {
 			continue
 		}
-		if now < e.coldUntil {
-			e.near = true // beside the others: it can do part of its work only
-			d.slice = append(d.slice, e)
-			d.grant(e, now)
-			continue
-		}
-		side := d.abroad(e)
+		near := now < e.coldUntil // beside the others: it can do part of its work only
 		for i, need := range d.needs {
-			n := &counts[side*len(d.needs)+i]
-			if need != AnyKind && need != e.kind || *n >= size {
+			n := &counts[d.abroad(e)*len(d.needs)+i]
+			if now < e.coldUntil || need != AnyKind && need != e.kind || *n >= size {
 				continue
 			}
-			e.near = true
+			near = true
 			if *n++; *n == size {
-				want[side]++
+				missing--
 			}
 		}
-		if e.near {
+		if near {
 			d.slice = append(d.slice, e)
 			d.grant(e, now)
 		}
@@ -282,45 +196,12 @@
 	slices.Sort(e.free)
 }
 
-// ---- Tokens ----
-
-func (d *Dispatcher) giveBack(e *executor, now time.Duration, late bool) {
-	if e.lent > 0 {
-		e.lent--
-		word := Back
-		if late {
-			word = BackLate
-		}
-		d.tell(now, e.keeper, word, e.sum)
-	}
-}
-
-func (d *Dispatcher) release(e *executor, now time.Duration, late bool) {
-	d.giveBack(e, now, late)
-	e.taken--
-	if e.taken+len(e.free) < e.quota {
-		e.free = append(e.free, now)
-	}
-	d.freed = true
-}
-
-func (d *Dispatcher) step(e *executor, by int, now time.Duration) {
-	e.quota += by
-	if by > 0 {
-		if e.taken+len(e.free) < e.quota {
-			e.free = append(e.free, now)
-			d.freed = true
-		}
-	} else if e.taken+len(e.free) > e.quota && len(e.free) > 0 {
-		e.free = e.free[:len(e.free)-1]
-	}
-}
+// ---- What an executor can take ----
 
 // pace is the running time that e needs for a unit of work: what was seen, and what running batch jobs that
 // are over their time already show (guards against executors slowed or stalled since their last answer).
 func (d *Dispatcher) pace(e *executor, now time.Duration) float64 {
-	k := d.kinds[e.kind]
-	runs, works := e.runs+k.pace, e.works+1
+	runs, works := e.runs+d.kinds[e.kind].pace, e.works+1
 	for _, j := range e.out {
 		if !j.running {
 			continue
@@ -337,33 +218,52 @@
 	return runs / works
 }
 
+// waitAt is how long a batch job sent to e now would wait there: what starts were seen to take, or, where
+// ours alone fill as many places as its kind was seen to have, until the first of those is done.
+func (d *Dispatcher) waitAt(e *executor, pace float64, now time.Duration) time.Duration {
+	places := d.kinds[e.kind].parallel
+	wait, first, queued := e.startWait, time.Duration(math.MaxInt64), time.Duration(0)
+	for _, o := range e.out {
+		left := times(o.work, pace)
+		if !o.running {
+			queued += left
+			if out := now - o.sentAt; d.tellsStart && out > e.startWait+d.lookAfter {
+				// One of ours that has not begun there yet shows that the others have filled it.
+				wait = max(wait, out+left/time.Duration(places))
+			}
+			continue
+		}
+		// One that is over its time already is taken to need as long again as it is over.
+		left -= now - o.startedAt
+		first = min(first, max(left, -left))
+	}
+	if len(e.out) < places {
+		return wait
+	}
+	if first == math.MaxInt64 {
+		first = e.startWait
+	}
+	return max(e.startWait, first+queued/time.Duration(places))
+}
+
 // usable says whether e takes anything new at all, free token or not.
 func (d *Dispatcher) usable(e *executor, now time.Duration) bool {
 	return e.up && e.held <= now && (e.carried || now >= e.coldUntil)
 }
 
-// open says whether e may take this batch job now: a free token, the cap in flight, rule 2 and rule 4.
+// open says whether e may take j now: a free token, the cap in flight and rule 4.
 func (d *Dispatcher) open(e *executor, j *job, now time.Duration) bool {
-	if len(e.free) == 0 || !d.usable(e, now) || !d.fits(e, j, now) {
-		return false
-	}
-	if e.inCap > 0 && e.taken >= e.inCap {
-		return false
-	}
-	return now >= e.coldUntil || d.withinCold(e, j, now)
+	return len(e.free) > 0 && (e.inCap == 0 || e.taken < e.inCap) &&
+		(now >= e.coldUntil || d.withinCold(e, j, now))
 }
 
-// fits says whether e is of the bound kind and, after an allocation that may have run, in the dedup group.
-func (d *Dispatcher) fits(e *executor, j *job, now time.Duration) bool {
-	if j.track.kind != AnyKind && j.track.kind != e.kind {
-		return false
-	}
-	if !j.mayHave || j.track.repeat == Repeatable {
-		return true
-	}
-	sameGroup := j.track.group == GroupAll || j.track.group == GroupZone && e.zone == j.ranZone ||
-		j.track.group == GroupCell && e.cell == j.ranCell
-	return sameGroup && d.mayRepeat(j, now)
+// shareCold derives this node's part of the cold budget. Divided among all of many nodes it would be less
+// than a batch job and nobody would warm the executor: so the same few carry it all, as many as could each
+// send something to one place of it.
+func (d *Dispatcher) shareCold(multiple float64) {
+	d.carriers = int(multiple * d.coldShare * d.fallWindow.Seconds() / d.shortestQuoted.Seconds())
+	d.carriers = max(1, min(d.carriers, d.nodes))
+	d.coldWork = multiple * d.fallWindow.Seconds() / float64(d.carriers)
 }
 
 // withinCold is rule 4: this node's part of the budget of work for a cold executor, judged by what warm
@@ -373,73 +273,37 @@
 	age := float64(now-e.started) / float64(d.warmWithin)
 	part := d.coldShare + (1-d.coldShare)*min(1, max(0, age))
 	budget := d.coldWork * part * float64(k.parallel) / k.pace
-	keep := e.colds[:0]
-	spent := 0.0
+	e.colds = slices.DeleteFunc(e.colds, func(s spend) bool { return s.at+d.fallWindow <= now })
 	for _, s := range e.colds {
-		if s.at+d.fallWindow > now {
-			keep = append(keep, s)
-			spent += s.work.Seconds()
-		}
+		budget -= s.work.Seconds()
 	}
-	e.colds = keep
-	return spent+hintMargin*j.work.Seconds() <= budget
+	return hintMargin*j.work.Seconds() <= budget
 }
 
-// ---- Batch jobs ----
+// ---- What a batch job may do and is worth ----
 
-// Arrived tells of a batch job that this node has taken. A work of 0 means that no hint came.
-func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID,
-	work, budget time.Duration) {
-	t := &d.tracks[min(max(0, int(tr)), len(d.tracks)-1)]
-	j := &job{id: id, spread: d.chance(), track: t, tenantID: te, work: work, hinted: work > 0, margin: 1, came: now,
-		limitAt: now + budget}
-	if !j.hinted {
-		j.work, j.margin = t.meanWork, hintMargin
-	} else {
-		t.meanWork = times(t.meanWork, fade) + times(work, 1-fade)
-	}
-	if te >= 0 && int(te) < len(d.tenants) {
-		j.tenant = &d.tenants[te]
-		j.tenant.came++
-	}
-	// A try with less than the full budget is a repeat: its quoted time began with the first try.
-	t.fullBudget = max(t.fullBudget, budget)
-	spent := time.Duration(0)
-	if budget < t.fullBudget-d.quantum {
-		spent = max(0, t.outerLimit-budget)
-	}
-	j.quotedAt = now - spent + min(t.quoted+times(j.work, t.stretch), t.outerLimit)
-	e := d.earnings(j)
-	t.unit = t.unit*fade + e*(1-fade)
-	d.meanWork = times(d.meanWork, 0.95) + times(j.work, 0.05)
-	slow := 1 - (1-fade)/4
-	if d.meanEarnings == 0 {
-		d.meanEarnings = e
+// fits says whether e is of the bound kind and, after an allocation that may have run, in the dedup group.
+func (d *Dispatcher) fits(e *executor, j *job, now time.Duration) bool {
+	if j.track.kind != AnyKind && j.track.kind != e.kind {
+		return false
 	}
-	d.meanEarnings = d.meanEarnings*slow + e*(1-slow)
-	if spent == 0 {
-		t.asked += e
+	if !j.mayHave || j.track.repeat == Repeatable {
+		return true
 	}
-	d.jobs[id] = j
-	d.asks = true
-	d.hold(j, now)
-	d.at(now, j, nil)
-	d.freed = true
+	sameGroup := j.track.group == GroupAll || j.track.group == GroupZone && e.zone == j.ranZone ||
+		j.track.group == GroupCell && e.cell == j.ranCell
+	return sameGroup && d.mayRepeat(j, now)
 }
 
-func (d *Dispatcher) hold(j *job, now time.Duration) {
-	if !j.isHeld {
-		j.isHeld, j.heldAt = true, now
-		d.held = append(d.held, j)
+// mayRepeat is rule 2 for a further allocation.
+func (d *Dispatcher) mayRepeat(j *job, now time.Duration) bool {
+	if !j.mayHave || j.track.repeat == Repeatable {
+		return true
 	}
+	return j.track.repeat == Tagged && now < j.firstRan+j.track.groupWindow-d.quantum
 }
 
-func (d *Dispatcher) earnings(j *job) float64 {
-	if d.perWork {
-		return j.track.earnings * j.work.Seconds()
-	}
-	return j.track.earnings
-}
+func (d *Dispatcher) late(j *job, now time.Duration) bool { return j.quotedAt < now+j.work/2 }
 
 // value is what handling j in its quoted time adds to the operators' measure, in mean batch jobs: its part
 // of all earnings, and, in the track that fares worst, its part of that track's.
@@ -447,126 +311,80 @@
 	e := d.earnings(j)
 	v := d.wholeWeight * e / d.meanEarnings
 	if j.track == d.worst {
-		asked := 0.0
-		for i := range d.tracks {
-			asked += d.tracks[i].asked / max(d.tracks[i].unit, 1e-9)
-		}
-		part := j.track.asked / max(j.track.unit, 1e-9) / max(asked, 1e-9)
-		v += d.trackWeight * e / max(j.track.unit, 1e-9) / max(part, 0.05)
+		v += d.trackWeight * e / d.worstUnit
 	}
 	if t := j.tenant; t != nil && t.over > 1 {
 		v *= d.overage + (1-d.overage)/t.over
 	}
-	return v
+	return max(v, 1e-9)
 }
 
 // patience is how long j waits for its own zone before another zone's tokens open to it: the part of its
 // slack that the price of crossing is of its value. Below its price it never crosses.
 func (d *Dispatcher) patience(j *job) time.Duration {
-	if d.crossPrice == 0 {
-		return 0
-	}
-	part := d.crossPrice / max(d.value(j), 1e-9)
-	if part >= 1 {
-		return math.MaxInt64 / 4
+	if part := d.crossPrice / d.value(j); part < 1 {
+		return times(max(0, j.quotedAt-j.heldAt-j.work), part)
 	}
-	return times(max(0, j.quotedAt-j.heldAt-j.work), part)
+	return math.MaxInt64 / 4
 }
 
 // crosses says whether j goes to another zone at once: so many of the batch jobs that are worth it as bring
 // the zones' listed loads together. Each has a chance of its own, so that nodes don't turn with one list.
+// Guards against a zone with far more traffic than executors, where a token is always free.
 func (d *Dispatcher) crosses(j *job) bool {
-	if d.crossPrice == 0 || d.homeLoad <= fullZone {
-		return false
-	}
-	return j.spread < (d.homeLoad-d.awayLoad)/d.homeLoad-d.crossPrice/max(d.value(j), 1e-9)
+	return d.crossPrice > 0 && d.homeLoad > fullZone &&
+		j.spread < (d.homeLoad-d.awayLoad)/d.homeLoad-d.crossPrice/d.value(j)
 }
 
-// pick finds the executor with the oldest free token that j may take now. A token is passed over where the
-// executor's pace can't answer in time, unless the batch job is late anyway. Those of its own zone come first,
-// but for executors where it would wait longer than another zone's price is worth.
-func (d *Dispatcher) pick(j *job, now time.Duration, not *executor, step pickStep) *executor {
-	late := d.late(j, now)
-	patience := d.patience(j)
-	crosses := d.crosses(j)
-	home := false
-	var best *executor
-	bestOrder, bestAge := 0, 0.0
-	for i, e := range d.candidates(j) {
-		if !d.usable(e, now) || !d.fits(e, j, now) {
-			continue
-		}
-		pace := d.pace(e, now)
-		wait := d.waitAt(e, pace, now)
-		order := d.abroad(e)
-		if crosses {
-			order = 1 - order
-		}
-		home = home || order == 0
-		if e == not || !d.cleared(e, now, step) || !d.open(e, j, now) || (!late && now+times(wait+times(j.work, pace), j.margin) > j.quotedAt) {
-			continue
-		}
-		// A late batch job must not fill the places of those still to come: it goes where nothing of ours is
-		// out, and, where it may be held until the outer limit, where few nodes send their late ones.
-		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
-			continue
-		}
-		// It ages at the rate of its executor's weight in the list, over its pace and the waits there.
-		age := e.weight * float64(now-e.free[0]) / (pace * (d.shortestQuoted + wait).Seconds())
-		if best == nil || order < bestOrder || order == bestOrder && age > bestAge {
-			best, bestOrder, bestAge = e, order, age
-		}
-	}
-	if bestOrder > 0 && home && !crosses && now-j.heldAt < patience {
-		return nil
-	}
-	return best
-}
+// ---- Placing ----
 
-// candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
-func (d *Dispatcher) candidates(j *job) []*executor {
-	if j.mayHave && j.track.repeat == Tagged && j.track.group != GroupAll {
-		return d.ranked
+// Arrived tells of a batch job that this node has taken. A work of 0 means that no hint came.
+func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID,
+	work, budget time.Duration) {
+	t := &d.tracks[min(max(0, int(tr)), len(d.tracks)-1)]
+	j := &job{id: id, track: t, tenantID: te, work: work, hinted: work > 0, margin: 1, came: now,
+		limitAt: now + budget, spread: d.chance()}
+	if !j.hinted {
+		j.work, j.margin = t.meanWork, hintMargin
+	} else {
+		t.meanWork = times(t.meanWork, fade) + times(work, 1-fade)
 	}
-	return d.slice
-}
-
-func (d *Dispatcher) abroad(e *executor) int {
-	if d.crossPrice > 0 && e.zone != d.zone {
-		return 1
+	if te >= 0 && int(te) < len(d.tenants) {
+		j.tenant = &d.tenants[te]
+		j.tenant.came++
+	}
+	// A try with less than the full budget is a repeat: its quoted time began with the first try.
+	t.fullBudget = max(t.fullBudget, budget)
+	spent := time.Duration(0)
+	if budget < t.fullBudget-d.quantum {
+		spent = max(0, t.outerLimit-budget)
 	}
-	return 0
+	j.quotedAt = now - spent + min(t.quoted+times(j.work, t.stretch), t.outerLimit)
+	d.asked(j, spent == 0)
+	d.jobs[id] = j
+	d.hold(j, now)
+	d.at(now, j, nil)
+	d.freed, d.wants = true, true
 }
 
-// waitAt is how long a batch job sent to e now would wait there: what starts were seen to take, or, where
-// ours alone fill as many places as its kind was seen to have, until the first of those is done.
-func (d *Dispatcher) waitAt(e *executor, pace float64, now time.Duration) time.Duration {
-	places := d.kinds[e.kind].parallel
-	if len(e.out) < places {
-		// One of ours that has not begun there yet shows that the others have filled it.
-		wait := e.startWait
-		for _, o := range e.out {
-			if !o.running && d.tellsStart && now-o.sentAt > e.startWait+d.shortestQuoted/8 {
-				wait = max(wait, now-o.sentAt+times(o.work, pace/float64(places)))
-			}
-		}
-		return wait
+// hold puts j among the held ones. The release order is the design's open matter: least slack to the quoted
+// time over what is earned for the work goes first, late ones after all others.
+func (d *Dispatcher) hold(j *job, now time.Duration) {
+	slack := j.quotedAt - now - j.work
+	if j.isHeld && j.heldLate == (slack < 0) {
+		return
 	}
-	first, queued := time.Duration(math.MaxInt64), time.Duration(0)
-	for _, o := range e.out {
-		left := times(o.work, pace)
-		if !o.running {
-			queued += left
-			continue
-		}
-		// One that is over its time already is taken to need as long again as it is over.
-		left -= now - o.startedAt
-		first = min(first, max(left, -left))
+	if !j.isHeld {
+		j.heldAt = now
 	}
-	if first == math.MaxInt64 {
-		first = e.startWait
+	d.unhold(j)
+	density := d.value(j) / j.work.Seconds() / d.meanDensity
+	j.isHeld, j.heldLate = true, slack < 0
+	if j.heldLate {
+		slack = times(j.track.outerLimit, 1/max(j.track.late, 1e-3))
 	}
-	return max(e.startWait, first+queued/time.Duration(places))
+	j.key = now + times(slack, 1/max(density, 1e-3))
+	d.insert(j)
 }
 
 // Place says where to send a batch job, or not yet, or never.
@@ -596,77 +414,94 @@
 	if now > lastStart {
 		return d.giveUp(j)
 	}
-	if e := d.pick(j, now, nil, toSend); e != nil {
+	if e := d.pick(j, now, nil, false); e != nil {
 		return d.send(j, e, now)
 	}
-	d.waited = d.waited || now <= j.quotedAt-j.work
+	d.waited = d.waited || !j.heldLate
 	next := min(max(lastStart, now)+d.quantum, j.limitAt-d.quantum)
-	if open := j.heldAt + d.patience(j); open > now {
-		next = min(next, open)
+	for _, turn := range [...]time.Duration{j.heldAt + d.patience(j), j.quotedAt - j.work + d.quantum} {
+		if turn > now {
+			next = min(next, turn)
+		}
 	}
 	j.turn++
 	d.at(max(next, now+d.quantum), j, nil)
 	return Decision{Act: Hold}
 }
 
-// mayRepeat is rule 2 for a further allocation.
-func (d *Dispatcher) mayRepeat(j *job, now time.Duration) bool {
-	if !j.mayHave || j.track.repeat == Repeatable {
-		return true
-	}
-	return j.track.repeat == Tagged && now < j.firstRan+j.track.groupWindow-d.quantum
-}
-
-// mayPushBack is rule 2 for a pushback.
-func (d *Dispatcher) mayPushBack(j *job) bool {
-	return !j.mayHave || j.track.repeat == Repeatable || j.track.repeat == Tagged && j.track.group == GroupAll
-}
-
+// giveUp answers at once. A pushback says that nothing happened or that trying again is harmless: rule 2.
 func (d *Dispatcher) giveUp(j *job) Decision {
 	d.forget(j)
-	if d.mayPushBack(j) {
+	if !j.mayHave || j.track.repeat == Repeatable || j.track.repeat == Tagged && j.track.group == GroupAll {
 		return Decision{Act: PushBack, ComeBack: d.comeBack}
 	}
 	return Decision{Act: BreakOff}
 }
 
-func (d *Dispatcher) unhold(j *job) {
-	if j.isHeld {
-		j.isHeld = false
-		i := slices.Index(d.held, j)
-		d.held = slices.Delete(d.held, i, i+1)
+// candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
+func (d *Dispatcher) candidates(j *job) []*executor {
+	if j.mayHave && j.track.repeat == Tagged && j.track.group != GroupAll {
+		return d.ranked
 	}
+	return d.slice
 }
 
-func (d *Dispatcher) forget(j *job) {
-	d.unhold(j)
-	j.over = true
-	j.turn++
-	delete(d.jobs, j.id)
+// pick finds the executor with the oldest free token that j may take now, or, asking, whose keeper is to be
+// asked for a place. A token is passed over where its executor can't answer in time, unless j is late anyway,
+// and it ages at the rate of the executor's weight in the list, over its pace and the wait there. Guards
+// against many nodes, each with one token at least, that use small, full and idle executors alike.
+func (d *Dispatcher) pick(j *job, now time.Duration, not *executor, asking bool) *executor {
+	late, crosses, home := d.late(j, now), d.crosses(j), false
+	var best *executor
+	bestSide, bestAge := 0, 0.0
+	for i, e := range d.candidates(j) {
+		if !d.usable(e, now) || !d.fits(e, j, now) {
+			continue
+		}
+		side := d.abroad(e)
+		if crosses {
+			side = 1 - side
+		}
+		home = home || side == 0
+		// A late batch job must not fill the places of those still to come: it goes where nothing of ours is
+		// out, and, where it may be held until the outer limit, where few nodes send their late ones.
+		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
+			continue
+		}
+		if e == not || best != nil && side > bestSide || !d.cleared(e, now, asking) || !d.open(e, j, now) {
+			continue
+		}
+		pace := d.pace(e, now)
+		wait := d.waitAt(e, pace, now)
+		if !late && now+times(wait+times(j.work, pace), j.margin) > j.quotedAt {
+			continue
+		}
+		age := e.weight * float64(now-e.free[0]) / (pace * (d.shortestQuoted + wait).Seconds())
+		if best == nil || side < bestSide || age > bestAge {
+			best, bestSide, bestAge = e, side, age
+		}
+	}
+	if bestSide > 0 && home && !crosses && now-j.heldAt < d.patience(j) {
+		return nil
+	}
+	return best
 }
 
 func (d *Dispatcher) send(j *job, e *executor, now time.Duration) Decision {
 	d.unhold(j)
 	// A late batch job waits because others go first, not for want of tokens: its time until then counts.
 	e.ourWait += max(0, min(now, j.quotedAt-j.work)-j.heldAt)
-	e.free = e.free[1:]
-	e.taken++
-	if e.given {
-		e.given = false
-		e.lent++
-	}
-	e.dry = e.dry || len(e.free) == 0
 	if len(e.out) == 0 {
 		e.news = now
 	}
-	e.out = append(e.out, j)
+	d.take(e, j)
 	if now < e.coldUntil {
 		e.colds = append(e.colds, spend{now, times(j.work, hintMargin)})
 	}
-	j.on, j.sentAt, j.running, j.share, j.stopping = e, now, false, 0, false
+	j.on, j.sentAt, j.running, j.share, j.stopping, j.startedLate = e, now, false, 0, false, false
 	j.sent++
 	j.turn++
-	d.at(now+d.lookAfter(), j, nil)
+	d.at(now+d.lookAfter, j, nil)
 	allow := time.Duration(0)
 	if !d.mayCancel && j.track.repeat == Repeatable {
 		allow = 3*times(j.work, d.pace(e, now)) + j.track.quoted
@@ -674,32 +509,20 @@
 	return Decision{Act: Send, Executor: e.id, AllowFor: allow}
 }
 
-// lookAfter is when an allocation that is out gets its next look.
-func (d *Dispatcher) lookAfter() time.Duration {
-	return max(d.shortestQuoted/8, d.quantum)
-}
-
 // ---- News of allocations ----
 
 // Started tells that an executor has begun on an allocation.
 func (d *Dispatcher) Started(now time.Duration, id JobID, n AllocationID) {
-	j := d.jobs[id]
-	if j == nil || j.on == nil || int(n) != j.sent-1 || j.running {
+	j := d.out(id, n)
+	if j == nil || j.running {
 		return
 	}
 	e := j.on
-	j.running, j.startedAt, j.shareAt = true, now, now
-	e.news = now
-	j.startedLate = now-j.sentAt > d.shortestQuoted/8
+	j.running, j.startedAt, j.shareAt, e.news = true, now, now, now
+	j.startedLate = now-j.sentAt > d.lookAfter
 	d.queued(e, j, now-j.sentAt)
-	running := 0
-	for _, o := range e.out {
-		if o.running {
-			running++
-		}
-	}
 	if k := d.kinds[e.kind]; now >= e.coldUntil {
-		k.parallel = max(k.parallel, running)
+		k.parallel = max(k.parallel, e.running())
 	}
 	e.startedOther = e.startedOther || !e.full || j.tenantID != e.fullFrom
 }
@@ -709,59 +532,26 @@
 	wait = max(0, wait-d.quantum)
 	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
 	e.workerWait += wait
-	slack := j.quotedAt - j.came - j.work
-	if j.sentAt-j.heldAt+wait > times(slack, slackTarget) {
+	if j.sentAt-j.heldAt+wait > times(j.quotedAt-j.came-j.work, slackTarget) {
 		e.slow = true
 	}
 }
 
-// Progressed tells how much of an allocation is done.
-func (d *Dispatcher) Progressed(now time.Duration, id JobID, n AllocationID, share float64) {
-	j := d.jobs[id]
-	if j == nil || j.on == nil || int(n) != j.sent-1 {
-		return
+// Left tells that the client has gone: nothing more is owed.
+func (d *Dispatcher) Left(now time.Duration, id JobID) {
+	if j := d.jobs[id]; j != nil && j.on == nil {
+		d.forget(j)
+	} else if j != nil {
+		j.over = true
+		j.turn++
+		d.at(now, j, nil)
 	}
-	j.on.news = now
-	j.share, j.shareAt = share, now
-}
-
-// Reported tells what an executor says of its load: batch jobs held, those of them that wait, and places free.
-func (d *Dispatcher) Reported(id ExecutorID, held, waiting, free float64) {
-	e := d.byID[id]
-	if e == nil || held-waiting+free < 0.5 {
-		return
-	}
-	places := held - waiting + free
-	k := d.kinds[e.kind]
-	if k.places == 0 {
-		k.places = places
-	}
-	k.places = k.places*0.9 + places*0.1
-	k.parallel = max(1, int(k.places+0.5))
-	if !d.liveWeights {
-		e.load = held / places
-	}
-}
-
-// Left tells that the client has gone: nothing more is owed.
-func (d *Dispatcher) Left(now time.Duration, id JobID) {
-	j := d.jobs[id]
-	if j == nil {
-		return
-	}
-	if j.on == nil {
-		d.forget(j)
-		return
-	}
-	j.over = true
-	j.turn++
-	d.at(now, j, nil)
 }
 
 // Ended says what to do after an allocation's outcome. Final: the batch job is over by it or before it.
 func (d *Dispatcher) Ended(now time.Duration, id JobID, n AllocationID, how Outcome, final bool) Decision {
-	j := d.jobs[id]
-	if j == nil || j.on == nil || int(n) != j.sent-1 {
+	j := d.out(id, n)
+	if j == nil {
 		return Decision{}
 	}
 	d.settle(j, how, now)
@@ -774,6 +564,7 @@
 	}
 	j.on = nil
 	j.turn++
+	d.wants = true
 	return d.Place(now, id)
 }
 
@@ -787,18 +578,13 @@
 	case Handled:
 		e.news = now
 		d.handled(j, e, now)
-		d.release(e, now, j.startedLate)
 	case NoRoom:
 		// Full counts as queuing at the executor, unless only one tenant meets it.
 		e.fullWait += est
 		e.fullMany = e.fullMany || e.full && e.fullFrom != j.tenantID
-		e.full, e.fullFrom = true, j.tenantID
-		d.ghost(e, now+est)
-	case NotSent:
-		d.release(e, now, j.startedLate)
+		e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
 	case Errored, NoRoute, Cut:
 		d.holdBack(e, now, "after an outcome that was no answer")
-		d.release(e, now, j.startedLate)
 	case TooSlow, CalledOff:
 		// The executor may still be on it: the token stays taken until the work would be over.
 		begun := now
@@ -807,12 +593,12 @@
 		} else {
 			d.giveBack(e, now, true)
 		}
-		d.ghost(e, max(now, begun+est))
+		d.at(max(now, begun+est), nil, e)
+		return
 	}
+	d.release(e, now, j.startedLate)
 }
 
-func (d *Dispatcher) ghost(e *executor, until time.Duration) { d.at(until, nil, e) }
-
 func (d *Dispatcher) handled(j *job, e *executor, now time.Duration) {
 	if now <= j.quotedAt {
 		j.track.given += d.earnings(j)
@@ -824,18 +610,11 @@
 	}
 	ran := now - j.startedAt
 	if !j.running {
-		// Without start notices: latency against the track's recent floor.
+		// Without start notices: latency against what the pace foretells.
 		ran = min(now-j.sentAt, times(j.work, d.pace(e, now)))
 		d.queued(e, j, now-j.sentAt-ran)
 	}
-	if !j.hinted {
-		j.track.meanWork = times(j.track.meanWork, 0.95) + times(ran, 0.05)
-	}
-	e.runs = e.runs*fade + ran.Seconds()
-	e.works = e.works*fade + j.work.Seconds()
-	k := d.kinds[e.kind]
-	k.pace += 0.05 * min(1, j.work.Seconds()) * (ran.Seconds()/j.work.Seconds() - k.pace)
-	k.pace = max(k.pace, 0.05)
+	d.learn(j, e, ran)
 }
 
 // holdBack holds an executor's tokens back for as long as a batch job takes: a quick error frees a token at
@@ -856,213 +635,70 @@
 	d.at(e.held, nil, nil)
 }
 
-// ---- The interval ----
-
-func (d *Dispatcher) everyInterval(now time.Duration) {
-	d.met = slices.DeleteFunc(d.met, func(e *executor) bool { return e.gone && e.taken == 0 })
-	for _, e := range d.met {
-		for _, j := range e.out {
-			if !j.running && d.tellsStart {
-				e.workerWait += max(0, now-max(j.sentAt, now-d.interval)-d.quantum)
-			}
-		}
-		if e.fullMany || e.full && !e.startedOther {
-			e.workerWait += e.fullWait
-			e.slow = true
-		}
-		d.adjust(e, now)
-		d.watchSilence(e, now)
-		e.workerWait, e.ourWait, e.slow, e.dry = 0, 0, false, len(e.free) == 0
-		// What was seen grows old, or an executor passed over for it would never be tried again.
-		e.startWait = times(e.startWait, fade)
-		e.runs, e.works = e.runs*fade, e.works*fade
-		e.full, e.fullMany, e.startedOther, e.fullWait = false, false, false, 0
-	}
-	d.waited, d.freed, d.stale, d.asks = false, true, true, true
-	d.keepInterval(now)
-	for _, j := range d.held {
-		d.waited = d.waited || now <= j.quotedAt-j.work
-	}
-	d.worst = nil
-	least := math.Inf(1)
-	for i := range d.tracks {
-		t := &d.tracks[i]
-		t.asked *= 0.95
-		t.given *= 0.95
-		if part := t.given / t.asked; t.asked > 0 && part < least {
-			least, d.worst = part, t
-		}
-	}
-	rates, quotas := 0.0, 0.0
-	for i := range d.tenants {
-		t := &d.tenants[i]
-		t.rate = t.rate*0.8 + float64(t.came)/d.interval.Seconds()*0.2
-		t.came = 0
-		rates += t.rate
-		quotas += t.perS
-	}
-	// A node with more traffic than the others sees every tenant over its share of the nodes' mean: so a
-	// tenant is measured against the others at this node.
-	for i := range d.tenants {
-		t := &d.tenants[i]
-		t.over = t.rate / max(t.perS, 1e-9) * min(quotas/max(rates, 1e-9), 1)
-	}
-}
-
-// adjust is the design's single step.
-func (d *Dispatcher) adjust(e *executor, now time.Duration) {
-	r := 0.0
-	if sum := e.workerWait + e.ourWait; sum > 0 {
-		r = float64(e.workerWait) / float64(sum)
-	}
-	switch {
-	case e.slow && r > theta && (!d.waited || r > heldEmpty) && e.quota > 1:
-		d.step(e, -1, now)
-	case d.waited && e.dry && r < theta && e.quota < quotaCap:
-		d.step(e, 1, now)
-	}
-}
-
-// watchSilence guards against an executor that takes batch jobs and answers none: no start, progress or
-// outcome for longer than all that is out there should take.
-func (d *Dispatcher) watchSilence(e *executor, now time.Duration) {
-	if len(e.out) == 0 || !e.up {
-		return
-	}
-	longest := time.Duration(0)
-	for _, j := range e.out {
-		longest = max(longest, j.work)
-	}
-	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
-	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted {
-		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
-	}
-}
-
-// ---- Due times ----
-
-// Wait says what has fallen due, or until when nothing will.
-func (d *Dispatcher) Wait(now time.Duration) Due {
-	for now >= d.tick {
-		d.tick += d.interval
-		d.everyInterval(now)
-	}
-	if len(d.notes) > 0 {
-		text := d.notes[0]
-		d.notes = d.notes[1:]
-		return Due{Task: Note, Text: text}
-	}
-	mustSubscribe := d.mustAsk && !d.subscribed && !d.asking
-	if mustSubscribe && now >= d.askAt {
-		d.asking = true
-		return Due{Task: Subscribe}
-	}
-	if j := d.next(now); j != nil {
-		return Due{Task: PlaceJob, Job: j.id}
+// look says whether to stop waiting for an allocation: the client has left, it has not started and another
+// token is open to it, or the executor crawls and another token would answer sooner.
+func (d *Dispatcher) look(j *job, now time.Duration) bool {
+	if j.stopping || !d.mayCancel {
+		return false
 	}
-	for len(d.due) > 0 && d.due[0].at <= now {
-		it := heap.Pop(&d.due).(dueItem)
-		if it.ghost != nil {
-			d.release(it.ghost, now, false)
-			continue
-		}
-		if it.job == nil {
-			d.unanswered(now)
-			d.stale, d.freed, d.asks = true, true, true
-			continue
-		}
-		j := it.job
-		if j.turn != it.turn {
-			continue
-		}
-		if j.on == nil {
-			return Due{Task: PlaceJob, Job: j.id}
-		}
-		if d.look(j, now) {
-			j.stopping = true
-			return Due{Task: StopJob, Job: j.id, Allocation: AllocationID(j.sent - 1)}
-		}
+	e := j.on
+	if j.over {
+		return !j.running
 	}
-	if j := d.next(now); j != nil {
-		return Due{Task: PlaceJob, Job: j.id}
+	d.at(now+d.lookAfter, j, nil)
+	usual := d.kinds[e.kind].pace
+	pace := (e.runs + usual) / (e.works + 1)
+	if j.hinted { // without a hint, its own long run tells nothing of the executor
+		pace = d.pace(e, now)
 	}
-	d.askKeepers(now)
-	if len(d.words) > 0 {
-		w := d.words[0]
-		d.words = d.words[1:]
-		return w
+	crawls := (e.held > now || pace >= crawl*usual) && now-j.startedAt > times(j.work, crawl*usual)
+	if j.sent >= d.maxAllocations || j.running && !crawls || !j.running && !d.tellsStart {
+		return false
 	}
-	at := d.tick
-	if len(d.due) > 0 {
-		at = min(at, d.due[0].at)
+	to := d.elsewhere(j, now)
+	if to == nil || !j.running {
+		// A move pays the price of crossing again, so it must be small change.
+		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
 	}
-	if mustSubscribe {
-		at = min(at, d.askAt)
+	left := now - j.startedAt
+	if j.share > 0.02 {
+		left = times(j.shareAt-j.startedAt, (1-j.share)/j.share)
 	}
-	return Due{At: at}
+	return left > 2*times(j.work, d.pace(to, now))
 }
 
-// next is the release order: of the held batch jobs that a free token is open to, the one with the least
-// slack to its quoted time, weighed by what it earns for its work; late ones after all others. It is asked
-// once after each change that may have opened a token.
-func (d *Dispatcher) next(now time.Duration) *job {
-	if d.stale {
-		d.reslice(now)
-	}
-	if !d.freed {
-		return nil
-	}
-	var best *job
-	least := math.Inf(1)
-	for _, j := range d.held {
-		slack := (j.quotedAt - now - j.work).Seconds()
-		density := d.value(j) / j.work.Seconds()
-		if slack < 0 {
-			slack = j.track.outerLimit.Seconds()
-			density *= max(j.track.late, 1e-3)
-		}
-		if s := (slack + 0.01) / max(density, 1e-9); s < least && d.pick(j, now, nil, toSend) != nil {
-			best, least = j, s
-		}
+// elsewhere is the executor that j would go to if it were stopped now, as one that may have run.
+func (d *Dispatcher) elsewhere(j *job, now time.Duration) *executor {
+	was, zone, cell, first := j.mayHave, j.ranZone, j.ranCell, j.firstRan
+	if !was {
+		j.mayHave, j.ranZone, j.ranCell, j.firstRan = true, j.on.zone, j.on.cell, j.sentAt
 	}
-	d.freed = best != nil
-	return best
+	e := d.pick(j, now, j.on, false)
+	j.mayHave, j.ranZone, j.ranCell, j.firstRan = was, zone, cell, first
+	return e
 }
 
 // ---- Keepers ----
 
-// Where nodes may talk, one node keeps each executor's places for all: a place is asked for before a token
-// there is used, and given back with the token. A keeper that does not answer is done without for a while.
+// Where nodes are many and may talk, one node keeps each executor's places for all: a place is asked for
+// before a token there is used, and given back with the token. A node alone sees one batch job a second and
+// nothing of what the others have sent. A keeper that does not answer is done without for a while.
 
-type pickStep int
+func (d *Dispatcher) keeperOf(sum Sum) NodeID { return NodeID(sum % Sum(d.nodes)) }
 
-const (
-	toSend pickStep = iota // a place there was given
-	toAsk                  // none was asked for yet
-)
-
-func (d *Dispatcher) cleared(e *executor, now time.Duration, step pickStep) bool {
-	if !d.mayTell {
-		return step != toAsk
-	}
-	if step == toSend {
-		return e.given || e.alone > now
-	}
-	return !e.given && !e.asked && e.alone <= now
-}
-
-func (d *Dispatcher) keeperOf(e *executor) NodeID { return NodeID(e.sum % uint32(d.nodes)) }
-
-func (d *Dispatcher) tell(now time.Duration, to NodeID, word Word, sum uint32) {
-	if int(to) == d.node {
-		d.Heard(now, to, word, sum)
-		return
+// cleared says whether e's keeper has given a place there, or, asking, may be asked for one.
+func (d *Dispatcher) cleared(e *executor, now time.Duration, asking bool) bool {
+	switch {
+	case !d.mayTell || !d.many():
+		return !asking
+	case asking:
+		return !e.given && !e.asked && e.alone <= now
 	}
-	d.words = append(d.words, Due{Task: Tell, Node: to, Word: word, Sum: sum})
+	return e.given || e.alone > now
 }
 
-// askKeepers gives back what no batch job wants any more, and asks for a place for each held one, one after
-// another.
+// askKeepers gives back places that nothing wants any more, and asks for one for each batch job that waits,
+// one keeper after another.
 func (d *Dispatcher) askKeepers(now time.Duration) {
 	for _, e := range d.givens {
 		if e.given {
@@ -1071,21 +707,17 @@
 		}
 	}
 	d.givens = d.givens[:0]
-	if !d.mayTell || !d.asks {
+	if !d.wants || !d.mayTell || !d.many() {
 		return
 	}
-	d.asks = false
-	for _, j := range d.held {
-		if j.asked == nil || !j.asked.asked || j.asked.waits {
-			d.ask(j, d.pick(j, now, nil, toAsk), now)
-		}
-	}
-	for _, j := range d.movers {
-		if j.on != nil && (j.asked == nil || !j.asked.asked || j.asked.waits) {
-			d.ask(j, d.elsewhere(j, now, toAsk), now)
+	d.wants = false
+	for _, list := range [...][]*job{d.held, d.heldLate} {
+		for _, j := range list[:min(len(list), len(d.slice))] {
+			if j.asked == nil || !j.asked.asked || j.asked.queued {
+				d.ask(j, d.pick(j, now, nil, true), now)
+			}
 		}
 	}
-	d.movers = d.movers[:0]
 }
 
 func (d *Dispatcher) ask(j *job, e *executor, now time.Duration) {
@@ -1093,9 +725,9 @@
 		return
 	}
 	if now >= e.firstAt && e.lent == 0 {
-		e.keeper = d.keeperOf(e)
+		e.keeper = d.keeperOf(e.sum)
 	}
-	j.asked, e.askedFor, e.asked, e.waits, e.askedAt = e, j, true, false, now
+	j.asked, e.asked, e.queued, e.askedAt = e, true, false, now
 	d.at(now+d.shortestQuoted/4, nil, nil)
 	word := Want
 	if d.late(j, now) {
@@ -1104,175 +736,219 @@
 	d.tell(now, e.keeper, word, e.sum)
 }
 
-func (d *Dispatcher) late(j *job, now time.Duration) bool { return j.quotedAt < now+j.work/2 }
-
-// unanswered finds the keepers that have not answered: their executors are used without them for a while.
+// unanswered finds the keepers that have not answered: the next node in line stands in, then none does.
+// Guards against nodes that die by the half.
 func (d *Dispatcher) unanswered(now time.Duration) {
 	for _, e := range d.slice {
-		if e.asked && !e.waits && now-e.askedAt >= d.shortestQuoted/4 {
-			// First the next node in line, then none, for a while.
-			e.asked, e.lent = false, 0
-			if e.keeper == d.keeperOf(e) {
-				e.keeper, e.firstAt = NodeID((e.sum^e.sum>>16)*0x9e3779b1>>8%uint32(d.nodes)), now+2*d.interval
-			} else {
-				e.alone = now + d.interval
-			}
+		if !e.asked || e.queued || now-e.askedAt < d.shortestQuoted/4 {
+			continue
+		}
+		e.asked, e.lent = false, 0
+		if first := d.keeperOf(e.sum); e.keeper == first {
+			e.keeper, e.firstAt = d.keeperOf((e.sum^e.sum>>16)*0x9e3779b1>>8), now+2*d.interval
+		} else {
+			e.alone = now + d.interval
 		}
 	}
 }
 
-// Heard tells of a word from another node about an executor.
-func (d *Dispatcher) Heard(now time.Duration, from NodeID, word Word, sum uint32) {
+// Heard tells of a word from another node about an executor's places.
+func (d *Dispatcher) Heard(now time.Duration, from NodeID, word Word, sum Sum) {
 	switch word {
-	case Given, Wait:
+	case Lend, Later:
 		e := d.bySum[sum]
 		if e == nil || !e.asked || e.keeper != from {
-			if word == Given {
+			if word == Lend {
 				d.tell(now, from, Back, sum)
 			}
 			return
 		}
-		d.freed, d.asks = true, true
-		e.waits = word == Wait
-		if word == Given {
+		d.freed, d.wants, e.queued = true, true, word == Later
+		if word == Lend {
 			e.asked, e.given = false, true
 			d.givens = append(d.givens, e)
-			if e.askedFor.on != nil {
-				d.at(now, e.askedFor, nil) // one that is out may move now
-			}
 		}
-		return
-	}
-	k := d.kept[sum]
-	if k == nil {
-		k = &keep{sum: sum, quota: firstQuota}
-		d.kept[sum] = k
-		d.keeps = append(d.keeps, k)
-	}
-	at := slices.IndexFunc(k.lent, func(l lease) bool { return l.to == from })
-	switch word {
 	case Want, WantLate:
-		if !slices.Contains(k.queue, from) && !slices.Contains(k.late, from) {
-			if word == Want {
-				k.queue = append(k.queue, from)
-			} else {
-				k.late = append(k.late, from)
-			}
+		k := d.keepOf(sum)
+		if word == Want && !k.waits(from) {
+			k.queue = append(k.queue, from)
+		} else if !k.waits(from) {
+			k.late = append(k.late, from)
 		}
-		if d.lend(k, now); slices.Contains(k.queue, from) || slices.Contains(k.late, from) {
+		if d.lend(k, now); k.waits(from) {
 			k.dry = true
-			d.tell(now, from, Wait, sum)
+			d.tell(now, from, Later, sum)
 		}
-		return
 	case Back, BackLate:
+		k := d.keepOf(sum)
 		k.backs++
 		if word == BackLate {
-			k.waited++
-		}
-		if at >= 0 {
-			k.lent = slices.Delete(k.lent, at, at+1)
+			k.lateStarts++
 		}
+		k.back(from)
 		d.lend(k, now)
-	case Still:
-		for i := range k.lent {
-			if k.lent[i].to == from {
-				k.lent[i].until = now + 2*d.interval
-			}
-		}
 	}
 }
 
-// lend gives free places to the nodes that have waited longest.
+// lend gives free places to the nodes that have waited longest. A place that does not come back within two
+// intervals is free again: its node is dead or its word was lost.
 func (d *Dispatcher) lend(k *keep, now time.Duration) {
 	k.lent = slices.DeleteFunc(k.lent, func(l lease) bool { return l.until <= now })
 	for len(k.queue)+len(k.late) > 0 && len(k.lent) < k.quota {
-		from := &k.queue
-		if len(k.queue) == 0 {
-			from = &k.late
-		}
-		to := (*from)[0]
-		*from = (*from)[1:]
+		to := k.first()
 		k.lent = append(k.lent, lease{to, now + 2*d.interval})
-		d.tell(now, to, Given, k.sum)
+		d.tell(now, to, Lend, k.sum)
 	}
 }
 
-// keepInterval is the design's single step for the places that this node keeps, and news of long batch jobs.
+// keepInterval is the design's single step for the places that this node keeps.
 func (d *Dispatcher) keepInterval(now time.Duration) {
 	for _, k := range d.keeps {
 		k.rest--
-		switch r := float64(k.waited) / max(float64(k.backs), 1); {
+		switch r := float64(k.lateStarts) / max(float64(k.backs), 1); {
 		case r > theta && k.quota > 1:
 			k.quota--
-			k.rest = 4
-		case r < 0.1 && k.dry && k.quota < quotaCap && k.rest <= 0:
+			k.rest = restAfter
+		case r < fewLate && k.dry && k.quota < quotaCap && k.rest <= 0:
 			k.quota++
 		}
-		k.waited, k.backs, k.dry = 0, 0, len(k.queue) > 0
+		k.lateStarts, k.backs, k.dry = 0, 0, len(k.queue) > 0
 		d.lend(k, now)
 	}
 	for _, e := range d.met {
-		if e.lent > 0 {
-			d.tell(now, e.keeper, Still, e.sum)
-		}
 		if e.asked && now-e.askedAt > d.interval {
 			e.asked = false
 		}
 	}
 }
 
-// look says whether to stop waiting for an allocation: the client has left, it has not started and another
-// token is open to it, or the executor crawls and another token would answer sooner.
-func (d *Dispatcher) look(j *job, now time.Duration) bool {
-	if j.stopping || !d.mayCancel {
-		return false
+// ---- The interval ----
+
+func (d *Dispatcher) everyInterval(now time.Duration) {
+	d.met = slices.DeleteFunc(d.met, func(e *executor) bool { return e.gone && e.taken == 0 })
+	for _, e := range d.met {
+		for _, j := range e.out {
+			if !j.running && d.tellsStart {
+				e.workerWait += max(0, now-max(j.sentAt, now-d.interval)-d.quantum)
+			}
+		}
+		if e.fullMany || e.full && !e.startedOther {
+			e.workerWait += e.fullWait
+			e.slow = true
+		}
+		d.adjust(e, now)
+		d.watchSilence(e, now)
+		e.workerWait, e.ourWait, e.slow, e.dry = 0, 0, false, len(e.free) == 0
+		// What was seen grows old, or an executor passed over for it would never be tried again.
+		e.startWait = times(e.startWait, fade)
+		e.runs, e.works = e.runs*fade, e.works*fade
+		e.full, e.fullMany, e.startedOther, e.fullWait = false, false, false, 0
 	}
-	e := j.on
-	if j.over {
-		return !j.running
+	d.keepInterval(now)
+	d.waited, d.freed, d.stale, d.wants = len(d.held) > 0, true, true, true
+	d.averages()
+}
+
+// adjust is the design's single step.
+func (d *Dispatcher) adjust(e *executor, now time.Duration) {
+	r := 0.0
+	if sum := e.workerWait + e.ourWait; sum > 0 {
+		r = float64(e.workerWait) / float64(sum)
 	}
-	d.at(now+d.lookAfter(), j, nil)
-	ran, usual := now-j.startedAt, d.kinds[e.kind].pace
-	pace := (e.runs + usual) / (e.works + 1)
-	if j.hinted {
-		pace = d.pace(e, now)
+	switch {
+	case e.slow && r > theta && (!d.waited || r > heldEmpty) && e.quota > 1:
+		d.step(e, -1, now)
+	case d.waited && e.dry && r < theta && e.quota < quotaCap:
+		d.step(e, 1, now)
 	}
-	crawls := e.held > now || pace >= crawl*usual
-	if j.running && (!crawls || ran <= times(j.work, crawl*usual)) || !j.running && !d.tellsStart {
-		return false
+}
+
+// watchSilence guards against an executor that takes batch jobs and answers none: no start, progress or
+// outcome for longer than all that is out there should take.
+func (d *Dispatcher) watchSilence(e *executor, now time.Duration) {
+	if len(e.out) == 0 || !e.up {
+		return
 	}
-	if d.better(j, d.elsewhere(j, now, toSend), now) {
-		return true
+	longest := time.Duration(0)
+	for _, j := range e.out {
+		longest = max(longest, j.work)
 	}
-	if d.mayTell && !slices.Contains(d.movers, j) && d.better(j, d.elsewhere(j, now, toAsk), now) {
-		d.movers, d.asks = append(d.movers, j), true
+	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
+	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted {
+		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
 	}
-	return false
 }
 
-// better says whether j, which is out, is better off at another executor.
-func (d *Dispatcher) better(j *job, to *executor, now time.Duration) bool {
-	if to == nil || !j.running {
-		// A move pays the price of crossing again, so it must be small change.
-		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
+// ---- Due times ----
+
+// Wait says what has fallen due, or until when nothing will.
+func (d *Dispatcher) Wait(now time.Duration) Due {
+	for now >= d.tick {
+		d.tick += d.interval
+		d.everyInterval(now)
 	}
-	left := now - j.startedAt
-	if j.share > 0.02 {
-		left = times(j.shareAt-j.startedAt, (1-j.share)/j.share)
+	if len(d.notes) > 0 {
+		text := d.notes[0]
+		d.notes = d.notes[1:]
+		return Due{Task: Note, Text: text}
 	}
-	return left > 2*times(j.work, d.pace(to, now))
+	mustSubscribe := d.mustAsk && !d.subscribed && !d.asking
+	if mustSubscribe && now >= d.askAt {
+		d.asking = true
+		return Due{Task: Subscribe}
+	}
+	if j := d.next(now); j != nil {
+		return Due{Task: PlaceJob, Job: j.id}
+	}
+	for len(d.due) > 0 && d.due[0].at <= now {
+		it := heap.Pop(&d.due).(dueItem)
+		j := it.job
+		switch {
+		case it.token != nil:
+			d.release(it.token, now, false)
+		case j == nil:
+			d.unanswered(now)
+			d.stale, d.freed, d.wants = true, true, true
+		case j.turn != it.turn:
+		case j.on == nil:
+			return Due{Task: PlaceJob, Job: j.id}
+		case d.look(j, now):
+			j.stopping = true
+			return Due{Task: StopJob, Job: j.id, Allocation: AllocationID(j.sent - 1)}
+		}
+	}
+	if j := d.next(now); j != nil {
+		return Due{Task: PlaceJob, Job: j.id}
+	}
+	d.askKeepers(now)
+	if len(d.words) > 0 {
+		w := d.words[0]
+		d.words = d.words[1:]
+		return w
+	}
+	at := d.tick
+	if len(d.due) > 0 {
+		at = min(at, d.due[0].at)
+	}
+	if mustSubscribe {
+		at = min(at, d.askAt)
+	}
+	return Due{At: at}
 }
 
-// elsewhere is the executor that j would go to if it were stopped now, as one that may have run.
-func (d *Dispatcher) elsewhere(j *job, now time.Duration, step pickStep) *executor {
-	if j.sent >= d.maxAllocations {
-		return nil
+// next is the first in the release order that a free token is open to. It is asked once after each change
+// that may have opened a token, and looks at no more batch jobs than the slice has tokens for.
+func (d *Dispatcher) next(now time.Duration) *job {
+	if d.stale {
+		d.reslice(now)
 	}
-	was, zone, cell, first := j.mayHave, j.ranZone, j.ranCell, j.firstRan
-	if !was {
-		j.mayHave, j.ranZone, j.ranCell, j.firstRan = true, j.on.zone, j.on.cell, j.sentAt
+	for _, list := range [...][]*job{d.held, d.heldLate} {
+		for _, j := range list[:min(len(list), 2*len(d.slice))] {
+			if d.freed && d.pick(j, now, nil, false) != nil {
+				return j
+			}
+		}
 	}
-	e := d.pick(j, now, j.on, step)
-	j.mayHave, j.ranZone, j.ranCell, j.firstRan = was, zone, cell, first
-	return e
+	d.freed = false
+	return nil
 }
--- /dev/null
+++ b/policy/seen.go
@@ -0,0 +1,102 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// What is seen, written down: running figures without decisions.
+
+// Progressed tells how much of an allocation is done.
+func (d *Dispatcher) Progressed(now time.Duration, id JobID, n AllocationID, share float64) {
+	if j := d.out(id, n); j != nil {
+		j.on.news, j.share, j.shareAt = now, share, now
+	}
+}
+
+// Reported tells what an executor says of its load: batch jobs held, those that wait, and places free.
+func (d *Dispatcher) Reported(id ExecutorID, held, waiting, free float64) {
+	e, places := d.byID[id], held-waiting+free
+	if e == nil || places < 0.5 {
+		return
+	}
+	k := d.kinds[e.kind]
+	if k.places == 0 {
+		k.places = places
+	}
+	k.places += (places - k.places) * (1 - fade)
+	k.parallel = max(1, int(k.places+0.5))
+}
+
+// asked books what a batch job that came is worth; first: it is not a repeat by the client.
+func (d *Dispatcher) asked(j *job, first bool) {
+	e := d.earnings(j)
+	j.track.unit = j.track.unit*fade + e*(1-fade)
+	if d.meanEarnings == 0 {
+		d.meanEarnings = e
+	}
+	d.meanEarnings += (e - d.meanEarnings) * (1 - fade) / 4
+	if first {
+		j.track.asked += e
+	}
+	density := d.value(j) / j.work.Seconds()
+	if d.meanDensity == 0 {
+		d.meanDensity = density
+	}
+	d.meanDensity += (density - d.meanDensity) * (1 - fade) / 4
+}
+
+// learn books a running time.
+func (d *Dispatcher) learn(j *job, e *executor, ran time.Duration) {
+	if !j.hinted {
+		j.track.meanWork = times(j.track.meanWork, 0.95) + times(ran, 0.05)
+	}
+	e.runs = e.runs*fade + ran.Seconds()
+	e.works = e.works*fade + j.work.Seconds()
+	k := d.kinds[e.kind]
+	k.pace += 0.05 * min(1, j.work.Seconds()) * (ran.Seconds()/j.work.Seconds() - k.pace)
+	k.pace = max(k.pace, 0.05)
+}
+
+// running counts our batch jobs that run at an executor.
+func (e *executor) running() (n int) {
+	for _, j := range e.out {
+		if j.running {
+			n++
+		}
+	}
+	return n
+}
+
+// averages fades the tracks' and tenants' figures, each interval.
+func (d *Dispatcher) averages() {
+	d.worst = nil
+	least, came := math.Inf(1), 0.0
+	for i := range d.tracks {
+		t := &d.tracks[i]
+		t.asked *= 0.95
+		t.given *= 0.95
+		if part := t.given / t.asked; t.asked > 0 && part < least {
+			least, d.worst = part, t
+		}
+		came += t.asked / max(t.unit, 1e-9)
+	}
+	if d.worst != nil {
+		part := d.worst.asked / max(d.worst.unit, 1e-9) / came
+		d.worstUnit = max(d.worst.unit, 1e-9) * max(part, 0.05)
+	}
+	rates, quotas := 0.0, 0.0
+	for i := range d.tenants {
+		t := &d.tenants[i]
+		t.rate = t.rate*0.8 + float64(t.came)/d.interval.Seconds()*0.2
+		t.came = 0
+		rates += t.rate
+		quotas += t.perS
+	}
+	// A node with more traffic than the others sees every tenant over its share of the nodes' mean: so a
+	// tenant is measured against the others at this node.
+	for i := range d.tenants {
+		t := &d.tenants[i]
+		t.over = t.rate / max(t.perS, 1e-9) * min(quotas/max(rates, 1e-9), 1)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -7,36 +7,31 @@
 // Dispatcher is one node's decisions.
 type Dispatcher struct {
 	seed, count uint32
-	node, nodes int
+	node        NodeID
+	nodes       int
 	zone        ZoneID
 	tracks      []track
 	tenants     []tenant
 	kinds       map[KindID]*kind
+	byID        map[ExecutorID]*executor
 	ranked      []*executor // all on the list, highest rank first
 	slice       []*executor // those that this node uses, in the same order
 	met         []*executor // those that have been in a slice and have tokens
 	needs       []KindID    // bound kinds of the tracks
 	lateSlice   int         // executors of the slice that late batch jobs may use
-	stale       bool        // the slice must be picked anew
-	byID        map[ExecutorID]*executor
 	jobs        map[JobID]*job
-	held        []*job
+	held        []*job // in time still
+	heldLate    []*job // and not
 	due         dueHeap
 	order       int
 	tick        time.Duration // when the interval ends
 	interval    time.Duration
+	lookAfter   time.Duration // after it an allocation that is out gets its next look
 	lists       int
+	stale       bool // the slice must be picked anew
 	waited      bool // batch jobs were held in this interval
 	freed       bool // a token has come free since the last look
 	notes       []string
-	mayTell     bool
-	asks        bool // a held batch job may want to ask for a place
-	words       []Due
-	givens      []*executor
-	movers      []*job
-	bySum       map[uint32]*executor
-	kept        map[uint32]*keep
-	keeps       []*keep
 
 	perWork        bool
 	overage        float64
@@ -44,13 +39,14 @@
 	wholeWeight    float64
 	trackWeight    float64
 	worst          *track
+	worstUnit      float64 // its earnings for each batch job of any track
 	meanEarnings   float64
+	meanDensity    float64 // value of a mean batch job for its work
 	maxAllocations int
 	mayCancel      bool
 	liveWeights    bool
 	homeLoad       float64 // batch jobs held a core in this zone and in the others, by the list
 	awayLoad       float64
-	meanWork       time.Duration
 	comeBack       time.Duration
 	quantum        time.Duration
 	tellsStart     bool
@@ -65,6 +61,14 @@
 	coldWork       float64 // this node's part of the cold budget, for each unit of capacity
 	fallWindow     time.Duration
 	shortestQuoted time.Duration
+
+	mayTell bool
+	wants   bool              // a batch job may want to ask for a place
+	givens  []*executor       // where a place was given
+	bySum   map[Sum]*executor // by the id that nodes use among each other
+	kept    map[Sum]*keep     // what this node keeps for all
+	keeps   []*keep
+	words   []Due // to be said
 }
 
 // track holds a track's derived figures and running averages.
@@ -103,6 +107,7 @@
 // executor is what this node knows of one executor.
 type executor struct {
 	id        ExecutorID
+	sum       Sum
 	zone      ZoneID
 	kind      KindID
 	cell      CellID
@@ -110,7 +115,6 @@
 	carried   bool    // while it is cold, this node is one of the few that may use it
 	weight    float64 // what the list weighs it
 	load      float64 // batch jobs held a core, by the list
-	near      bool    // in this node's slice
 	up        bool
 	gone      bool // taken off the list
 	listed    int  // the list that named it last
@@ -119,25 +123,14 @@
 
 	quota int
 	free  []time.Duration // since when each free token is free, oldest first
-	taken int             // tokens taken by allocations out and by ghosts
+	taken int             // tokens taken by allocations out and by those stopped
 	out   []*job          // allocations out
 	inCap int             // cap in flight that grows with answers; 0 for none
 	colds []spend         // work sent while cold, within the window
 	held  time.Duration   // tokens are held back until then
 	news  time.Duration   // last sign of life
 
-	runs, works float64 // running time seen and work done, fading
-	sum         uint32  // its id as the nodes name it to each other
-	asked       bool    // a place was asked for
-	waits       bool    // its keeper has none free yet
-	given       bool    // a place was given
-	askedAt     time.Duration
-	alone       time.Duration // its keeper does not answer: done without until then
-	askedFor    *job
-	keeper      NodeID
-	firstAt     time.Duration
-	lent        int // places to give back
-
+	runs, works  float64 // running time seen and work done, fading
 	startWait    time.Duration
 	workerWait   time.Duration // this interval's queuing at the executor and here
 	ourWait      time.Duration
@@ -147,18 +140,28 @@
 	fullMany     bool
 	fullWait     time.Duration
 	startedOther bool
+
+	keeper  NodeID
+	firstAt time.Duration // from then on the first keeper in line is asked again
+	alone   time.Duration // no keeper answers: done without until then
+	asked   bool          // a place was asked for
+	askedAt time.Duration
+	queued  bool // the keeper has none free yet
+	given   bool // a place was given
+	lent    int  // places to give back
 }
 
 // keep is what this node keeps for all: an executor's places.
 type keep struct {
-	sum           uint32
-	quota         int
-	lent          []lease
-	queue         []NodeID // those that wait for a place
-	late          []NodeID // those that wait with a late batch job
-	waited, backs int      // this interval: places given back, those where the start took long
-	dry           bool     // somebody waited
-	rest          int
+	sum        Sum
+	quota      int
+	lent       []lease
+	queue      []NodeID // those that wait for a place
+	late       []NodeID // those that wait with a late batch job
+	backs      int      // this interval: places given back
+	lateStarts int      // those of them where the batch job had to wait at the executor
+	dry        bool     // somebody waited
+	rest       int      // intervals before the quota may rise
 }
 
 type lease struct {
@@ -173,36 +176,38 @@
 
 // job is a batch job in hand.
 type job struct {
-	id          JobID
-	track       *track
-	tenant      *tenant
-	tenantID    TenantID
-	work        time.Duration
-	hinted      bool
-	margin      float64 // what a prediction for it must leave over
-	came        time.Duration
-	quotedAt    time.Duration
-	limitAt     time.Duration
-	heldAt      time.Duration // since when it is held
-	isHeld      bool
-	asked       *executor // of whose keeper a place was asked for it
+	id       JobID
+	track    *track
+	tenant   *tenant
+	tenantID TenantID
+	work     time.Duration
+	hinted   bool
+	margin   float64 // what a prediction for it must leave over
+	came     time.Duration
+	quotedAt time.Duration
+	limitAt  time.Duration
+	heldAt   time.Duration // since when it is held
+	isHeld   bool
+	heldLate bool
+	key      time.Duration // its place in the release order
+	spread   float64       // its own chance, so that not all cross at once
+	over     bool          // the client has its answer or has left
+	asked    *executor     // of whose keeper a place was asked for it
+
 	startedLate bool
-	spread      float64 // its own chance, so that not all cross at once
-	over        bool    // the client has its answer or has left
-
-	on        *executor // nil while no allocation is out
-	sent      int
-	sentAt    time.Duration
-	startedAt time.Duration
-	running   bool
-	share     float64
-	shareAt   time.Duration
-	stopping  bool
-	mayHave   bool // an earlier allocation may have run
-	firstRan  time.Duration
-	ranZone   ZoneID
-	ranCell   CellID
-	turn      int // guards due times that are no longer wanted
+	on          *executor // nil while no allocation is out
+	sent        int
+	sentAt      time.Duration
+	startedAt   time.Duration
+	running     bool
+	share       float64
+	shareAt     time.Duration
+	stopping    bool
+	mayHave     bool // an earlier allocation may have run
+	firstRan    time.Duration
+	ranZone     ZoneID
+	ranCell     CellID
+	turn        int // guards due times that are no longer wanted
 }
 
 type dueItem struct {
@@ -210,7 +215,7 @@
 	order int
 	turn  int
 	job   *job
-	ghost *executor
+	token *executor // whose token comes free
 }
 
 type dueHeap []dueItem
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/crc32"
 	"strconv"
 	"strings"
 	"testing"
@@ -15,6 +16,7 @@
 //	1s change a:0:0:-:L          changes only; lost: the subscription broke
 //	2s job j1 work=300ms         a batch job comes (track, tenant, work, budget)
 //	2s started j1                then progress j1 0.5, ended j1 cut, left j1
+//	2s heard 4 lend a            a word from node 4; reported a 4 1 0: held, waiting, free
 //	9s wait                      let time pass until then
 //	9s quotas                    show each executor's quota; slice: the executors in use
 type player struct {
@@ -22,6 +24,7 @@
 	d     *Dispatcher
 	shot  map[JobID]AllocationID
 	on    map[JobID]ExecutorID
+	names map[Sum]ExecutorID
 	lines []string
 }
 
@@ -51,6 +54,9 @@
 		"nocancel": func() { s.MayCancel = false },
 		"price":    func() { s.CrossZonePrice = 0.25 },
 		"nodes8":   func() { s.Nodes = 8 },
+		"nodes30":  func() { s.Nodes, s.Node = 30, 7 },
+		"talk":     func() { s.MayTell = true },
+		"live":     func() { s.LiveWeights = true },
 		"tenants":  func() { s.Tenant = []Tenant{{10}, {10}} },
 	}
 	for _, w := range words {
@@ -104,6 +110,8 @@
 			p.say(now, "stop waiting for %s on %s", due.Job, p.on[due.Job])
 		case Subscribe:
 			p.say(now, "subscribe")
+		case Tell:
+			p.say(now, "tell node %d: %s %s", due.Node, wordNames[due.Word], p.names[due.Sum])
 		case Note:
 			p.say(now, "note: %s", due.Text)
 		case Sleep:
@@ -143,12 +151,15 @@
 	return n
 }
 
+var wordNames = map[Word]string{Want: "want", WantLate: "want-late", Lend: "lend", Later: "later", Back: "back",
+	BackLate: "back-late"}
+
 var outcomeWords = map[string]Outcome{"handled": Handled, "errored": Errored, "no-room": NoRoom,
 	"too-slow": TooSlow, "no-route": NoRoute, "cut": Cut, "called-off": CalledOff, "not-sent": NotSent}
 
 // play runs a trace file's own lines and gives the file as it should be.
 func play(t *testing.T, text string) string {
-	p := &player{t: t, shot: map[JobID]AllocationID{}, on: map[JobID]ExecutorID{}}
+	p := &player{t: t, shot: map[JobID]AllocationID{}, on: map[JobID]ExecutorID{}, names: map[Sum]ExecutorID{}}
 	last := time.Duration(0)
 	for line := range strings.Lines(text) {
 		line = strings.TrimRight(line, "\n")
@@ -189,6 +200,8 @@
 		var entries []Entry
 		for _, w := range words {
 			entries = append(entries, entry(p.t, now, w))
+			name := entries[len(entries)-1].Executor
+			p.names[Sum(crc32.ChecksumIEEE([]byte(name)))] = name
 		}
 		kinds := map[string]ListKind{"list": Whole, "change": Changes, "lost": Lost, "copy": WarmCopy}
 		p.d.Listed(now, kinds[what], entries)
@@ -210,6 +223,19 @@
 	case "ended":
 		final := words[1] == "handled" || len(words) > 2
 		p.decided(now, id, p.d.Ended(now, id, n, outcomeWords[words[1]], final))
+	case "heard":
+		from, _ := strconv.Atoi(words[0])
+		for word, name := range wordNames {
+			if name == words[1] {
+				p.d.Heard(now, NodeID(from), word, Sum(crc32.ChecksumIEEE([]byte(words[2]))))
+			}
+		}
+	case "reported":
+		var load [3]float64
+		for i := range load {
+			load[i], _ = strconv.ParseFloat(words[1+i], 64)
+		}
+		p.d.Reported(ExecutorID(words[0]), load[0], load[1], load[2])
 	case "left":
 		p.d.Left(now, id)
 	case "quotas":
--- a/policy/types.go
+++ b/policy/types.go
@@ -8,6 +8,7 @@
 	ExecutorID   string
 	AllocationID int
 	NodeID       int
+	Sum          uint32 // an executor as nodes name it among each other
 	TrackID      int
 	TenantID     int
 	ZoneID       int
@@ -167,7 +168,7 @@
 	Allocation AllocationID
 	Node       NodeID
 	Word       Word
-	Sum        uint32
+	Sum        Sum
 	Text       string
 }
 
@@ -177,9 +178,8 @@
 const (
 	Want     Word = iota + 1 // a place is wanted
 	WantLate                 // for a late batch job
-	Given                    // here is one
-	Wait                     // none is free yet
+	Lend                     // here is one
+	Later                    // none is free yet
 	Back                     // the place is free again
 	BackLate                 // likewise, and the batch job had to wait at the executor
-	Still                    // all places lent are still in use
 )
