--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,8 @@
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
-	hintMargin  = 1.25 // what is added to a mean or a rough hint where too little would harm
+	margin      = 1.1  // what a prediction leaves over for a hinted batch job
+	hintMargin  = 1.25 // and for one without a hint, and for work sent to a cold executor
 	fewLate     = 0.1  // part of starts that may be late where a keeper lends one place more
 	restAfter   = 4    // intervals that a keeper leaves a lowered quota
 )
@@ -342,7 +343,7 @@
 func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID,
 	work, budget time.Duration) {
 	t := &d.tracks[min(max(0, int(tr)), len(d.tracks)-1)]
-	j := &job{id: id, track: t, tenantID: te, work: work, hinted: work > 0, margin: 1, came: now,
+	j := &job{id: id, track: t, tenantID: te, work: work, hinted: work > 0, margin: margin, came: now,
 		limitAt: now + budget, spread: d.chance()}
 	if !j.hinted {
 		j.work, j.margin = t.meanWork, hintMargin
