--- a/policy/books.go
+++ b/policy/books.go
@@ -33,22 +33,31 @@
 	heap.Push(&d.due, it)
 }
 
-// rankAll puts the executors in the order of their ranks and drops those that are gone once nothing of ours
-// is there: machines that are replaced come under new ids.
-func (d *Dispatcher) rankAll(added bool) {
+// enlist puts a new executor where its rank belongs: a list of hundreds that grows is not sorted anew.
+func (d *Dispatcher) enlist(e *executor) {
+	d.byID[e.id], d.bySum[e.sum] = e, e
+	i, _ := slices.BinarySearchFunc(d.ranked, e, func(a, b *executor) int {
+		if a.rank == b.rank {
+			return cmp.Compare(a.id, b.id)
+		}
+		return cmp.Compare(b.rank, a.rank)
+	})
+	d.ranked = slices.Insert(d.ranked, i, e)
+}
+
+// dropGone drops executors that are gone, once nothing of ours is there: machines that are replaced come under
+// new ids.
+func (d *Dispatcher) dropGone() {
+	d.anyGone = false
 	d.ranked = slices.DeleteFunc(d.ranked, func(e *executor) bool {
 		drop := e.gone && e.taken == 0
 		if drop {
 			delete(d.byID, e.id)
 			delete(d.bySum, e.sum)
 		}
+		d.anyGone = d.anyGone || e.gone && !drop
 		return drop
 	})
-	if added {
-		slices.SortFunc(d.ranked, func(a, b *executor) int {
-			return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
-		})
-	}
 }
 
 // earnings is what a batch job earns, by its work or whatever it is.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -68,18 +68,19 @@
 	}
 	d.subscribed = d.subscribed || what != WarmCopy
 	d.lists++
-	added := false
 	for _, n := range entries {
-		added = d.listed(now, n) || added
+		d.listed(now, n)
 	}
 	if what != Changes {
 		for _, e := range d.ranked {
 			if e.listed != d.lists {
-				e.up, e.gone = false, true
+				e.up, e.gone, d.anyGone = false, true, true
 			}
 		}
 	}
-	d.rankAll(added)
+	if d.anyGone {
+		d.dropGone()
+	}
 	d.stale, d.freed = true, true
 	if d.liveWeights {
 		held, size := [2]float64{}, [2]float64{1e-9, 1e-9}
@@ -93,17 +94,17 @@
 	}
 }
 
-func (d *Dispatcher) listed(now time.Duration, n Entry) (fresh bool) {
+func (d *Dispatcher) listed(now time.Duration, n Entry) {
 	e := d.byID[n.Executor]
-	if fresh = e == nil; fresh {
+	fresh := e == nil
+	if fresh {
 		e = &executor{id: n.Executor, started: n.Started, news: now, rank: d.rankOf(n.Executor)}
 		e.sum = Sum(crc32.ChecksumIEEE([]byte(n.Executor)))
 		e.keeper = d.keeperOf(e.sum)
 		// The nodes that carry a cold executor follow its number: all reckon the same ones, without asking.
 		place := (int(d.node) + d.nodes - int(e.sum%Sum(d.nodes))) % d.nodes
 		e.carried = place < d.carriers
-		d.byID[n.Executor], d.bySum[e.sum] = e, e
-		d.ranked = append(d.ranked, e)
+		d.enlist(e)
 	}
 	k := d.kinds[n.Kind]
 	if k == nil { // also where a known executor comes back as another kind
@@ -113,6 +114,7 @@
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
 	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
 	e.up, e.gone, e.weight = n.State == Up, n.State == Gone, max(n.Weight, 1e-3)
+	d.anyGone = d.anyGone || e.gone
 	if d.liveWeights {
 		// Live weights are the size over one and the batch jobs held a core; an idle one shows its kind's size.
 		k.size = max(k.size, n.Weight)
@@ -125,7 +127,6 @@
 			e.coldUntil, e.inCap, e.held, e.startWait, e.colds = until, 1, 0, 0, e.colds[:0]
 		}
 	}
-	return fresh
 }
 
 // rankOf is an executor's rank at this node: a hash of both, reckoned once.
@@ -646,13 +647,16 @@
 	if j.over {
 		return !j.running
 	}
-	d.at(now+d.lookAfter, j, nil)
-	usual := d.kinds[e.kind].pace
+	usual, left := d.kinds[e.kind].pace, time.Duration(0)
+	if j.running { // it can't crawl sooner
+		left = times(j.work, crawl*usual) - (now - j.startedAt)
+	}
+	d.at(now+max(left, d.lookAfter), j, nil)
 	pace := (e.runs + usual) / (e.works + 1)
 	if j.hinted { // without a hint, its own long run tells nothing of the executor
 		pace = d.pace(e, now)
 	}
-	crawls := (e.held > now || pace >= crawl*usual) && now-j.startedAt > times(j.work, crawl*usual)
+	crawls := (e.held > now || pace >= crawl*usual) && left < 0
 	if j.sent >= d.maxAllocations || j.running && !crawls || !j.running && !d.tellsStart {
 		return false
 	}
@@ -661,7 +665,7 @@
 		// A move pays the price of crossing again, so it must be small change.
 		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
 	}
-	left := now - j.startedAt
+	left = now - j.startedAt
 	if j.share > 0.02 {
 		left = times(j.shareAt-j.startedAt, (1-j.share)/j.share)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,6 +28,7 @@
 	interval    time.Duration
 	lookAfter   time.Duration // after it an allocation that is out gets its next look
 	lists       int
+	anyGone     bool // some executor is gone from the list
 	stale       bool // the slice must be picked anew
 	waited      bool // batch jobs were held in this interval
 	freed       bool // a token has come free since the last look
