--- a/policy/policy.go
+++ b/policy/policy.go
@@ -712,6 +712,14 @@
 		}
 	}
 	d.givens = d.givens[:0]
+	if len(d.held)+len(d.heldLate) == 0 {
+		for _, e := range d.slice {
+			if e.asked && e.queued {
+				e.asked = false
+				d.tell(now, e.keeper, Never, e.sum)
+			}
+		}
+	}
 	if !d.wants || !d.mayTell || !d.many() {
 		return
 	}
@@ -784,6 +792,10 @@
 			k.dry = true
 			d.tell(now, from, Later, sum)
 		}
+	case Never:
+		k := d.keepOf(sum)
+		is := func(n NodeID) bool { return n == from }
+		k.queue, k.late = slices.DeleteFunc(k.queue, is), slices.DeleteFunc(k.late, is)
 	case Back, BackLate:
 		k := d.keepOf(sum)
 		k.backs++
--- a/policy/types.go
+++ b/policy/types.go
@@ -180,6 +180,7 @@
 	WantLate                 // for a late batch job
 	Lend                     // here is one
 	Later                    // none is free yet
+	Never                    // it is not wanted any more
 	Back                     // the place is free again
 	BackLate                 // likewise, and the batch job had to wait at the executor
 )
