--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,8 +86,8 @@
 		held, size := [2]float64{}, [2]float64{1e-9, 1e-9}
 		for _, e := range d.ranked {
 			if side := d.abroad(e); d.usable(e, now) {
-				held[side] += e.load * d.kinds[e.kind].size
-				size[side] += d.kinds[e.kind].size
+				held[side] += e.load * e.size
+				size[side] += e.size
 			}
 		}
 		d.homeLoad, d.awayLoad = held[0]/size[0], held[1]/size[1]
@@ -117,8 +117,8 @@
 	d.anyGone = d.anyGone || e.gone
 	if d.liveWeights {
 		// Live weights are the size over one and the batch jobs held a core; an idle one shows its kind's size.
-		k.size = max(k.size, n.Weight)
-		e.load = k.size/e.weight - 1
+		e.size = max(e.size, e.weight)
+		e.load = e.size/e.weight - 1
 	}
 	if restarted {
 		e.started = n.Started
@@ -475,7 +475,11 @@
 		}
 		pace := d.pace(e, now)
 		wait := d.waitAt(e, pace, now)
-		if !late && now+times(wait+times(j.work, pace), j.margin) > j.quotedAt {
+		listed := time.Duration(0)
+		if j.track.repeat == OnceOnly {
+			listed = times(j.track.meanWork, (e.load-1)*pace*1)
+		}
+		if !late && now+times(max(wait, listed)+times(j.work, pace), j.margin) > j.quotedAt {
 			continue
 		}
 		age := e.weight * float64(now-e.free[0]) / (pace * (d.shortestQuoted + wait).Seconds())
@@ -635,6 +639,9 @@
 	e.held, e.inCap = now+span, 1
 	d.stale = true
 	d.at(e.held, nil, nil)
+	for _, j := range e.out {
+		d.at(now, j, nil)
+	}
 }
 
 // look says whether to stop waiting for an allocation: the client has left, it has not started and another
@@ -647,29 +654,20 @@
 	if j.over {
 		return !j.running
 	}
-	usual, left := d.kinds[e.kind].pace, time.Duration(0)
-	if j.running { // it can't crawl sooner
-		left = times(j.work, crawl*usual) - (now - j.startedAt)
+	over := time.Duration(0)
+	if j.running {
+		over = now - j.startedAt - times(j.work, crawl*d.kinds[e.kind].pace)
 	}
-	d.at(now+max(left, d.lookAfter), j, nil)
-	pace := (e.runs + usual) / (e.works + 1)
-	if j.hinted { // without a hint, its own long run tells nothing of the executor
-		pace = d.pace(e, now)
+	d.at(now+max(-over, d.lookAfter), j, nil)
+	if over > 0 {
+		d.probe(e, now)
 	}
-	crawls := (e.held > now || pace >= crawl*usual) && left < 0
-	if j.sent >= d.maxAllocations || j.running && !crawls || !j.running && !d.tellsStart {
+	if j.sent >= d.maxAllocations || over < 0 || j.running && e.held <= now || !j.running && !d.tellsStart {
 		return false
 	}
+	// A move pays the price of crossing again, so it must be small change.
 	to := d.elsewhere(j, now)
-	if to == nil || !j.running {
-		// A move pays the price of crossing again, so it must be small change.
-		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
-	}
-	left = now - j.startedAt
-	if j.share > 0.02 {
-		left = times(j.shareAt-j.startedAt, (1-j.share)/j.share)
-	}
-	return left > 2*times(j.work, d.pace(to, now))
+	return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
 }
 
 // elsewhere is the executor that j would go to if it were stopped now, as one that may have run.
@@ -891,11 +889,36 @@
 		longest = max(longest, j.work)
 	}
 	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
-	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted {
+	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted && !d.probe(e, now) {
 		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
 	}
 }
 
+// probe asks a silent executor for a sign of life, where that is allowed: a long batch job is silent too, and
+// a probe that comes back tells them apart.
+func (d *Dispatcher) probe(e *executor, now time.Duration) bool {
+	if d.mayProbe && !e.probing && now > e.news+d.interval/4 {
+		e.probing, e.probedAt = true, now
+		d.words = append(d.words, Due{Task: Probe, Executor: e.id})
+	}
+	return d.mayProbe
+}
+
+// Probed tells what became of a probe.
+func (d *Dispatcher) Probed(now time.Duration, id ExecutorID, how Outcome) {
+	e := d.byID[id]
+	if e == nil {
+		return
+	}
+	e.probing = false
+	switch how {
+	case Handled, Errored:
+		e.news = now
+	case TooSlow, NoRoute, Cut:
+		d.holdBack(e, now, "after a probe that was not answered")
+	}
+}
+
 // ---- Due times ----
 
 // Wait says what has fallen due, or until when nothing will.
--- a/policy/state.go
+++ b/policy/state.go
@@ -63,13 +63,14 @@
 	fallWindow     time.Duration
 	shortestQuoted time.Duration
 
-	mayTell bool
-	wants   bool              // a batch job may want to ask for a place
-	givens  []*executor       // where a place was given
-	bySum   map[Sum]*executor // by the id that nodes use among each other
-	kept    map[Sum]*keep     // what this node keeps for all
-	keeps   []*keep
-	words   []Due // to be said
+	mayProbe bool
+	mayTell  bool
+	wants    bool              // a batch job may want to ask for a place
+	givens   []*executor       // where a place was given
+	bySum    map[Sum]*executor // by the id that nodes use among each other
+	kept     map[Sum]*keep     // what this node keeps for all
+	keeps    []*keep
+	words    []Due // to be said
 }
 
 // track holds a track's derived figures and running averages.
@@ -115,6 +116,7 @@
 	rank      uint32
 	carried   bool    // while it is cold, this node is one of the few that may use it
 	weight    float64 // what the list weighs it
+	size      float64 // the largest weight the list gave it
 	load      float64 // batch jobs held a core, by the list
 	up        bool
 	gone      bool // taken off the list
@@ -122,14 +124,16 @@
 	started   time.Duration
 	coldUntil time.Duration
 
-	quota int
-	free  []time.Duration // since when each free token is free, oldest first
-	taken int             // tokens taken by allocations out and by those stopped
-	out   []*job          // allocations out
-	inCap int             // cap in flight that grows with answers; 0 for none
-	colds []spend         // work sent while cold, within the window
-	held  time.Duration   // tokens are held back until then
-	news  time.Duration   // last sign of life
+	quota    int
+	free     []time.Duration // since when each free token is free, oldest first
+	taken    int             // tokens taken by allocations out and by those stopped
+	out      []*job          // allocations out
+	inCap    int             // cap in flight that grows with answers; 0 for none
+	colds    []spend         // work sent while cold, within the window
+	held     time.Duration   // tokens are held back until then
+	news     time.Duration   // last sign of life
+	probing  bool
+	probedAt time.Duration
 
 	runs, works  float64 // running time seen and work done, fading
 	startWait    time.Duration
