--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -156,7 +156,7 @@
 	case "HEARD":
 		return n.heard(now, f)
 	case "PROBE_RESULT":
-		return n.probed(now, f)
+		return nil // this module does not probe
 	}
 	return fmt.Errorf("unknown message %q", name)
 }
@@ -303,10 +303,14 @@
 	if err != nil {
 		return err
 	}
-	how, err := f.outcome()
+	text, err := f.need("disposition")
 	if err != nil {
 		return err
 	}
+	how, ok := outcomes[string(text)]
+	if !ok {
+		return fmt.Errorf("field disposition: unknown value %q", text)
+	}
 	settled, err := f.whole("settled", false)
 	if err != nil {
 		return err
@@ -357,19 +361,6 @@
 	return nil
 }
 
-func (n *instance) probed(now time.Duration, f *fields) error {
-	id, err := f.need("executor")
-	if err != nil {
-		return err
-	}
-	how, err := f.outcome()
-	if err != nil {
-		return err
-	}
-	n.guard(func() { n.brain.Probed(now, policy.ExecutorID(id), how) })
-	return nil
-}
-
 func (n *instance) notice(now time.Duration, f *fields, stream bool) error {
 	id, shot, err := f.allocation()
 	if err != nil {
@@ -412,9 +403,6 @@
 		case policy.Subscribe:
 			n.say("WATCH", "enable", "1")
 			n.out = append(n.out, '\n')
-		case policy.Probe:
-			n.say("ASK_LOAD", "executor", string(due.Executor))
-			n.out = append(n.out, '\n')
 		case policy.Tell:
 			n.tell(due)
 		case policy.Note:
--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -110,18 +110,6 @@
 	return id, shot, err
 }
 
-func (f *fields) outcome() (policy.Outcome, error) {
-	text, err := f.need("disposition")
-	if err != nil {
-		return 0, err
-	}
-	how, ok := outcomes[string(text)]
-	if !ok {
-		return 0, fmt.Errorf("field disposition: unknown value %q", text)
-	}
-	return how, nil
-}
-
 // report reads the wanted values of a load report, if one came along that has them all.
 func (f *fields) report(at [3]int) (values [3]float64, ok bool) {
 	text, ok := f.get("gauge")
@@ -184,7 +172,6 @@
 		ScoreParts map[string]float64 `json:"score-parts"`
 		Caps       struct {
 			Cancel       bool
-			Probes       bool
 			Peers        bool
 			Allocations  int     `json:"max-allocations"`
 			RetryAfter   bool    `json:"retry-after"`
@@ -233,7 +220,7 @@
 		EarnPerWork: w.PerWork == "work", OverageEarnings: w.Overage, CrossZonePrice: w.Prices.CrossZone,
 		WholeWeight:    w.ScoreParts["whole"] + w.ScoreParts["worst-window"],
 		TrackWeight:    w.ScoreParts["worst-class"],
-		MaxAllocations: w.Caps.Allocations, MayCancel: w.Caps.Cancel, MayProbe: w.Caps.Probes, MayTell: w.Caps.Peers,
+		MaxAllocations: w.Caps.Allocations, MayCancel: w.Caps.Cancel, MayTell: w.Caps.Peers,
 		ColdShare: w.Rules.ColdShare, WarmWithin: seconds(w.Rules.WarmWithin),
 		FallMultiple: w.Rules.FallMultiple, FallWindow: seconds(w.Rules.FallS),
 		TellsStart: w.Domain.TellsStart,
--- a/policy/books.go
+++ b/policy/books.go
@@ -33,6 +33,13 @@
 	heap.Push(&d.due, it)
 }
 
+// rankOf is an executor's rank at this node: a hash of both, reckoned once.
+func (d *Dispatcher) rankOf(id ExecutorID) uint32 {
+	b := binary.LittleEndian.AppendUint32([]byte(id), uint32(d.node))
+	// A checksum alone is linear in the node; the golden ratio's odd multiplier mends that.
+	return crc32.ChecksumIEEE(b) * 0x9e3779b1
+}
+
 // enlist puts a new executor where its rank belongs: a list of hundreds that grows is not sorted anew.
 func (d *Dispatcher) enlist(e *executor) {
 	d.byID[e.id], d.bySum[e.sum] = e, e
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,6 @@
 
 import (
 	"container/heap"
-	"encoding/binary"
 	"fmt"
 	"hash/crc32"
 	"math"
@@ -82,16 +81,7 @@
 		d.dropGone()
 	}
 	d.stale, d.freed = true, true
-	if d.liveWeights {
-		held, size := [2]float64{}, [2]float64{1e-9, 1e-9}
-		for _, e := range d.ranked {
-			if side := d.abroad(e); d.usable(e, now) {
-				held[side] += e.load * e.size
-				size[side] += e.size
-			}
-		}
-		d.homeLoad, d.awayLoad = held[0]/size[0], held[1]/size[1]
-	}
+	d.zoneLoads(now)
 }
 
 func (d *Dispatcher) listed(now time.Duration, n Entry) {
@@ -116,7 +106,7 @@
 	e.up, e.gone, e.weight = n.State == Up, n.State == Gone, max(n.Weight, 1e-3)
 	d.anyGone = d.anyGone || e.gone
 	if d.liveWeights {
-		// Live weights are the size over one and the batch jobs held a core; an idle one shows its kind's size.
+		// Live weights are the size over one and the batch jobs held a core; an idle one shows its size.
 		e.size = max(e.size, e.weight)
 		e.load = e.size/e.weight - 1
 	}
@@ -129,13 +119,6 @@
 	}
 }
 
-// rankOf is an executor's rank at this node: a hash of both, reckoned once.
-func (d *Dispatcher) rankOf(id ExecutorID) uint32 {
-	b := binary.LittleEndian.AppendUint32([]byte(id), uint32(d.node))
-	// A checksum alone is linear in the node; the golden ratio's odd multiplier mends that.
-	return crc32.ChecksumIEEE(b) * 0x9e3779b1
-}
-
 // reslice picks the executors that this node uses: where it can't use all, those that rank highest, in its
 // own zone and beyond it, for each bound kind. One that is lost or held back makes room for the next in rank.
 // Guards against many nodes, whose least quotas add up to a jam, and against nodes that no executor picks.
@@ -475,11 +458,12 @@
 		}
 		pace := d.pace(e, now)
 		wait := d.waitAt(e, pace, now)
-		listed := time.Duration(0)
+		queue := wait
 		if j.track.repeat == OnceOnly {
-			listed = times(j.track.meanWork, (e.load-1)*pace*1)
+			// What can't be taken back counts the list's news as well: its like, held over one a core, go first.
+			queue = max(wait, times(j.track.meanWork, (e.load-1)*pace))
 		}
-		if !late && now+times(max(wait, listed)+times(j.work, pace), j.margin) > j.quotedAt {
+		if !late && now+times(queue+times(j.work, pace), j.margin) > j.quotedAt {
 			continue
 		}
 		age := e.weight * float64(now-e.free[0]) / (pace * (d.shortestQuoted + wait).Seconds())
@@ -533,16 +517,6 @@
 	e.startedOther = e.startedOther || !e.full || j.tenantID != e.fullFrom
 }
 
-// queued books an allocation's wait at the executor.
-func (d *Dispatcher) queued(e *executor, j *job, wait time.Duration) {
-	wait = max(0, wait-d.quantum)
-	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
-	e.workerWait += wait
-	if j.sentAt-j.heldAt+wait > times(j.quotedAt-j.came-j.work, slackTarget) {
-		e.slow = true
-	}
-}
-
 // Left tells that the client has gone: nothing more is owed.
 func (d *Dispatcher) Left(now time.Duration, id JobID) {
 	if j := d.jobs[id]; j != nil && j.on == nil {
@@ -639,9 +613,6 @@
 	e.held, e.inCap = now+span, 1
 	d.stale = true
 	d.at(e.held, nil, nil)
-	for _, j := range e.out {
-		d.at(now, j, nil)
-	}
 }
 
 // look says whether to stop waiting for an allocation: the client has left, it has not started and another
@@ -654,20 +625,29 @@
 	if j.over {
 		return !j.running
 	}
-	over := time.Duration(0)
-	if j.running {
-		over = now - j.startedAt - times(j.work, crawl*d.kinds[e.kind].pace)
+	usual, left := d.kinds[e.kind].pace, time.Duration(0)
+	if j.running { // it can't crawl sooner
+		left = times(j.work, crawl*usual) - (now - j.startedAt)
 	}
-	d.at(now+max(-over, d.lookAfter), j, nil)
-	if over > 0 {
-		d.probe(e, now)
+	d.at(now+max(left, d.lookAfter), j, nil)
+	pace := (e.runs + usual) / (e.works + 1)
+	if j.hinted { // without a hint, its own long run tells nothing of the executor
+		pace = d.pace(e, now)
 	}
-	if j.sent >= d.maxAllocations || over < 0 || j.running && e.held <= now || !j.running && !d.tellsStart {
+	crawls := (e.held > now || pace >= crawl*usual) && left < 0
+	if j.sent >= d.maxAllocations || j.running && !crawls || !j.running && !d.tellsStart {
 		return false
 	}
-	// A move pays the price of crossing again, so it must be small change.
 	to := d.elsewhere(j, now)
-	return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
+	if to == nil || !j.running {
+		// A move pays the price of crossing again, so it must be small change.
+		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
+	}
+	left = now - j.startedAt
+	if j.share > 0.02 {
+		left = times(j.shareAt-j.startedAt, (1-j.share)/j.share)
+	}
+	return left > 2*times(j.work, d.pace(to, now))
 }
 
 // elsewhere is the executor that j would go to if it were stopped now, as one that may have run.
@@ -889,36 +869,11 @@
 		longest = max(longest, j.work)
 	}
 	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
-	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted && !d.probe(e, now) {
+	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted {
 		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
 	}
 }
 
-// probe asks a silent executor for a sign of life, where that is allowed: a long batch job is silent too, and
-// a probe that comes back tells them apart.
-func (d *Dispatcher) probe(e *executor, now time.Duration) bool {
-	if d.mayProbe && !e.probing && now > e.news+d.interval/4 {
-		e.probing, e.probedAt = true, now
-		d.words = append(d.words, Due{Task: Probe, Executor: e.id})
-	}
-	return d.mayProbe
-}
-
-// Probed tells what became of a probe.
-func (d *Dispatcher) Probed(now time.Duration, id ExecutorID, how Outcome) {
-	e := d.byID[id]
-	if e == nil {
-		return
-	}
-	e.probing = false
-	switch how {
-	case Handled, Errored:
-		e.news = now
-	case TooSlow, NoRoute, Cut:
-		d.holdBack(e, now, "after a probe that was not answered")
-	}
-}
-
 // ---- Due times ----
 
 // Wait says what has fallen due, or until when nothing will.
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -28,6 +28,31 @@
 	k.parallel = max(1, int(k.places+0.5))
 }
 
+// zoneLoads books how many batch jobs a core the list shows in this zone and in the others.
+func (d *Dispatcher) zoneLoads(now time.Duration) {
+	if !d.liveWeights {
+		return
+	}
+	held, size := [2]float64{}, [2]float64{1e-9, 1e-9}
+	for _, e := range d.ranked {
+		if side := d.abroad(e); d.usable(e, now) {
+			held[side] += e.load * e.size
+			size[side] += e.size
+		}
+	}
+	d.homeLoad, d.awayLoad = held[0]/size[0], held[1]/size[1]
+}
+
+// queued books an allocation's wait at the executor.
+func (d *Dispatcher) queued(e *executor, j *job, wait time.Duration) {
+	wait = max(0, wait-d.quantum)
+	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
+	e.workerWait += wait
+	if j.sentAt-j.heldAt+wait > times(j.quotedAt-j.came-j.work, slackTarget) {
+		e.slow = true
+	}
+}
+
 // asked books what a batch job that came is worth; first: it is not a repeat by the client.
 func (d *Dispatcher) asked(j *job, first bool) {
 	e := d.earnings(j)
--- a/policy/setup.go
+++ b/policy/setup.go
@@ -24,7 +24,7 @@
 	d := &Dispatcher{
 		seed: s.Seed, node: NodeID(s.Node), nodes: s.Nodes, zone: s.Zone,
 		kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{}, jobs: map[JobID]*job{},
-		bySum: map[Sum]*executor{}, kept: map[Sum]*keep{}, mayTell: s.MayTell, mayProbe: s.MayProbe,
+		bySum: map[Sum]*executor{}, kept: map[Sum]*keep{}, mayTell: s.MayTell,
 		perWork: s.EarnPerWork, overage: s.OverageEarnings, crossPrice: s.CrossZonePrice,
 		wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
--- a/policy/state.go
+++ b/policy/state.go
@@ -63,14 +63,13 @@
 	fallWindow     time.Duration
 	shortestQuoted time.Duration
 
-	mayProbe bool
-	mayTell  bool
-	wants    bool              // a batch job may want to ask for a place
-	givens   []*executor       // where a place was given
-	bySum    map[Sum]*executor // by the id that nodes use among each other
-	kept     map[Sum]*keep     // what this node keeps for all
-	keeps    []*keep
-	words    []Due // to be said
+	mayTell bool
+	wants   bool              // a batch job may want to ask for a place
+	givens  []*executor       // where a place was given
+	bySum   map[Sum]*executor // by the id that nodes use among each other
+	kept    map[Sum]*keep     // what this node keeps for all
+	keeps   []*keep
+	words   []Due // to be said
 }
 
 // track holds a track's derived figures and running averages.
@@ -101,7 +100,6 @@
 // kind holds what warm executors of one kind were seen to take.
 type kind struct {
 	pace     float64 // running time for each unit of work
-	size     float64 // the largest weight in the list
 	places   float64 // by reports, fading
 	parallel int     // places, by reports or the most batch jobs of ours running at once
 }
@@ -124,16 +122,14 @@
 	started   time.Duration
 	coldUntil time.Duration
 
-	quota    int
-	free     []time.Duration // since when each free token is free, oldest first
-	taken    int             // tokens taken by allocations out and by those stopped
-	out      []*job          // allocations out
-	inCap    int             // cap in flight that grows with answers; 0 for none
-	colds    []spend         // work sent while cold, within the window
-	held     time.Duration   // tokens are held back until then
-	news     time.Duration   // last sign of life
-	probing  bool
-	probedAt time.Duration
+	quota int
+	free  []time.Duration // since when each free token is free, oldest first
+	taken int             // tokens taken by allocations out and by those stopped
+	out   []*job          // allocations out
+	inCap int             // cap in flight that grows with answers; 0 for none
+	colds []spend         // work sent while cold, within the window
+	held  time.Duration   // tokens are held back until then
+	news  time.Duration   // last sign of life
 
 	runs, works  float64 // running time seen and work done, fading
 	startWait    time.Duration
--- a/policy/types.go
+++ b/policy/types.go
@@ -84,7 +84,6 @@
 
 	MaxAllocations int
 	MayCancel      bool
-	MayProbe       bool
 	MayTell        bool          // nodes may send each other words
 	MaxComeBack    time.Duration // 0: the client is not told when to come back
 	Quantum        time.Duration
@@ -157,7 +156,6 @@
 	PlaceJob              // ask where to send Due.Job
 	StopJob               // stop waiting for Due.Allocation of Due.Job
 	Subscribe             // ask for the list and its changes
-	Probe                 // probe Due.Executor
 	Tell                  // say Due.Word of the executor of Due.Sum to Due.Node
 	Note                  // write Due.Text to the log
 )
@@ -168,7 +166,6 @@
 	At         time.Duration
 	Job        JobID
 	Allocation AllocationID
-	Executor   ExecutorID
 	Node       NodeID
 	Word       Word
 	Sum        Sum
