--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,7 +41,8 @@
 	lateSharers = 2    // nodes that send an executor their late batch jobs
 	sharers     = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
 	leastSlice  = 4    // executors of each zone side and bound kind in a slice at least
-	fullZone    = 1.3  // batch jobs held a core from which a zone counts as full
+	fullZone    = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
+	fullWait    = 2.0  // and elsewhere: what starts take there, in shortest quoted times
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
 	fade        = 0.85 // weight that an older observation keeps when a new one comes
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
@@ -314,10 +315,11 @@
 }
 
 // crosses says whether j goes to another zone at once: so many of the batch jobs that are worth it as bring
-// the zones' listed loads together. Each has a chance of its own, so that nodes don't turn with one list.
-// Guards against a zone with far more traffic than executors, where a token is always free.
+// the zones' loads together, as the list or start waits tell them. Each has a chance of its own, so that nodes
+// don't turn with one list. Guards against a zone with far more traffic than executors, where a token is
+// always free.
 func (d *Dispatcher) crosses(j *job) bool {
-	return d.crossPrice > 0 && d.homeLoad > fullZone &&
+	return d.crossPrice > 0 && d.homeLoad > 1 &&
 		j.spread < (d.homeLoad-d.awayLoad)/d.homeLoad-d.crossPrice/d.value(j)
 }
 
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -28,7 +28,7 @@
 	k.parallel = max(1, int(k.places+0.5))
 }
 
-// zoneLoads books how many batch jobs a core the list shows in this zone and in the others.
+// zoneLoads books how full the list shows this zone and the others.
 func (d *Dispatcher) zoneLoads(now time.Duration) {
 	if !d.liveWeights {
 		return
@@ -40,7 +40,7 @@
 			size[side] += e.size
 		}
 	}
-	d.homeLoad, d.awayLoad = held[0]/size[0], held[1]/size[1]
+	d.homeLoad, d.awayLoad = held[0]/size[0]/fullZone, held[1]/size[1]/fullZone
 }
 
 // queued books an allocation's wait at the executor.
@@ -48,6 +48,13 @@
 	wait = max(0, wait-d.quantum)
 	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
 	e.workerWait += wait
+	if !d.liveWeights {
+		load := &d.homeLoad
+		if d.abroad(e) > 0 {
+			load = &d.awayLoad
+		}
+		*load += (wait.Seconds()/d.shortestQuoted.Seconds()/fullWait - *load) * 0.1
+	}
 	if j.sentAt-j.heldAt+wait > times(j.quotedAt-j.came-j.work, slackTarget) {
 		e.slow = true
 	}
@@ -95,6 +102,9 @@
 
 // averages fades the tracks' and tenants' figures, each interval.
 func (d *Dispatcher) averages() {
+	if !d.liveWeights {
+		d.awayLoad *= fade // seldom seen while nothing crosses
+	}
 	d.worst = nil
 	least, came := math.Inf(1), 0.0
 	for i := range d.tracks {
--- a/policy/state.go
+++ b/policy/state.go
@@ -46,7 +46,7 @@
 	maxAllocations int
 	mayCancel      bool
 	liveWeights    bool
-	homeLoad       float64 // batch jobs held a core in this zone and in the others, by the list
+	homeLoad       float64 // how full this zone and the others are, by the list or by start waits
 	awayLoad       float64
 	comeBack       time.Duration
 	quantum        time.Duration
