--- a/policy/books.go
+++ b/policy/books.go
@@ -33,6 +33,13 @@
 	heap.Push(&d.due, it)
 }
 
+// knowKind makes room for a kind's figures: a known executor may come back as another kind, too.
+func (d *Dispatcher) knowKind(id KindID) {
+	if d.kinds[id] == nil {
+		d.kinds[id] = &kind{pace: 1, parallel: 1}
+	}
+}
+
 // rankOf is an executor's rank at this node: a hash of both, reckoned once.
 func (d *Dispatcher) rankOf(id ExecutorID) uint32 {
 	b := binary.LittleEndian.AppendUint32([]byte(id), uint32(d.node))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,6 +57,15 @@
 
 // ---- The list ----
 
+// spreadAsks lets many nodes ask one after another: the list's service doesn't grow with them, and calls that
+// wait too long there fail. Until then the copy at hand serves; the last asks while that still counts.
+func (d *Dispatcher) spreadAsks(within time.Duration) {
+	d.askEvery = within / 8
+	if d.many() {
+		d.askAt = times(within/2, float64(d.node)/float64(d.nodes))
+	}
+}
+
 // Listed tells what discovery brought.
 func (d *Dispatcher) Listed(now time.Duration, what ListKind, entries []Entry) {
 	d.asking = false
@@ -97,11 +106,7 @@
 		e.carried = place < d.carriers
 		d.enlist(e)
 	}
-	k := d.kinds[n.Kind]
-	if k == nil { // also where a known executor comes back as another kind
-		k = &kind{pace: 1, parallel: 1}
-		d.kinds[n.Kind] = k
-	}
+	d.knowKind(n.Kind)
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
 	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
 	e.up, e.gone, e.weight = n.State == Up, n.State == Gone, max(n.Weight, 1e-3)
@@ -519,17 +524,6 @@
 	e.startedOther = e.startedOther || !e.full || j.tenantID != e.fullFrom
 }
 
-// Left tells that the client has gone: nothing more is owed.
-func (d *Dispatcher) Left(now time.Duration, id JobID) {
-	if j := d.jobs[id]; j != nil && j.on == nil {
-		d.forget(j)
-	} else if j != nil {
-		j.over = true
-		j.turn++
-		d.at(now, j, nil)
-	}
-}
-
 // Ended says what to do after an allocation's outcome. Final: the batch job is over by it or before it.
 func (d *Dispatcher) Ended(now time.Duration, id JobID, n AllocationID, how Outcome, final bool) Decision {
 	j := d.out(id, n)
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -14,6 +14,17 @@
 	}
 }
 
+// Left tells that the client has gone: nothing more is owed.
+func (d *Dispatcher) Left(now time.Duration, id JobID) {
+	if j := d.jobs[id]; j != nil && j.on == nil {
+		d.forget(j)
+	} else if j != nil {
+		j.over = true
+		j.turn++
+		d.at(now, j, nil)
+	}
+}
+
 // Reported tells what an executor says of its load: batch jobs held, those that wait, and places free.
 func (d *Dispatcher) Reported(id ExecutorID, held, waiting, free float64) {
 	e, places := d.byID[id], held-waiting+free
--- a/policy/setup.go
+++ b/policy/setup.go
@@ -29,8 +29,8 @@
 		wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
 		quantum: max(s.Quantum, time.Millisecond), tellsStart: s.TellsStart, mustAsk: s.MustAsk,
-		liveWeights: s.LiveWeights, askEvery: s.AskWithin / 8,
-		coldShare: s.ColdShare, warmWithin: s.WarmWithin, fallWindow: s.FallWindow,
+		liveWeights: s.LiveWeights,
+		coldShare:   s.ColdShare, warmWithin: s.WarmWithin, fallWindow: s.FallWindow,
 	}
 	for i, t := range s.Tracks {
 		if t.OuterLimit <= 0 || t.Quoted <= 0 {
@@ -51,6 +51,7 @@
 	}
 	d.lookAfter = max(d.shortestQuoted/8, d.quantum)
 	d.shareCold(s.FallMultiple)
+	d.spreadAsks(s.AskWithin)
 	for _, t := range s.Tenant {
 		d.tenants = append(d.tenants, tenant{perS: t.QuotaPerS / float64(s.Nodes)})
 	}
