--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -426,9 +426,6 @@
 		n.say("ISSUE", "id", string(job))
 		n.out = append(n.out, " executor="...)
 		n.out = append(n.out, what.Executor...)
-		if what.AllowFor > 0 {
-			n.time(" allow-for-s=", what.AllowFor)
-		}
 	case policy.PushBack:
 		n.say("TURN_AWAY", "id", string(job))
 		if what.ComeBack > 0 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -499,11 +499,7 @@
 	j.sent++
 	j.turn++
 	d.at(now+d.lookAfter, j, nil)
-	allow := time.Duration(0)
-	if !d.mayCancel && j.track.repeat == Repeatable {
-		allow = 3*times(j.work, d.pace(e, now)) + j.track.quoted
-	}
-	return Decision{Act: Send, Executor: e.id, AllowFor: allow}
+	return Decision{Act: Send, Executor: e.id}
 }
 
 // ---- News of allocations ----
@@ -589,6 +585,8 @@
 		// Without start notices: latency against what the pace foretells.
 		ran = min(now-j.sentAt, times(j.work, d.pace(e, now)))
 		d.queued(e, j, now-j.sentAt-ran)
+		// Its like are done in a third of that: it must have waited there.
+		j.startedLate = now-j.sentAt > 3*times(j.work, d.pace(e, now))
 	}
 	d.learn(j, e, ran)
 }
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -83,21 +83,14 @@
 	case Send:
 		p.shot[id]++
 		p.on[id] = what.Executor
-		p.say(now, "send %s to %s%s", id, what.Executor, allow(" for ", what.AllowFor))
+		p.say(now, "send %s to %s", id, what.Executor)
 	case PushBack:
-		p.say(now, "push back %s%s", id, allow(", come back in ", what.ComeBack))
+		p.say(now, "push back %s, come back in %v", id, what.ComeBack)
 	case BreakOff:
 		p.say(now, "break off %s", id)
 	}
 }
 
-func allow(words string, t time.Duration) string {
-	if t == 0 {
-		return ""
-	}
-	return words + t.String()
-}
-
 // run lets time pass until then, doing what falls due as an adapter would.
 func (p *player) run(until time.Duration) {
 	now := until
--- a/policy/types.go
+++ b/policy/types.go
@@ -144,7 +144,6 @@
 type Decision struct {
 	Act      Act
 	Executor ExecutorID
-	AllowFor time.Duration // 0: until the outer limit
 	ComeBack time.Duration // 0: no advice
 }
 
