Cold executors are carried whatever their rank, and known by the part they can do

The slice was full before the walk by rank came to a cold one that this node carries; now they stand in it first.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,6 +120,9 @@
 		e.started = n.Started
 		if until := n.Started + d.warmWithin; until > now {
 			// A fresh executor can do part of its work only, and what we knew of it no longer holds.
+			if e.carried && now >= e.coldUntil {
+				d.cold = append(d.cold, e)
+			}
 			e.coldUntil, e.inCap, e.held, e.startWait, e.colds = until, 1, 0, 0, e.colds[:0]
 		}
 	}
@@ -136,19 +139,24 @@
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
 	}
 	d.slice = d.slice[:0]
+	// Cold ones that this node carries stand beside the others, whatever their rank: they do part of their work.
+	d.cold = slices.DeleteFunc(d.cold, func(e *executor) bool { return e.gone || now >= e.coldUntil })
+	for _, e := range d.cold {
+		if d.usable(e, now) {
+			d.slice = append(d.slice, e)
+			d.grant(e, now)
+		}
+	}
 	counts := make([]int, 2*len(d.needs))
 	missing := len(counts)
 	for _, e := range d.ranked {
 		if missing == 0 {
 			break
 		}
-		if !d.usable(e, now) {
-			continue
-		}
-		near := now < e.coldUntil // beside the others: it can do part of its work only
+		near := false
 		for i, need := range d.needs {
 			n := &counts[d.abroad(e)*len(d.needs)+i]
-			if now < e.coldUntil || need != AnyKind && need != e.kind || *n >= size {
+			if now < e.coldUntil || !d.usable(e, now) || need != AnyKind && need != e.kind || *n >= size {
 				continue
 			}
 			near = true
@@ -192,7 +200,7 @@
 // pace is the running time that e needs for a unit of work: what was seen, and what running batch jobs that
 // are over their time already show (guards against executors slowed or stalled since their last answer).
 func (d *Dispatcher) pace(e *executor, now time.Duration) float64 {
-	runs, works := e.runs+d.kinds[e.kind].pace, e.works+1
+	runs, works := (e.runs+d.kinds[e.kind].pace)/d.part(e, now), e.works+1
 	for _, j := range e.out {
 		if !j.running {
 			continue
@@ -257,13 +265,20 @@
 	d.coldWork = multiple * d.fallWindow.Seconds() / float64(d.carriers)
 }
 
+// part is the least part of its capacity that an executor has at its age.
+func (d *Dispatcher) part(e *executor, now time.Duration) float64 {
+	if now >= e.coldUntil {
+		return 1
+	}
+	age := float64(now-e.started) / float64(d.warmWithin)
+	return d.coldShare + (1-d.coldShare)*min(1, max(0, age))
+}
+
 // withinCold is rule 4: this node's part of the budget of work for a cold executor, judged by what warm
 // executors of its kind take and the least it can do at its age.
 func (d *Dispatcher) withinCold(e *executor, j *job, now time.Duration) bool {
 	k := d.kinds[e.kind]
-	age := float64(now-e.started) / float64(d.warmWithin)
-	part := d.coldShare + (1-d.coldShare)*min(1, max(0, age))
-	budget := d.coldWork * part * float64(k.parallel) / k.pace
+	budget := d.coldWork * d.part(e, now) * float64(k.parallel) / k.pace
 	e.colds = slices.DeleteFunc(e.colds, func(s spend) bool { return s.at+d.fallWindow <= now })
 	for _, s := range e.colds {
 		budget -= s.work.Seconds()
@@ -588,7 +603,7 @@
 		// Its like are done in a third of that: it must have waited there.
 		j.startedLate = now-j.sentAt > 3*times(j.work, d.pace(e, now))
 	}
-	d.learn(j, e, ran)
+	d.learn(j, e, times(ran, d.part(e, now))) // a cold executor's pace is not that of its warm days
 }
 
 // holdBack holds an executor's tokens back for as long as a batch job takes: a quick error frees a token at
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,6 +16,7 @@
 	byID        map[ExecutorID]*executor
 	ranked      []*executor // all on the list, highest rank first
 	slice       []*executor // those that this node uses, in the same order
+	cold        []*executor // cold ones that this node carries
 	met         []*executor // those that have been in a slice and have tokens
 	needs       []KindID    // bound kinds of the tracks
 	lateSlice   int         // executors of the slice that late batch jobs may use
