--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,8 +39,9 @@
 	intervals   = 0.4  // the interval, as a part of the shortest outer limit
 	lateWait    = 0.5  // part of the outer limit that a late batch job is held
 	lateSharers = 2    // nodes that send an executor their late batch jobs
+	manyNodes   = 6    // from so many on a node uses a part of the executors
 	sharers     = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
-	leastSlice  = 4    // executors of each zone side and bound kind in a slice at least
+	leastSlice  = 2    // executors of each zone side and bound kind in a slice at least; twice with keepers
 	fullZone    = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
 	fullWait    = 2.0  // and elsewhere: what starts take there, in shortest quoted times
 	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
@@ -53,7 +54,7 @@
 )
 
 // many says whether the nodes are so many that one can't use all executors: then it uses a part of them.
-func (d *Dispatcher) many() bool { return d.nodes >= 2*sharers }
+func (d *Dispatcher) many() bool { return d.nodes >= manyNodes }
 
 // ---- The list ----
 
@@ -137,6 +138,9 @@
 	d.lateSlice = max(1, (lateSharers*size+d.nodes-1)/d.nodes)
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
+		if d.mayTell {
+			size = max(size, 2*leastSlice)
+		}
 	}
 	d.slice = d.slice[:0]
 	// Cold ones that this node carries stand beside the others, whatever their rank: they do part of their work.
@@ -200,7 +204,7 @@
 // pace is the running time that e needs for a unit of work: what was seen, and what running batch jobs that
 // are over their time already show (guards against executors slowed or stalled since their last answer).
 func (d *Dispatcher) pace(e *executor, now time.Duration) float64 {
-	runs, works := (e.runs+d.kinds[e.kind].pace)/d.part(e, now), e.works+1
+	runs, works := e.runs+d.kinds[e.kind].pace, e.works+1
 	for _, j := range e.out {
 		if !j.running {
 			continue
@@ -265,20 +269,13 @@
 	d.coldWork = multiple * d.fallWindow.Seconds() / float64(d.carriers)
 }
 
-// part is the least part of its capacity that an executor has at its age.
-func (d *Dispatcher) part(e *executor, now time.Duration) float64 {
-	if now >= e.coldUntil {
-		return 1
-	}
-	age := float64(now-e.started) / float64(d.warmWithin)
-	return d.coldShare + (1-d.coldShare)*min(1, max(0, age))
-}
-
 // withinCold is rule 4: this node's part of the budget of work for a cold executor, judged by what warm
 // executors of its kind take and the least it can do at its age.
 func (d *Dispatcher) withinCold(e *executor, j *job, now time.Duration) bool {
 	k := d.kinds[e.kind]
-	budget := d.coldWork * d.part(e, now) * float64(k.parallel) / k.pace
+	age := float64(now-e.started) / float64(d.warmWithin)
+	part := d.coldShare + (1-d.coldShare)*min(1, max(0, age))
+	budget := d.coldWork * part * float64(k.parallel) / k.pace
 	e.colds = slices.DeleteFunc(e.colds, func(s spend) bool { return s.at+d.fallWindow <= now })
 	for _, s := range e.colds {
 		budget -= s.work.Seconds()
@@ -603,7 +600,7 @@
 		// Its like are done in a third of that: it must have waited there.
 		j.startedLate = now-j.sentAt > 3*times(j.work, d.pace(e, now))
 	}
-	d.learn(j, e, times(ran, d.part(e, now))) // a cold executor's pace is not that of its warm days
+	d.learn(j, e, ran)
 }
 
 // holdBack holds an executor's tokens back for as long as a batch job takes: a quick error frees a token at
