--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -348,6 +348,9 @@
 	if err != nil {
 		return err
 	}
+	if from < 0 {
+		return fmt.Errorf("field by: bad value %d", from)
+	}
 	text, err := f.need("content")
 	if err != nil {
 		return err
--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -73,6 +73,8 @@
 			"stopped: line 2: field disposition: unknown value \"odd\"\n"},
 		{"SYNC time-s=1\nREMINDER who=node/0 mark\n",
 			"stopped: line 2: malformed line: no name=value in \"mark\"\n"},
+		{"SYNC time-s=1\n" + start + "HEARD who=node/0 by=-1 content=AA==\n",
+			"stopped: line 5: field by: bad value -1\n"},
 		{"SYNC time-s=1\nMEMBERSHIP who=node/0 kind=total members-list=1\n",
 			"stopped: line 3: message \"COMMIT\" where a list entry is due\n"},
 		{"SYNC time-s=1\nNEW_INSTANCE who=node/0 random-seed=1 profile-data={\"balancers\":0}\n",
@@ -83,3 +85,34 @@
 		}
 	}
 }
+
+// Words between nodes are five bytes; those that are not are passed over. A load report's values go by name.
+func TestWordsAndReports(t *testing.T) {
+	many := strings.Replace(start, `"balancers":1,`, `"balancers":30,"my-number":3,"report":{"fields":["x0","active",`+
+		`"cpu","waiting"]},`, 1)
+	many = strings.Replace(many, `"cancel":true`, `"cancel":true,"peers":true`, 1)
+	many = strings.Replace(many, `"domain":{`, `"domain":{"report-x0":"free slots",`, 1)
+	got := replies(
+		"SYNC time-s=10\n"+many,
+		"SYNC time-s=11\nSUBMIT who=node/0 id=c:1 category=0 expected-s=0.2 budget-s=5\n",
+		"SYNC time-s=11.01\nHEARD who=node/0 by=17 content=aGkgNw==\nHEARD who=node/0 by=17 content=?\n",
+		"SYNC time-s=11.02\nHEARD who=node/0 by=17 content=A8R4tB8=\n",
+		"SYNC time-s=11.3\nDONE who=node/0 id=c:1 disposition=pass shot=0 settled=1 executor=executor-a gauge=1,2.9,0.5,0\n"+
+			"DONE who=node/0 id=c:9 disposition=pass shot=0 executor=executor-a gauge=1,x\n",
+	)
+	want := `ARM who=node/0 mark=due due-at-s=12.000000
+DONE
+SHARE who=node/0 dest=17 content=AcR4tB8=
+ARM who=node/0 mark=due due-at-s=11.075000
+DONE
+DONE
+ISSUE who=node/0 id=c:1 executor=executor-a
+ARM who=node/0 mark=due due-at-s=11.057500
+DONE
+SHARE who=node/0 dest=17 content=BsR4tB8=
+DONE
+`
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("replies differ (-want +got):\n%s", diff)
+	}
+}
