--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -1,7 +1,6 @@
 package clients
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -38,6 +37,9 @@
 var (
 	tooLong = &wrong{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
 	inHand  = &wrong{http.StatusConflict, "X-Call-Id: a batch job of this id is in hand"}
+
+	noLength = &wrong{http.StatusLengthRequired, "a batch job's body comes with Content-Length, not in chunks"}
+	oldHTTP  = &wrong{http.StatusHTTPVersionNotSupported, "batch jobs come by HTTP/1.1"}
 )
 
 func (f *Front) isReady(w http.ResponseWriter, r *http.Request) {
@@ -49,11 +51,29 @@
 	}
 }
 
+// frame lets a message go on only if all that reads it finds the same end. Guards against a body that hides another
+// batch job: net/http keeps to the chunks where a Content-Length stands beside them, without a word of it, and to the
+// Content-Length in HTTP/1.0.
+func frame(r *http.Request) *wrong {
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		return oldHTTP
+	case r.ContentLength < 0:
+		return noLength
+	}
+	return nil
+}
+
 // decode reads a batch job.
 func (f *Front) decode(w http.ResponseWriter, r *http.Request) (job node.Job, no *wrong) {
 	if r.Method != http.MethodPost {
 		return job, &wrong{http.StatusMethodNotAllowed, "batch jobs come by POST"}
 	}
+	if no = frame(r); no != nil {
+		// What stands behind its head may be a body or the next message: nothing of it is read as either.
+		w.Header().Set("Connection", "close")
+		return job, no
+	}
 	h := r.Header
 	job.Call = node.Call{ID: policy.JobID(h.Get("X-Call-Id")), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		ContentType: h.Get("Content-Type"), Tag: h.Get("Idempotency-Key")}
@@ -82,23 +102,12 @@
 	return job, no
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) (body []byte, no *wrong) {
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *wrong) {
 	if r.ContentLength > longestBody {
 		return nil, tooLong
 	}
-	var err error
-	in := http.MaxBytesReader(w, r.Body, longestBody)
-	if r.ContentLength >= 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(in, body)
-	} else {
-		body, err = io.ReadAll(in)
-	}
-	var long *http.MaxBytesError
-	switch {
-	case errors.As(err, &long):
-		return nil, tooLong
-	case err != nil:
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, bad("the body did not come whole")
 	}
 	// From here on reading tells of nothing but the client's leaving.
