SIGHUP reads the configuration again and moves the list's watch to the discovery it names

Looked into: nothing took the signal, so the kernel ended the process (main.go, serveCmd.Run: only SIGTERM and SIGINT were asked for). Ruled out: the end of an agent's old address as a cause, by reading list.go: it would only have been an outage of the list.

The signal is asked for before anything else. The file is read and checked whole, as at a start, outside the reducer; what came of it is an event. discovery holds at once: until the new address has brought the whole list the old one counts, and nothing of the old one after that, so that it can't undo a drain. What else has changed is logged by its key and holds from the next start on. A file that makes no sense is logged by its key and changes nothing.

--- a/cmd/birchstair/main.go
+++ b/cmd/birchstair/main.go
@@ -19,6 +19,7 @@
 
 	"birchstair/internal/config"
 	"birchstair/internal/list"
+	"birchstair/internal/node"
 )
 
 const version = "0.1.0"
@@ -50,7 +51,10 @@
 
 func (serveCmd) Run() error {
 	start := time.Now()
-	c, err := config.Read(os.Getenv)
+	again := make(chan os.Signal, 1) // a later one than is looked at finds the file as it is then
+	signal.Notify(again, syscall.SIGHUP)
+	read := func() (told, error) { return readTold(os.Getenv, start) }
+	t, err := read()
 	if err != nil {
 		return err
 	}
@@ -59,25 +63,22 @@
 		fmt.Fprintf(os.Stderr, "%d lines of the log were left out\n", missed)
 	})
 	defer out.Close()
-	log := zerolog.New(out).With().Timestamp().Str("node", c.Name).Logger()
+	log := zerolog.New(out).With().Timestamp().Str("node", t.Name).Logger()
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(log) // what the standard library has to say of connections
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return serve(ctx, c, start, log)
+	return serve(ctx, t, again, read, start, log)
 }
 
 // onlyWriter keeps the log's end from closing what it writes to: a last word may follow.
 type onlyWriter struct{ io.Writer }
 
 func (checkCmd) Run() error {
-	c, err := config.Read(os.Getenv)
+	c, err := readTold(os.Getenv, time.Now())
 	if err != nil {
 		return err
 	}
-	if _, err := names(c, time.Now()).Known(c.Known); err != nil {
-		return err
-	}
 	clients, executors := c.Descriptors()
 	fmt.Printf("%s is sound: %d tracks, at most %d connections from clients and %d to executors\n",
 		os.Getenv("ROUTER_CONFIG"), len(c.Settings.Tracks), clients, executors)
@@ -99,6 +100,18 @@
 	return nil
 }
 
-func names(c config.Config, start time.Time) list.Names {
-	return list.Names{Zones: c.Settings.Zones, Kinds: c.Settings.Kinds, Start: start}
+// told is all that a node is told: its configuration, and the list as it had it last.
+type told struct {
+	config.Config
+	names list.Names
+	known []node.Executor
+}
+
+func readTold(env func(string) string, start time.Time) (t told, err error) {
+	if t.Config, err = config.Read(env); err != nil {
+		return t, err
+	}
+	t.names = list.Names{Zones: t.Settings.Zones, Kinds: t.Settings.Kinds, Start: start}
+	t.known, err = t.names.Known(t.Known)
+	return t, err
 }
--- a/cmd/birchstair/serve.go
+++ b/cmd/birchstair/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -18,15 +19,12 @@
 	"birchstair/policy"
 )
 
-// serve puts a node together and runs it until the context ends and all is answered.
-func serve(ctx context.Context, c config.Config, start time.Time, log zerolog.Logger) error {
+// serve puts a node together and runs it until the context ends and all is answered. Each time again brings
+// something, the configuration is read anew.
+func serve(ctx context.Context, c told, again <-chan os.Signal, read func() (told, error), start time.Time,
+	log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
 	debug.SetMemoryLimit(c.Memory * 3 / 4)
-	names := names(c, start)
-	known, err := names.Known(c.Known)
-	if err != nil {
-		return err
-	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err // it names the address
@@ -37,7 +35,7 @@
 	fromClients, toExecutors := c.Descriptors()
 	front := clients.New(s.Tracks, fromClients, loop.Tell)
 	pool := executors.New(s.DialLimit, s.TellsLoad(), loop.Tell)
-	watcher := list.New(c.Discovery, names, loop.Tell)
+	watcher := list.New(c.names, loop.Tell)
 	core := node.New(policy.New(s.Policy), node.Limits{
 		Quantum: s.Policy.Quantum, IdleUse: s.IdleLimit * 4 / 5,
 		Conns: toExecutors, Bodies: int(c.Memory / 4), ComeBack: s.Policy.MaxComeBack,
@@ -53,15 +51,20 @@
 	watching, enough := context.WithCancel(context.Background())
 	defer enough()
 	go func() {
-		loop.Tell(node.Listed{Kind: policy.WarmCopy, Executors: known})
-		watcher.Run(watching)
+		loop.Tell(node.Listed{Kind: policy.WarmCopy, Executors: c.known})
+		watcher.Run(watching, c.Discovery)
 	}()
 	go func() {
 		<-ctx.Done()
 		front.Ending()
 		loop.Tell(node.Stopping{})
 	}()
-	log.Info().Str("listen", c.Listen).Int("known", len(known)).Int("clients", fromClients).
+	go func() {
+		for range again {
+			loop.Tell(reread(c, read))
+		}
+	}()
+	log.Info().Str("listen", c.Listen).Int("known", len(c.known)).Int("clients", fromClients).
 		Int("executors", toExecutors).Msg("the node is up")
 	loop.Run(core, front, pool, watcher, log)
 	select {
@@ -71,3 +74,12 @@
 		return nil
 	}
 }
+
+// reread reads the configuration anew, whole: what would not do for a start changes nothing.
+func reread(c told, read func() (told, error)) node.Reread {
+	t, err := read()
+	if err != nil {
+		return node.Reread{Detail: err.Error()}
+	}
+	return node.Reread{Discovery: t.Discovery, Waits: c.Waits(t.Config)}
+}
--- a/cmd/birchstair/serve_test.go
+++ b/cmd/birchstair/serve_test.go
@@ -10,13 +10,14 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"birchstair/internal/config"
 	"birchstair/internal/kept"
 )
 
@@ -40,48 +41,74 @@
 	return s
 }
 
-func configuration(t *testing.T, discovery string) config.Config {
+// configuration is a node's, in a file that rewrite writes anew with another discovery.
+type configuration struct {
+	t      *testing.T
+	file   string
+	listen string
+}
+
+func newConfiguration(t *testing.T, discovery string) configuration {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := l.Addr().String()
+	c := configuration{t, filepath.Join(t.TempDir(), "config.json"), l.Addr().String()}
 	l.Close()
-	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": discovery,
+	c.rewrite(discovery)
+	return c
+}
+
+func (c configuration) rewrite(discovery string) {
+	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": c.listen, "discovery": discovery,
 		"settings": map[string]any{"balancers": 1, "quantum-s": 0.004, "caps": map[string]any{"max-allocations": 3},
 			"domain": map[string]any{"tells-start": true},
 			"tracks": []any{map[string]any{"name": "board-read", "quoted-time-s": 60, "outer-limit-s": 60,
 				"repeat": "repeatable", "earnings": 1}}}})
-	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, text, 0o600); err != nil {
-		t.Fatal(err)
+	if err := os.WriteFile(c.file, text, 0o600); err != nil {
+		c.t.Fatal(err)
 	}
-	c, err := config.Read(func(string) string { return file })
+}
+
+func (c configuration) read() (told, error) {
+	return readTold(func(string) string { return c.file }, time.Now())
+}
+
+func (c configuration) serve(ctx context.Context, again chan os.Signal) error {
+	t, err := c.read()
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
-	return c
+	return serve(ctx, t, again, c.read, time.Now(), zerolog.Nop())
 }
 
-// A node from its start to its planned end: ready once the list is there, batch jobs handled, and what is in hand
-// when it is told to stop answered before it ends.
-func TestServe(t *testing.T) {
-	var out strings.Builder
-	started, finish := make(chan string, 1), make(chan string)
-	work := executor(t, started, finish)
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// discovery stands in for one whose list never changes; news of who watches it comes on watched.
+func discovery(t *testing.T, work *httptest.Server, name string, watched chan string) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("from") {
+			watched <- name + " is watched"
 			<-r.Context().Done()
+			watched <- name + " is left"
 			return
 		}
 		fmt.Fprintf(w, `{"seq":1,"whole":true,"hosts":[{"host":"s-a","dial":%q,"health":"ready"}]}`,
 			work.Listener.Addr())
 	}))
-	t.Cleanup(discovery.Close)
-	c := configuration(t, discovery.Listener.Addr().String())
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// A node from its start to its planned end: ready once the list is there, batch jobs handled, the configuration
+// read again with one in hand, and what is in hand when it is told to stop answered before it ends.
+func TestServe(t *testing.T) {
+	var out strings.Builder
+	started, finish := make(chan string, 1), make(chan string)
+	work := executor(t, started, finish)
+	watched := make(chan string, 100)
+	c := newConfiguration(t, discovery(t, work, "the first", watched))
 	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, c, time.Now(), zerolog.Nop()) }()
+	ended, again := make(chan error, 1), make(chan os.Signal)
+	go func() { ended <- c.serve(ctx, again) }()
 
 	for ready := false; !ready; time.Sleep(time.Millisecond) {
 		select {
@@ -89,13 +116,13 @@
 			t.Fatal("ended before it was ready: ", err)
 		default:
 		}
-		if a, err := http.Get("http://" + c.Listen + "/-/ready"); err == nil {
+		if a, err := http.Get("http://" + c.listen + "/-/ready"); err == nil {
 			a.Body.Close()
 			ready = a.StatusCode == http.StatusOK
 		}
 	}
 	hand := func(id, body string) string {
-		ask, _ := http.NewRequest("POST", "http://"+c.Listen+"/api/7f?q="+id, strings.NewReader(body))
+		ask, _ := http.NewRequest("POST", "http://"+c.listen+"/api/7f?q="+id, strings.NewReader(body))
 		ask.Header = http.Header{"X-Call-Id": {id}, "X-Call-Class": {"board-read"}, "X-Budget-Ms": {"60000"},
 			"X-Call-Cost": {"1000"}}
 		a, err := http.DefaultClient.Do(ask)
@@ -115,6 +142,16 @@
 	case early := <-waited:
 		t.Fatal("never sent: ", early)
 	}
+	fmt.Fprintln(&out, <-watched)
+	if err := os.WriteFile(c.file, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again <- syscall.SIGHUP
+	c.rewrite(discovery(t, work, "the second", watched))
+	again <- syscall.SIGHUP // the one before has been looked at, and changed nothing
+	news := []string{<-watched, <-watched}
+	slices.Sort(news) // in whatever order
+	fmt.Fprintln(&out, "read again:", news)
 	stop()
 	finish <- ""
 	out.WriteString(<-waited + "\n")
@@ -124,13 +161,13 @@
 
 // An address that is taken ends the start with a message.
 func TestServeWithoutAddress(t *testing.T) {
-	c := configuration(t, "127.0.0.1:1")
-	l, err := net.Listen("tcp", c.Listen)
+	c := newConfiguration(t, "127.0.0.1:1")
+	l, err := net.Listen("tcp", c.listen)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	err = serve(context.Background(), c, time.Now(), zerolog.Nop())
+	err = c.serve(context.Background(), nil)
 	if err == nil || !strings.HasPrefix(err.Error(), "listen ") {
 		t.Errorf("started on an address that is taken: %v", err)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"hash/crc32"
 	"net/netip"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 )
@@ -124,6 +125,28 @@
 	return c, c.check()
 }
 
+// Waits names the keys in which another configuration differs that hold from the next start on only. The seed is
+// new with each start, and the list at hand newer than a known one.
+func (c *Config) Waits(other Config) (keys []string) {
+	other.Settings.Policy.Seed = c.Settings.Policy.Seed
+	for _, k := range [...]struct {
+		same bool
+		key  string
+	}{
+		{c.Name == other.Name, "name"},
+		{c.Listen == other.Listen, "listen"},
+		{c.Cores == other.Cores, "limits.cores"},
+		{c.Memory == other.Memory, "limits.memory_mb"},
+		{c.Sockets == other.Sockets, "limits.sockets"},
+		{reflect.DeepEqual(c.Settings, other.Settings), "settings"},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 func (c *Config) check() error {
 	if c.Name == "" {
 		return errors.New("name: missing")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -71,5 +71,12 @@
 	with("an unknown repeat", `"once"`, `"twice"`)
 	with("an unknown group", `"once"`, `"by_key","dedup-scope":"house"`)
 	with("a track without a name", `"name":"t",`, ``)
+
+	same, _ := parse([]byte(whole), func(string) string { return "" })
+	for _, change := range [...][2]string{{"8c1f", "9"}, {"127.0.0.2", "127.0.0.3"}, {"n3", "n4"}, {"127.0.0.1", "127.0.0.9"},
+		{"1.0", "0.5"}, {"192", "64"}, {"1024", "512"}, {"0.3", "0.4"}} {
+		other, err := parse([]byte(strings.Replace(whole, change[0], change[1], 1)), func(string) string { return "" })
+		fmt.Fprintln(&out, "read again with", change[1], "for", change[0], "waits:", same.Waits(other), err)
+	}
 	kept.Compare(t, "read.txt", out.String())
 }
--- a/internal/list/codec.go
+++ b/internal/list/codec.go
@@ -13,7 +13,7 @@
 
 const path = "/api/targets"
 
-func watch(version int64, hold time.Duration) string {
+func since(version int64, hold time.Duration) string {
 	return fmt.Sprintf("?from=%d&hold_ms=%d", version, hold.Milliseconds())
 }
 
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -29,22 +29,38 @@
 	Start        time.Time // spans of the module count from here
 }
 
-// Watcher follows one discovery address.
+// Watcher follows discovery, at one address after another.
 type Watcher struct {
-	url   string
-	hold  time.Duration
-	grace time.Duration
-	names Names
-	tell  func(node.Event)
-	again chan struct{}
-	http  http.Client
+	hold   time.Duration
+	grace  time.Duration
+	names  Names
+	tell   func(node.Event)
+	again  chan struct{}
+	follow chan string
+	news   chan news
+	http   http.Client
 }
 
-// New makes a watcher of a discovery address.
-func New(addr string, names Names, tell func(node.Event)) *Watcher {
-	return &Watcher{url: "http://" + addr + path, hold: hold, grace: grace, names: names, tell: tell,
-		again: make(chan struct{}, 1),
-		http:  http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}}
+// watch is the watch on one address. It ends with its context.
+type watch struct {
+	addr string
+	stop context.CancelFunc
+	told chan struct{} // its last news has been dealt with
+	mute bool          // that it brings nothing has been told
+}
+
+// news is what a watch brought.
+type news struct {
+	from *watch
+	update
+	err error
+}
+
+// New makes a watcher.
+func New(names Names, tell func(node.Event)) *Watcher {
+	return &Watcher{hold: hold, grace: grace, names: names, tell: tell,
+		again: make(chan struct{}, 1), follow: make(chan string, 1), news: make(chan news),
+		http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}}
 }
 
 // Watch cuts a spell between two calls short.
@@ -55,26 +71,81 @@
 	}
 }
 
-// Run goes on until the context ends. After each answer the next watch begins soon, so that it is one watch to
-// discovery, and not so soon that one whose calls don't wait would take all of the core. After a call that brought
-// nothing usable it begins again with a spell in between.
-func (w *Watcher) Run(ctx context.Context) {
+// Follow goes on at another address. It is called by one goroutine only and never waits.
+func (w *Watcher) Follow(addr string) {
+	select {
+	case <-w.follow: // taken over before it was looked at
+	default:
+	}
+	w.follow <- addr
+}
+
+// Run follows discovery until the context ends. After a move the old address counts until the new one has brought
+// the whole list, and no longer: what it still says could undo news, and a new address that leads nowhere costs
+// nothing.
+func (w *Watcher) Run(ctx context.Context, addr string) {
+	var counts *watch
+	last := w.start(ctx, addr)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case addr := <-w.follow:
+			if addr == last.addr {
+				continue
+			}
+			if last != counts {
+				last.stop()
+			}
+			last = w.start(ctx, addr)
+		case n := <-w.news:
+			if n.from == last && n.err == nil && last != counts { // a watch's first news is the whole list
+				if counts != nil {
+					counts.stop()
+				}
+				counts = last
+			}
+			switch {
+			case n.from == counts || n.from == last && counts == nil:
+				w.bring(n)
+			case n.from == last && !last.mute:
+				last.mute = true
+				w.tell(node.NotFollowed{Addr: last.addr, Detail: n.err.Error()})
+			}
+			n.from.told <- struct{}{}
+		}
+	}
+}
+
+func (w *Watcher) start(ctx context.Context, addr string) *watch {
+	ctx, stop := context.WithCancel(ctx)
+	from := &watch{addr: addr, stop: stop, told: make(chan struct{}, 1)}
+	go w.run(ctx, from)
+	return from
+}
+
+// run watches one address. After each answer the next watch begins soon, so that it is one watch to discovery,
+// and not so soon that one whose calls don't wait would take all of the core. After a call that brought nothing
+// usable it begins again with a spell in between.
+func (w *Watcher) run(ctx context.Context, from *watch) {
+	url := "http://" + from.addr + path
 	version, known, spell := int64(0), false, firstSpell
 	for {
 		began := time.Now()
-		got, err := w.next(ctx, version, known)
-		if ctx.Err() != nil {
+		got, err := w.next(ctx, url, version, known)
+		select {
+		case <-ctx.Done():
 			return
+		case w.news <- news{from, got, err}:
+			<-from.told
 		}
 		if err == nil {
 			version, known, spell = got.version, true, firstSpell
-			w.bring(got)
 			w.pause(ctx, breath-time.Since(began))
 			continue
 		}
 		var odd oddError
 		known = known && !errors.As(err, &odd)
-		w.tell(node.Listed{Kind: policy.Lost, Detail: err.Error()})
 		w.pause(ctx, spell)
 		spell = min(2*spell, lastSpell)
 	}
@@ -93,23 +164,25 @@
 }
 
 // next asks for the whole list, or for what has changed since a version.
-func (w *Watcher) next(ctx context.Context, version int64, known bool) (update, error) {
+func (w *Watcher) next(ctx context.Context, url string, version int64, known bool) (update, error) {
 	if known {
-		return w.call(ctx, w.url+watch(version, w.hold), w.hold+w.grace)
+		return w.call(ctx, url+since(version, w.hold), w.hold+w.grace)
 	}
-	got, err := w.call(ctx, w.url, 2*w.grace)
+	got, err := w.call(ctx, url, 2*w.grace)
 	if err == nil && !got.whole {
 		err = oddError{errors.New("changes where the whole list is due")}
 	}
 	return got, err
 }
 
-func (w *Watcher) bring(got update) {
+func (w *Watcher) bring(n news) {
 	switch {
-	case got.whole:
-		w.tell(node.Listed{Kind: policy.Whole, Executors: got.executors})
-	case len(got.executors) > 0:
-		w.tell(node.Listed{Kind: policy.Changes, Executors: got.executors})
+	case n.err != nil:
+		w.tell(node.Listed{Kind: policy.Lost, Detail: n.err.Error()})
+	case n.whole:
+		w.tell(node.Listed{Kind: policy.Whole, Executors: n.executors})
+	case len(n.executors) > 0:
+		w.tell(node.Listed{Kind: policy.Changes, Executors: n.executors})
 	}
 }
 
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -67,7 +68,7 @@
 	}))
 	defer discovery.Close()
 
-	w := New(discovery.Listener.Addr().String(), Names{Zones: []string{"tallinn", "tartu"}, Kinds: []string{"large", "small"},
+	w := New(Names{Zones: []string{"tallinn", "tartu"}, Kinds: []string{"large", "small"},
 		Start: time.UnixMilli(5000)}, func(ev node.Event) {
 		told := ev.(node.Listed)
 		line := map[policy.ListKind]string{policy.Whole: "whole", policy.Changes: "changes", policy.Lost: "lost"}[told.Kind]
@@ -82,7 +83,7 @@
 	})
 	w.hold, w.grace = 20*time.Millisecond, time.Second
 	go func() {
-		w.Run(ctx)
+		w.Run(ctx, discovery.Listener.Addr().String())
 		close(steps)
 	}()
 	for step := range steps {
@@ -92,6 +93,70 @@
 	kept.Compare(t, "watch.txt", out.String())
 }
 
+// A move to another address: until it brings the whole list the old one counts, and nothing of the old one after
+// that; the address that is followed already goes on.
+func TestFollow(t *testing.T) {
+	steps := make(chan string, 100)
+	stand := func(name string, answers chan string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+				steps <- name + ": the watch has ended"
+			case answer := <-answers:
+				if answer == "error" {
+					w.WriteHeader(http.StatusInternalServerError)
+				}
+				w.Write([]byte(answer))
+			}
+		}))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	oldAnswers, newAnswers := make(chan string), make(chan string)
+	from, to := stand("old", oldAnswers), stand("new", newAnswers)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := New(Names{}, func(ev node.Event) {
+		switch ev := ev.(type) {
+		case node.Listed:
+			steps <- fmt.Sprintf("  -> list %d: %s", ev.Kind, ev.Executors[0].Executor)
+		case node.NotFollowed:
+			steps <- "  -> " + strings.ReplaceAll(ev.Detail, to, "new") + " of " + strings.ReplaceAll(ev.Addr, to, "new")
+		}
+	})
+	go w.Run(ctx, from)
+	var out strings.Builder
+	expect := func(n int) {
+		news := make([]string, n)
+		for i := range news {
+			news[i] = <-steps
+		}
+		slices.Sort(news) // in whatever order
+		out.WriteString(strings.Join(news, "\n") + "\n")
+	}
+	answer := func(name string, to chan string, text string) {
+		out.WriteString(name + " answers " + text + "\n")
+		to <- text
+	}
+	entry := func(seq, whole, name string) string {
+		return `{"seq":` + seq + `,"whole":` + whole + `,"hosts":[` + host(name, `"health":"ready"`) + `]}`
+	}
+	answer("old", oldAnswers, entry("41", "true", "a"))
+	expect(1)
+	w.Follow(from)
+	w.Follow(to) // takes the place of the one before, if that was not looked at
+	answer("new", newAnswers, "error")
+	expect(1)
+	answer("old", oldAnswers, entry("42", "false", "b"))
+	expect(1)
+	answer("new", newAnswers, entry("7", "true", "c"))
+	expect(2)
+	w.Follow(to)
+	answer("new", newAnswers, entry("8", "false", "d"))
+	expect(1)
+	kept.Compare(t, "follow.txt", out.String())
+}
+
 // The copy that a node is handed at its start has discovery's form; none is no fault.
 func TestKnown(t *testing.T) {
 	for text, want := range map[string]string{
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -72,6 +72,14 @@
 		Executors []Executor
 		Detail    string
 	}
+	// NotFollowed: the address that the list is to come from now has brought none yet; the old one still counts.
+	NotFollowed struct{ Addr, Detail string }
+	// Reread: the configuration was read again. With a detail it makes no sense.
+	Reread struct {
+		Discovery string   // where the list comes from
+		Waits     []string // keys that changed and hold from the next start on
+		Detail    string
+	}
 	// Dialled: a connection is up.
 	Dialled struct{ Conn ConnID }
 	// Told: an executor tells of an allocation that goes on. Share 0: it has started.
@@ -107,6 +115,8 @@
 func (Arrived) event()     {}
 func (Left) event()        {}
 func (Listed) event()      {}
+func (NotFollowed) event() {}
+func (Reread) event()      {}
 func (Dialled) event()     {}
 func (Told) event()        {}
 func (Ended) event()       {}
@@ -141,6 +151,8 @@
 	Close struct{ Conn ConnID }
 	// Watch asks for the list again, now.
 	Watch struct{}
+	// Follow takes the list from an address from now on; it may be the one that it comes from already.
+	Follow struct{ Addr string }
 	// Ready says whether the node is to be given batch jobs.
 	Ready struct{ Yes bool }
 	// CloseFront lets the clients go that have their answers, and takes nothing more.
@@ -162,6 +174,7 @@
 func (Write) effect()      {}
 func (Close) effect()      {}
 func (Watch) effect()      {}
+func (Follow) effect()     {}
 func (Ready) effect()      {}
 func (CloseFront) effect() {}
 func (Wake) effect()       {}
--- a/internal/node/listed.go
+++ b/internal/node/listed.go
@@ -1,6 +1,24 @@
 package node
 
-import "birchstair/policy"
+import (
+	"strings"
+
+	"birchstair/policy"
+)
+
+// reread takes in a configuration that was read again: the list comes from the address that it names, and nothing
+// in hand is touched. One that makes no sense changes nothing.
+func (n *Node) reread(ev Reread) {
+	if ev.Detail != "" {
+		n.say(Log{Text: "the configuration stays as it was: " + ev.Detail})
+		return
+	}
+	n.say(Log{Text: "the configuration was read again; the list comes from " + ev.Discovery})
+	if len(ev.Waits) > 0 {
+		n.say(Log{Text: "changed, and taken up at the next start: " + strings.Join(ev.Waits, ", ")})
+	}
+	n.say(Follow{ev.Discovery})
+}
 
 // listed takes in news of the list. A first list makes the node ready; where none can be had, an old copy does.
 func (n *Node) listed(ev Listed) {
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -112,6 +112,10 @@
 		}
 	case Listed:
 		n.listed(ev)
+	case NotFollowed:
+		n.say(Log{Text: fmt.Sprintf("no list from %s yet, the old address counts: %s", ev.Addr, ev.Detail)})
+	case Reread:
+		n.reread(ev)
 	case Dialled:
 		n.dialled(n.conns[ev.Conn])
 	case Told:
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -20,6 +20,8 @@
 //	1s up 1                      connection 1 is up; rested 1, closed 1 [silently]
 //	1s started 1                 progress 1 0.5; ended 1 cut broken
 //	2s left j1                   the client has gone; stop: told to end; shut: the front is closed
+//	2s reread x:1 listen         the configuration names discovery x:1, and a key that waits; odd: it makes no sense
+//	2s notfollowed x:1           no list from there yet
 //	9s wait                      let time pass until then
 type player struct {
 	t     *testing.T
@@ -126,6 +128,13 @@
 			Result: []byte("result")}
 	case "left":
 		return Left{policy.JobID(last)}
+	case "reread":
+		if last == "odd" {
+			return Reread{Detail: "listen: missing"}
+		}
+		return Reread{Discovery: words[1], Waits: words[2:]}
+	case "notfollowed":
+		return NotFollowed{Addr: last, Detail: "no answer"}
 	case "stop":
 		return Stopping{}
 	case "shut":
@@ -157,6 +166,8 @@
 			line = fmt.Sprintf("close %d", e.Conn)
 		case Watch:
 			line = "watch"
+		case Follow:
+			line = "follow " + e.Addr
 		case Ready:
 			line = fmt.Sprint("ready: ", e.Yes)
 		case CloseFront:
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -21,7 +21,10 @@
 }
 
 // List follows the list.
-type List interface{ Watch() }
+type List interface {
+	Watch()
+	Follow(addr string)
+}
 
 // Loop feeds events to the reducer, one at a time, and carries out its effects.
 type Loop struct {
@@ -68,6 +71,8 @@
 				executors.Close(e.Conn)
 			case Watch:
 				list.Watch()
+			case Follow:
+				list.Follow(e.Addr)
 			case CloseFront:
 				clients.Close()
 			case Wake:
