Connections that rested longer than some that broke are not used again

Looked into, by a probe that logged how long each connection had rested: executors close them after 0.37 to 0.62 s (the settings say 60 s at the latest); of those used after under 50 ms of rest 3 of 118 broke, after 50 to 100 ms 13 of 73, after more 91 of 195. New ones break too, 74 of 661. Ruled out: writing on those whose close had been read already (none). At fault: conns.go, restingAt, which trusted the settings alone.

The node now learns from what breaks, and from what is closed at rest before anything is lost; half of that rest is allowed from then on, for all executors, until it is as old as the idle time.

--- a/cmd/birchstair/serve.go
+++ b/cmd/birchstair/serve.go
@@ -37,7 +37,7 @@
 	pool := executors.New(s.DialLimit, s.TellsLoad(), loop.Tell)
 	watcher := list.New(c.names, loop.Tell)
 	core := node.New(policy.New(s.Policy), node.Limits{
-		Quantum: s.Policy.Quantum, IdleUse: s.IdleLimit * 4 / 5,
+		Quantum: s.Policy.Quantum, IdleUse: s.IdleLimit * 4 / 5, DialLimit: s.DialLimit,
 		Conns: toExecutors, Bodies: int(c.Memory / 4), ComeBack: s.Policy.MaxComeBack,
 		Work: c.LongestWork(), StopSpell: config.StopSpell, StopLimit: c.StopLimit()})
 
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -35,7 +35,9 @@
 	given   bool           // this node has stopped waiting for that allocation
 	as      policy.Outcome // and why
 	rested  bool           // it has been up and at rest
+	heard   bool           // something of its executor came for that allocation
 	restsAt time.Duration
+	wroteAt time.Duration
 }
 
 func (n *Node) closeConn(c *conn) {
@@ -83,7 +85,7 @@
 		return nil
 	}
 	c := e.rest[len(e.rest)-1]
-	if n.now-c.restsAt >= n.limits.IdleUse { // the others have rested longer
+	if n.now-c.restsAt >= n.restUse() { // the others have rested longer
 		n.closeResting(e)
 		return nil
 	}
@@ -91,6 +93,21 @@
 	return c
 }
 
+// restUse is how long a connection may have rested and still be used: less than the settings' idle time, and less than
+// what was seen to be too long, until that is as old as the idle time. Guards against executors, or something on the
+// way to them, that drop resting connections early: what is written on one may have run, for all this node knows.
+func (n *Node) restUse() time.Duration {
+	if n.now-n.shortSeen >= n.limits.IdleUse {
+		n.shortRest = n.limits.IdleUse
+	}
+	return n.shortRest
+}
+
+// tooLong notes that a connection did not outlive a rest. It goes for all executors: half of that is tried next.
+func (n *Node) tooLong(rest time.Duration) {
+	n.shortRest, n.shortSeen = min(n.restUse(), rest/2), n.now
+}
+
 // dial opens a connection. At the edge of the descriptors one that rests elsewhere makes room.
 func (n *Node) dial(e *executor) *conn {
 	if len(n.conns) >= n.limits.Conns && !n.makeRoom() {
@@ -124,7 +141,7 @@
 }
 
 func (n *Node) write(c *conn) {
-	c.state = busy
+	c.state, c.heard, c.wroteAt = busy, false, n.now
 	n.say(Write{c.id, Allocation{Call: &c.job.Call, Budget: max(c.job.limitAt-n.now, time.Millisecond)}})
 }
 
@@ -180,6 +197,7 @@
 	if c == nil || c.job == nil {
 		return
 	}
+	c.heard = true
 	n.reported(c, ev.Load)
 	number := policy.AllocationID(c.job.sent - 1)
 	if ev.Share > 0 {
@@ -213,6 +231,9 @@
 		n.say(Log{Text: ev.Detail, Executor: c.to.id, Job: j.ID})
 	}
 	n.reported(c, ev.Load)
+	if ev.Broken && how == policy.Cut && c.rested && !c.heard {
+		n.tooLong(c.wroteAt - c.restsAt)
+	}
 	if ev.Broken && how != policy.CalledOff && how != policy.NotSent {
 		// The others may lead nowhere as well; a new one shows before anything is written whether there is a way.
 		n.closeResting(c.to)
@@ -236,6 +257,9 @@
 	delete(n.conns, c.id)
 	if i := slices.Index(c.to.rest, c); i >= 0 {
 		c.to.rest = slices.Delete(c.to.rest, i, i+1)
+		if rest := n.now - c.restsAt; rest > n.limits.DialLimit { // else it was closed with the answer
+			n.tooLong(rest)
+		}
 	}
 	c.state = spent
 	j := n.unlink(c)
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -19,6 +19,7 @@
 type Limits struct {
 	Quantum   time.Duration // what comes so close to an outer limit counts as at it
 	IdleUse   time.Duration // a connection that has rested so long is not used any more
+	DialLimit time.Duration // news of a close takes less
 	Conns     int           // connections to executors
 	Bodies    int           // bytes of bodies in hand
 	ComeBack  time.Duration // what is pushed back at the edge of the limits comes back then; 0: no advice
@@ -37,6 +38,8 @@
 	executors map[policy.ExecutorID]*executor
 	conns     map[ConnID]*conn
 	lastConn  ConnID
+	shortRest time.Duration // so long a connection may rest and still be used, by what was seen to break
+	shortSeen time.Duration // when that was seen last
 	jobs      map[policy.JobID]*job
 	bodies    int
 	due       dueHeap // batch jobs that are owed an answer, by when they are looked at next
@@ -68,7 +71,7 @@
 
 // New makes a node that knows nothing yet.
 func New(brain *policy.Dispatcher, limits Limits) *Node {
-	return &Node{brain: brain, limits: limits, executors: map[policy.ExecutorID]*executor{},
+	return &Node{brain: brain, limits: limits, shortRest: limits.IdleUse, executors: map[policy.ExecutorID]*executor{},
 		conns: map[ConnID]*conn{}, jobs: map[policy.JobID]*job{}}
 }
 
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -36,7 +36,7 @@
 		ColdShare: 1, FallMultiple: 4, FallWindow: time.Second,
 		Tracks: []policy.Track{{Quoted: 300 * time.Millisecond, Stretch: 2, OuterLimit: 5 * time.Second,
 			Earnings: 1, Kind: policy.AnyKind}}}
-	l := Limits{Quantum: time.Millisecond, IdleUse: 8 * time.Second, Conns: 8, Bodies: 100,
+	l := Limits{Quantum: time.Millisecond, IdleUse: 8 * time.Second, DialLimit: 100 * time.Millisecond, Conns: 8, Bodies: 100,
 		Work: 10 * time.Second, ComeBack: 2 * time.Second, StopSpell: 500 * time.Millisecond, StopLimit: 3 * time.Second}
 	for _, w := range words {
 		key, value, _ := strings.Cut(w, "=")
