A lone break or missing connection holds no executor back; a second without a sign of life does

Looked into: the node's log. 62 breaks without an answer, 25 in mid-answer and 25 connections that were reset as they came up, strewn over all ten executors, each of which went on starting and finishing others meanwhile. Ruled out: executors that had crashed (the list names all ready, and their other allocations end well). At fault: policy.go, settle, which held an executor's tokens back for a mean running time after any one of these.

An error still holds back at once: those come in runs, and each may cost a once-only batch job. A dead executor costs one more connection that is turned down, which never ran.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -290,12 +290,9 @@
 	if j.track.kind != AnyKind && j.track.kind != e.kind {
 		return false
 	}
-	if !j.mayHave || j.track.repeat == Repeatable {
-		return true
-	}
-	sameGroup := j.track.group == GroupAll || j.track.group == GroupZone && e.zone == j.ranZone ||
-		j.track.group == GroupCell && e.cell == j.ranCell
-	return sameGroup && d.mayRepeat(j, now)
+	group := !j.mayHave || j.track.repeat == Repeatable || j.track.group == GroupAll ||
+		j.track.group == GroupZone && e.zone == j.ranZone || j.track.group == GroupCell && e.cell == j.ranCell
+	return group && d.mayRepeat(j, now)
 }
 
 // mayRepeat is rule 2 for a further allocation.
@@ -557,7 +554,6 @@
 	est := times(j.work, d.pace(e, now))
 	switch how {
 	case Handled:
-		e.news = now
 		d.handled(j, e, now)
 	case NoRoom:
 		// Full counts as queuing at the executor, unless only one tenant meets it.
@@ -565,7 +561,11 @@
 		e.fullMany = e.fullMany || e.full && e.fullFrom != j.tenantID
 		e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
 	case Errored, NoRoute, Cut:
-		d.holdBack(e, now, "after an outcome that was no answer")
+		// One break may be the network's; a second one, with no sign of life between, is the executor's.
+		if how == Errored || e.broke {
+			d.holdBack(e, now, "after an outcome that was no answer")
+		}
+		e.broke = true
 	case TooSlow, CalledOff:
 		// The executor may still be on it: the token stays taken until the work would be over.
 		begun := now
@@ -581,6 +581,7 @@
 }
 
 func (d *Dispatcher) handled(j *job, e *executor, now time.Duration) {
+	e.alive(now)
 	if now <= j.quotedAt {
 		j.track.given += d.earnings(j)
 	}
@@ -814,9 +815,7 @@
 		d.lend(k, now)
 	}
 	for _, e := range d.met {
-		if e.asked && now-e.askedAt > d.interval {
-			e.asked = false
-		}
+		e.asked = e.asked && now-e.askedAt <= d.interval
 	}
 }
 
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -14,7 +14,8 @@
 		return
 	}
 	e := j.on
-	j.running, j.startedAt, j.shareAt, e.news = true, now, now, now
+	j.running, j.startedAt, j.shareAt = true, now, now
+	e.alive(now)
 	j.startedLate = now-j.sentAt > d.lookAfter
 	d.queued(e, j, now-j.sentAt)
 	if k := d.kinds[e.kind]; now >= e.coldUntil {
@@ -26,10 +27,14 @@
 // Progressed tells how much of an allocation is done.
 func (d *Dispatcher) Progressed(now time.Duration, id JobID, n AllocationID, share float64) {
 	if j := d.out(id, n); j != nil {
-		j.on.news, j.share, j.shareAt = now, share, now
+		j.share, j.shareAt = share, now
+		j.on.alive(now)
 	}
 }
 
+// alive books a sign of life.
+func (e *executor) alive(now time.Duration) { e.news, e.broke = now, false }
+
 // Left tells that the client has gone: nothing more is owed.
 func (d *Dispatcher) Left(now time.Duration, id JobID) {
 	if j := d.jobs[id]; j != nil && j.on == nil {
