--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -34,7 +34,7 @@
 		"SYNC time-s=10\n"+start,
 		"SYNC time-s=11\nSUBMIT who=node/0 id=c:1 category=0 expected-s=0.2 budget-s=5 new-key=x\n",
 		"SYNC time-s=11.1\nHEARTBEAT who=node/0 id=c:1 what=1 shot=0 executor=executor-a\n",
-		"SYNC time-s=11.3\nDONE who=node/0 id=c:1 disposition=cut executor=executor-a shot=0\n",
+		"SYNC time-s=11.3\nDONE who=node/0 id=c:1 disposition=fault executor=executor-a shot=0\n",
 		// Late news of what is over, and of an instance that is not there, is passed over.
 		"SYNC time-s=11.4\nDONE who=node/0 id=c:1 disposition=pass shot=0 settled=1\n"+
 			"CANCELLED_BY_CLIENT who=node/9 id=c:7\n",
