An allocation that stays silent gives its token back and says no more of its executor

Looked into, by a probe that logged what the module believes of each executor in every interval: s-, idle by the list, was held back from 6 to 26 s because of one allocation that had not started, alone on it; s- counted with a pace of 6.5 where its own answers said 2.3, because of one allocation of 8.6 s. On the sockets these were connections that fell silent: the executors answered others at once. Ruled out: executors that hang (the allocations sent later ended well) and lost tokens of clients that left (their allocations are stopped or end). At fault: policy.go, pace and waitAt, which count what is out as a sign of its executor without end, and the cap in flight, in which it fills the one place after a hold-back; once-only ones are out until their outer limit, 20 s.

Where progress is told, silence for twice what all there should take, and for two notices, now ends that.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -77,6 +77,7 @@
 		Kind       []int     `json:"class-kind"`
 		Stretch    []float64 `json:"class-stretch"`
 		TellsStart bool      `json:"tells-start"`
+		TellsEvery float64   `json:"progress-s"`
 		X0         string    `json:"report-x0"`
 	}
 	Report   struct{ Fields []string }
@@ -125,7 +126,7 @@
 		MaxAllocations: w.Caps.Allocations, MayCancel: w.Caps.Cancel, MayTell: w.Caps.Peers,
 		ColdShare: w.Rules.ColdShare, WarmWithin: Seconds(w.Rules.WarmWithin),
 		FallMultiple: w.Rules.FallMultiple, FallWindow: Seconds(w.Rules.FallS),
-		TellsStart: w.Domain.TellsStart,
+		TellsStart: w.Domain.TellsStart, TellsEvery: Seconds(w.Domain.TellsEvery),
 	}
 	if w.Caps.RetryAfter {
 		s.Policy.MaxComeBack = Seconds(w.Caps.MaxComeBackS)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -411,15 +411,7 @@
 	if now >= j.limitAt-d.quantum || j.sent >= d.maxAllocations || !d.mayRepeat(j, now) {
 		return d.giveUp(j)
 	}
-	best := math.Inf(1)
-	for _, e := range d.candidates(j) {
-		if e.up && d.fits(e, j, now) {
-			best = min(best, d.pace(e, now))
-		}
-	}
-	if math.IsInf(best, 1) {
-		best = 1
-	}
+	best := d.bestPace(j, now)
 	lastStart := j.quotedAt - times(j.work, best)
 	if j.track.late > 0 {
 		// Not to the outer limit: who has waited half of it with nothing out is told to come back instead.
@@ -517,7 +509,7 @@
 	if now < e.coldUntil {
 		e.colds = append(e.colds, spend{now, times(j.work, hintMargin)})
 	}
-	j.on, j.sentAt, j.running, j.share, j.stopping, j.startedLate = e, now, false, 0, false, false
+	j.on, j.sentAt, j.running, j.share, j.stopping, j.startedLate, j.lost = e, now, false, 0, false, false, false
 	j.sent++
 	j.turn++
 	d.at(now+d.lookAfter, j, nil)
@@ -549,6 +541,9 @@
 // settle draws from an outcome what it says of the executor, and frees the token now or later.
 func (d *Dispatcher) settle(j *job, how Outcome, now time.Duration) {
 	e := j.on
+	if j.lost { // its token is free already
+		return
+	}
 	i := slices.Index(e.out, j)
 	e.out = slices.Delete(e.out, i, i+1)
 	est := times(j.work, d.pace(e, now))
@@ -607,10 +602,7 @@
 	if e.held > now {
 		return
 	}
-	span := d.shortestQuoted
-	for i := range d.tracks {
-		span = max(span, d.tracks[i].meanWork)
-	}
+	span := d.longestMean()
 	if e.inCap == 0 {
 		d.notes = append(d.notes, fmt.Sprintf("%s held back for %v %s", e.id, span.Round(time.Millisecond), why))
 	}
@@ -638,7 +630,7 @@
 	if j.hinted { // without a hint, its own long run tells nothing of the executor
 		pace = d.pace(e, now)
 	}
-	crawls := (e.held > now || pace >= crawl*usual) && left < 0
+	crawls := (e.held > now || j.lost || pace >= crawl*usual) && left < 0
 	if j.sent >= d.maxAllocations || j.running && !crawls || !j.running && !d.tellsStart {
 		return false
 	}
@@ -861,19 +853,25 @@
 }
 
 // watchSilence guards against an executor that takes batch jobs and answers none: no start, progress or
-// outcome for longer than all that is out there should take.
+// outcome for longer than all that is out there should take. And against a connection that falls silent: an
+// allocation of which as long nothing is told, notices of progress included, shows nothing of its executor any
+// more; its token comes free, or each would shut an executor out until its outer limit.
 func (d *Dispatcher) watchSilence(e *executor, now time.Duration) {
 	if len(e.out) == 0 || !e.up {
 		return
 	}
-	longest := time.Duration(0)
-	for _, j := range e.out {
-		longest = max(longest, j.work)
-	}
 	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
-	if now-e.news > 2*times(longest, pace)+2*e.startWait+d.shortestQuoted {
+	span := 2*times(e.longest(), pace) + 2*e.startWait + d.shortestQuoted
+	if now-e.news > span {
 		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
 	}
+	e.out = slices.DeleteFunc(e.out, func(j *job) bool {
+		j.lost = d.tellsEvery > 0 && now-max(j.sentAt, j.shareAt) > max(span, 2*d.tellsEvery)
+		if j.lost {
+			d.release(e, now, true)
+		}
+		return j.lost
+	})
 }
 
 // ---- Due times ----
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -132,6 +132,37 @@
 	return n
 }
 
+// longest is the most work that one of ours has at an executor.
+func (e *executor) longest() (work time.Duration) {
+	for _, j := range e.out {
+		work = max(work, j.work)
+	}
+	return work
+}
+
+// longestMean is the mean work of the track that has the most, or the shortest quoted time.
+func (d *Dispatcher) longestMean() time.Duration {
+	work := d.shortestQuoted
+	for i := range d.tracks {
+		work = max(work, d.tracks[i].meanWork)
+	}
+	return work
+}
+
+// bestPace is the pace of the quickest executor that may take j at all, or a standard one's where there is none.
+func (d *Dispatcher) bestPace(j *job, now time.Duration) float64 {
+	best := math.Inf(1)
+	for _, e := range d.candidates(j) {
+		if e.up && d.fits(e, j, now) {
+			best = min(best, d.pace(e, now))
+		}
+	}
+	if math.IsInf(best, 1) {
+		return 1
+	}
+	return best
+}
+
 // averages fades the tracks' and tenants' figures, each interval.
 func (d *Dispatcher) averages() {
 	if !d.liveWeights {
--- a/policy/setup.go
+++ b/policy/setup.go
@@ -11,7 +11,7 @@
 		perWork: s.EarnPerWork, overage: s.OverageEarnings, crossPrice: s.CrossZonePrice,
 		wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
-		quantum: s.Quantum, tellsStart: s.TellsStart, mustAsk: s.MustAsk,
+		quantum: s.Quantum, tellsStart: s.TellsStart, tellsEvery: s.TellsEvery, mustAsk: s.MustAsk,
 		liveWeights: s.LiveWeights,
 		coldShare:   s.ColdShare, warmWithin: s.WarmWithin, fallWindow: s.FallWindow,
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,7 @@
 	comeBack       time.Duration
 	quantum        time.Duration
 	tellsStart     bool
+	tellsEvery     time.Duration
 	mustAsk        bool
 	subscribed     bool
 	asking         bool
@@ -207,6 +208,7 @@
 	share       float64
 	shareAt     time.Duration
 	stopping    bool
+	lost        bool // silent for so long that its token is free again
 	mayHave     bool // an earlier allocation may have run
 	firstRan    time.Duration
 	ranZone     ZoneID
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -53,6 +53,7 @@
 		"cell":     func() { first.Group = GroupCell },
 		"late":     func() { first.LateEarnings = 0.5 },
 		"ask":      func() { s.MustAsk = true },
+		"progress": func() { s.TellsEvery = time.Second },
 		"mute":     func() { s.TellsStart = false },
 		"nocancel": func() { s.MayCancel = false },
 		"price":    func() { s.CrossZonePrice = 0.25 },
--- a/policy/types.go
+++ b/policy/types.go
@@ -96,6 +96,7 @@
 	FallMultiple float64
 	FallWindow   time.Duration
 	TellsStart   bool
+	TellsEvery   time.Duration // between an executor's notices of progress; 0: there are none
 }
 
 // ListKind says what a list brings.
