What an executor can't use is broken off and goes nowhere else; one such holds nothing back

Seen: on rude+fleet the log has 12 answers 400 from executors, and 14 hold-backs of executors after them.

Looked into, by a probe that logged these batch jobs and all with an empty body: bad clients hand in the id of another client's batch job; where the owner's is in hand at this node they get 409, where it is at another node or has just ended theirs goes on, and the executor answers 400. Ruled out: telling them at the front (nodes share nothing, and an empty body is no fault). At fault: executors/codec.go, outcomeOf, which made an error of it, so that it went to up to six executors, and policy.go, settle, which held each of them back for a second.

An executor that answers so twice without a sign of life between is held back all the same: it may be its own fault.

--- a/internal/executors/codec.go
+++ b/internal/executors/codec.go
@@ -103,6 +103,9 @@
 		}
 	case http.StatusInternalServerError:
 		return policy.Errored, ""
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity,
+		http.StatusRequestHeaderFieldsTooLarge:
+		return policy.Unfit, "the executor can't use it: " + answer.Status
 	}
 	return policy.Errored, "an answer that is not in the protocol: " + answer.Status
 }
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -81,7 +81,7 @@
 }
 
 var outcomes = map[string]policy.Outcome{"handled": policy.Handled, "errored": policy.Errored,
-	"no-room": policy.NoRoom, "no-route": policy.NoRoute, "cut": policy.Cut}
+	"no-room": policy.NoRoom, "no-route": policy.NoRoute, "cut": policy.Cut, "unfit": policy.Unfit}
 
 func (p *player) event(now time.Duration, words []string) Event {
 	last := words[len(words)-1]
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -555,8 +555,8 @@
 		e.fullWait += est
 		e.fullMany = e.fullMany || e.full && e.fullFrom != j.tenantID
 		e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
-	case Errored, NoRoute, Cut:
-		// One break may be the network's; a second one, with no sign of life between, is the executor's.
+	case Errored, Unfit, NoRoute, Cut:
+		// One may be the network's or the batch job's; a second, with no sign of life between, is the executor's.
 		if how == Errored || e.broke {
 			d.holdBack(e, now, "after an outcome that was no answer")
 		}
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -142,7 +142,7 @@
 var wordNames = map[Word]string{Want: "want", WantLate: "want-late", Lend: "lend", Later: "later",
 	Back: "back", BackLate: "back-late"}
 
-var outcomeWords = map[string]Outcome{"handled": Handled, "errored": Errored, "no-room": NoRoom,
+var outcomeWords = map[string]Outcome{"handled": Handled, "errored": Errored, "unfit": Unfit, "no-room": NoRoom,
 	"too-slow": TooSlow, "no-route": NoRoute, "cut": Cut, "called-off": CalledOff, "not-sent": NotSent}
 
 // play runs a trace file's own lines and gives the file as it should be.
--- a/policy/types.go
+++ b/policy/types.go
@@ -43,6 +43,7 @@
 const (
 	Handled   Outcome = iota
 	Errored           // the executor answered with an error; it may have run
+	Unfit             // the executor can't use it as it is; it may have run
 	NoRoom            // turned away unseen; it never ran
 	TooSlow           // no answer in time; it may have run, or may still
 	NoRoute           // no connection; it never ran
