A message has 2.7 s in all; contradictory heads and tagged ones without a tag get a 4xx

Head and body share one spell from the first moment on, by net/http's own deadline, which a batch job in hand and a resting connection don't feel.

--- a/cmd/birchstair/serve.go
+++ b/cmd/birchstair/serve.go
@@ -33,7 +33,7 @@
 	loop := node.NewLoop(start)
 	s := c.Settings
 	fromClients, toExecutors := c.Descriptors()
-	front := clients.New(s.Tracks, fromClients, loop.Tell)
+	front := clients.New(s.Tracks, s.Policy.Tracks, fromClients, loop.Tell)
 	pool := executors.New(s.DialLimit, s.TellsLoad(), loop.Tell)
 	watcher := list.New(c.names, loop.Tell)
 	core := node.New(policy.New(s.Policy), node.Limits{
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -12,6 +12,7 @@
 
 	"birchstair/internal/kept"
 	"birchstair/internal/node"
+	"birchstair/policy"
 )
 
 // core stands in for the reducer: it prints what it is told and answers by a batch job's id. Those called "wait"
@@ -24,23 +25,27 @@
 	out   strings.Builder
 }
 
-func newCore(t *testing.T, conns int) *core {
+func newCore(t *testing.T, conns int, change ...func(*http.Server)) *core {
 	c := &core{t: t, told: make(chan node.Event, 100)}
-	c.front = New([]string{"board-read", "run-verify"}, conns, func(ev node.Event) {
-		if ev, ok := ev.(node.Arrived); ok {
-			switch name, _, _ := strings.Cut(string(ev.Job.ID), "-"); {
-			case ev.Job.Crowded:
-				c.front.Answer(node.Answer{Job: ev.Job.ID, Final: node.PushedBack})
-			case name == "handled":
-				c.front.Answer(node.Answer{Job: ev.Job.ID, Result: []byte("the result")})
-			case name == "back":
-				c.front.Answer(node.Answer{Job: ev.Job.ID, Final: node.PushedBack, ComeBack: 1500 * time.Millisecond})
-			case name == "off":
-				c.front.Answer(node.Answer{Job: ev.Job.ID, Final: node.BrokenOff})
+	c.front = New([]string{"board-read", "run-verify", "split-record"},
+		[]policy.Track{{}, {}, {Repeat: policy.Tagged}}, conns, func(ev node.Event) {
+			if ev, ok := ev.(node.Arrived); ok {
+				switch name, _, _ := strings.Cut(string(ev.Job.ID), "-"); {
+				case ev.Job.Crowded:
+					c.front.Answer(node.Answer{Job: ev.Job.ID, Final: node.PushedBack})
+				case name == "handled":
+					c.front.Answer(node.Answer{Job: ev.Job.ID, Result: []byte("the result")})
+				case name == "back":
+					c.front.Answer(node.Answer{Job: ev.Job.ID, Final: node.PushedBack, ComeBack: 1500 * time.Millisecond})
+				case name == "off":
+					c.front.Answer(node.Answer{Job: ev.Job.ID, Final: node.BrokenOff})
+				}
 			}
-		}
-		c.told <- ev
-	})
+			c.told <- ev
+		})
+	for _, change := range change {
+		change(&c.front.server)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -153,6 +158,9 @@
 	ask("a budget that is over", strings.Replace(job("handled"), "480", "0", 1), false)
 	ask("a budget without sense", strings.Replace(job("handled"), "480", "1e9", 1), false)
 	ask("a guess without sense", job("handled", "X-Call-Cost: NaN"), false)
+	ask("no tag where one is due", strings.Replace(job("handled"), "run-verify", "split-record", 1), false)
+	ask("two ids", job("handled", "X-Call-Id: other"), false)
+	ask("no path", strings.Replace(job("handled"), "/api", "http://other/api", 1), false)
 	ask("by GET", strings.Replace(job("handled"), "POST", "GET", 1), false)
 	ask("the longest body", job("handled", "Content-Length: 65536")+strings.Repeat("x", 65536), true)
 	ask("a longer one", job("handled", "Content-Length: 65537")+strings.Repeat("x", 65537), false)
@@ -190,6 +198,31 @@
 	kept.Compare(t, "messages.txt", c.out.String())
 }
 
+// What stalls is ended by the server's one spell for a whole message; a batch job that is in hand, and a connection
+// that rests, are not touched by it.
+func TestStalls(t *testing.T) {
+	c := newCore(t, 100, func(s *http.Server) { s.ReadTimeout, s.ReadHeaderTimeout = 100*time.Millisecond, 50*time.Millisecond })
+	resting, waiting := c.dial(), c.dial()
+	io.WriteString(resting, job("handled-1"))
+	c.event()
+	c.answer(resting)
+	io.WriteString(waiting, job("wait", "Content-Length: 4")+"body")
+	c.event()
+	for _, text := range []string{"", "POST / HTTP/1.1\r\nX-Ca", job("handled-2", "Content-Length: 9") + "half",
+		job("", "Content-Length: 9") + "half"} {
+		fmt.Fprintf(&c.out, "%q\n", text)
+		from := c.dial()
+		io.WriteString(from, text)
+		c.answer(from)
+	}
+	c.front.Answer(node.Answer{Job: "wait", Result: []byte("the result")})
+	c.answer(waiting)
+	io.WriteString(resting, job("handled-3"))
+	c.event()
+	c.answer(resting)
+	kept.Compare(t, "stalls.txt", c.out.String())
+}
+
 // The end: clients that rest are let go, those in hand get their answers and are told to go elsewhere, what still
 // comes is taken.
 func TestEnding(t *testing.T) {
--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"birchstair/internal/node"
@@ -18,10 +19,15 @@
 	longestHead = 16 << 10
 	longestBody = 64 << 10
 	longestID   = 128
-	headSpell   = 3 * time.Second // a message's head that has not come by then does not come
-	bodySpell   = 5 * time.Second // nor does its body, or an answer go out
+	headSpell   = 2500 * time.Millisecond // a message's head that has not come by then does not come
+	wholeSpell  = 2700 * time.Millisecond // nor does its body
+	writeSpell  = 5 * time.Second         // an answer that has not gone out by then does not
+	idleSpell   = 5 * time.Minute         // a connection that rests so long is let go
 )
 
+// onceEach are the words that may stand in a head once only: a second one could mean something else to an executor.
+var onceEach = [...]string{"X-Call-Id", "X-Call-Class", "X-Budget-Ms", "X-Call-Cost", "Idempotency-Key"}
+
 // wrong is why a message is no batch job.
 type wrong struct {
 	status int
@@ -75,6 +81,14 @@
 		return job, no
 	}
 	h := r.Header
+	for _, name := range onceEach {
+		if len(h[name]) > 1 {
+			return job, bad("%s: there more than once", name)
+		}
+	}
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return job, bad("the path is missing")
+	}
 	job.Call = node.Call{ID: policy.JobID(h.Get("X-Call-Id")), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		ContentType: h.Get("Content-Type"), Tag: h.Get("Idempotency-Key")}
 	if job.ID == "" || len(job.ID) > longestID {
@@ -84,7 +98,9 @@
 	if !ok {
 		return job, bad("X-Call-Class: no track is called %.40q", h.Get("X-Call-Class"))
 	}
-	job.Track = track
+	if job.Track = track.id; len(job.Tag) > longestID || track.tagged && job.Tag == "" {
+		return job, bad("Idempotency-Key: missing, or over %d bytes", longestID)
+	}
 	text := h.Get("X-Budget-Ms")
 	budget, err := strconv.ParseInt(text, 10, 32)
 	if err != nil || budget <= 0 {
--- a/internal/clients/front.go
+++ b/internal/clients/front.go
@@ -16,7 +16,7 @@
 // Front takes batch jobs in.
 type Front struct {
 	tell   func(node.Event)
-	tracks map[string]policy.TrackID
+	tracks map[string]track
 	server http.Server
 	gate   *gate
 	ready  atomic.Bool
@@ -25,15 +25,22 @@
 	waiting map[policy.JobID]chan node.Answer
 }
 
-// New makes a front for tracks by their names, with a budget of connections.
-func New(tracks []string, conns int, tell func(node.Event)) *Front {
-	f := &Front{tell: tell, tracks: map[string]policy.TrackID{}, gate: newGate(conns),
+// track is what a batch job's track asks of it.
+type track struct {
+	id     policy.TrackID
+	tagged bool // it comes with a tag
+}
+
+// New makes a front for tracks and their names, with a budget of connections.
+func New(names []string, tracks []policy.Track, conns int, tell func(node.Event)) *Front {
+	f := &Front{tell: tell, tracks: map[string]track{}, gate: newGate(conns),
 		waiting: map[policy.JobID]chan node.Answer{}}
-	for i, name := range tracks {
-		f.tracks[name] = policy.TrackID(i)
+	for i, name := range names {
+		f.tracks[name] = track{policy.TrackID(i), tracks[i].Repeat == policy.Tagged}
 	}
 	f.server = http.Server{Handler: http.HandlerFunc(f.handle), ConnState: f.gate.turned,
-		ReadHeaderTimeout: headSpell, MaxHeaderBytes: longestHead}
+		// Together from the first moment on, so that nobody holds a place by sending ever less.
+		ReadHeaderTimeout: headSpell, ReadTimeout: wholeSpell, IdleTimeout: idleSpell, MaxHeaderBytes: longestHead}
 	return f
 }
 
@@ -69,8 +76,6 @@
 }
 
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
-	// Its body is to come soon, also one that is not looked at.
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodySpell))
 	f.sendElsewhere(w)
 	if r.URL.Path == readyPath {
 		f.isReady(w, r)
@@ -90,7 +95,7 @@
 	f.tell(node.Arrived{Job: job})
 	a := f.wait(r.Context(), job.ID, to)
 	f.sendElsewhere(w)
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(bodySpell))
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeSpell))
 	write(w, a)
 }
 
