Silent strangers go first at the edge, and a batch job that came whole keeps its place

Looked into: clients/server.go beside net/http, which calls a connection active only once a head is whole. Those that say nothing or half a head stood in no list that could let them go, so they filled the budget for 3 s each; those that rested longest went instead, usual clients' among them; and whatever came meanwhile counted as crowded, also where connections had just been let go. Ruled out: CPU (0.18 s in the busiest second) and memory (23 of 192 MB).

A connection is a stranger until a batch job has come whole on it. Strangers may hold a quarter of the budget where others want it, the oldest goes first; what is let go no longer counts; pushed back is only where none can go.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -250,6 +250,12 @@
 	kept.Compare(t, "ending.txt", c.out.String())
 }
 
+func (g *gate) opened() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
 // At the edge of the descriptors the connection that has rested longest goes; where none rests, batch jobs are
 // pushed back; and beyond that connections wait.
 func TestEdge(t *testing.T) {
@@ -266,7 +272,7 @@
 	c.out.WriteString("a third: the one that rests goes\n")
 	third := c.dial()
 	c.answer(first)
-	for c.front.gate.crowded() { // until the front has seen its end as well
+	for c.front.gate.opened() > 2 { // until the front has seen its end as well
 		time.Sleep(time.Millisecond)
 	}
 	say(third, "wait-3")
@@ -276,3 +282,30 @@
 	c.answer(fourth)
 	kept.Compare(t, "edge.txt", c.out.String())
 }
+
+// Connections that say nothing, ask for little or send half a message, and stay, cost no usual client its place, however
+// many they are.
+func TestStrangers(t *testing.T) {
+	c := newCore(t, 8)
+	say := func(from client, id string) {
+		io.WriteString(from, job(id))
+		c.event()
+	}
+	usual, waits := c.dial(), c.dial()
+	say(usual, "handled-1")
+	c.answer(usual)
+	say(waits, "wait")
+	for i := range 40 {
+		io.WriteString(c.dial(), []string{"", "GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n", "POST /half"}[i%3])
+	}
+	for range 2 {
+		say(usual, "handled-2")
+		c.answer(usual)
+	}
+	newcomer := c.dial()
+	say(newcomer, "handled-3")
+	c.answer(newcomer)
+	c.front.Answer(node.Answer{Job: "wait", Result: []byte("the result")})
+	c.answer(waits)
+	kept.Compare(t, "strangers.txt", c.out.String())
+}
--- a/internal/clients/front.go
+++ b/internal/clients/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,9 @@
 	waiting map[policy.JobID]chan node.Answer
 }
 
+// connKey is where a message's context has its connection.
+type connKey struct{}
+
 // track is what a batch job's track asks of it.
 type track struct {
 	id     policy.TrackID
@@ -40,7 +44,8 @@
 	}
 	f.server = http.Server{Handler: http.HandlerFunc(f.handle), ConnState: f.gate.turned,
 		// Together from the first moment on, so that nobody holds a place by sending ever less.
-		ReadHeaderTimeout: headSpell, ReadTimeout: wholeSpell, IdleTimeout: idleSpell, MaxHeaderBytes: longestHead}
+		ReadHeaderTimeout: headSpell, ReadTimeout: wholeSpell, IdleTimeout: idleSpell, MaxHeaderBytes: longestHead,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	return f
 }
 
@@ -91,7 +96,7 @@
 		inHand.write(w)
 		return
 	}
-	job.Crowded = f.gate.crowded()
+	job.Crowded = f.gate.came(r.Context().Value(connKey{}).(net.Conn))
 	f.tell(node.Arrived{Job: job})
 	a := f.wait(r.Context(), job.ID, to)
 	f.sendElsewhere(w)
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -48,24 +48,38 @@
 	}()
 }
 
-// gate keeps the connections from clients within their budget: over it the one that has rested longest goes, and
-// where none rests, batch jobs are pushed back. From an eighth beyond it on, connections wait to be taken.
+// gate keeps the connections from clients within their budget. Strangers, on which no batch job has come whole yet, may
+// hold a quarter of it while others want it. Over the budget the stranger goes that came first, or, where they are few,
+// the connection that has rested longest; only where none rests batch jobs are pushed back. From an eighth beyond it on,
+// connections wait to be taken. Guards against floods of connections that say nothing, or ask once and stay: they must
+// not cost usual clients their places.
 type gate struct {
 	net.Listener
-	budget, most int
+	budget, most, few int
 
-	mu   sync.Mutex
-	room *sync.Cond
-	open int
-	idle *list.List // of net.Conn, the one that has rested longest first
-	at   map[net.Conn]*list.Element
+	mu        sync.Mutex
+	room      *sync.Cond
+	open      int
+	places    map[net.Conn]*place
+	strangers *list.List // of *place, those that came first at the front
+	resting   *list.List // of those that are known and rest, those that have rested longest at the front
+	leaving   *list.List // of those that are let go and not closed yet
 
 	ending bool // the node ends: no connection rests any more
 	shut   bool
 }
 
+// place is a connection's place at the gate.
+type place struct {
+	conn  net.Conn
+	in    *list.List // which of them it is in, or nil while it is owed an answer
+	at    *list.Element
+	known bool // a batch job has come on it
+}
+
 func newGate(budget int) *gate {
-	g := &gate{budget: budget, most: budget + max(1, budget/8), idle: list.New(), at: map[net.Conn]*list.Element{}}
+	g := &gate{budget: budget, most: budget + max(1, budget/8), few: max(1, budget/4), places: map[net.Conn]*place{},
+		strangers: list.New(), resting: list.New(), leaving: list.New()}
 	g.room = sync.NewCond(&g.mu)
 	return g
 }
@@ -97,54 +111,98 @@
 func (g *gate) turned(c net.Conn, state http.ConnState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if e := g.at[c]; e != nil {
-		g.idle.Remove(e)
-		delete(g.at, c)
-	}
+	p := g.places[c]
 	switch state {
 	case http.StateNew:
+		p = &place{conn: c}
+		g.places[c] = p
 		g.open++
+		g.put(p, g.strangers)
+	case http.StateActive: // a message has come
+		if p.known {
+			g.put(p, nil)
+		}
 	case http.StateIdle:
-		if g.ending || g.open > g.budget {
-			c.Close() // by its owner, before it reads anything more
-			return
+		if p.known {
+			g.put(p, g.resting)
 		}
-		g.at[c] = g.idle.PushBack(c)
 	case http.StateClosed, http.StateHijacked:
+		g.put(p, nil)
+		delete(g.places, c)
 		g.open--
 		g.room.Signal()
 	}
-	if g.open > g.budget {
-		g.letGo(1)
+	g.letGo(g.open - g.leaving.Len() - g.budget)
+	if state == http.StateIdle && (g.ending || p.in == g.leaving) {
+		c.Close() // by its owner, before it reads anything more
 	}
 }
 
-// elsewhere says whether clients are to go elsewhere with their next batch job.
-func (g *gate) elsewhere() bool {
+func (g *gate) put(p *place, in *list.List) {
+	if p.in != nil {
+		p.in.Remove(p.at)
+	}
+	if p.in = in; in != nil {
+		p.at = in.PushBack(p)
+	}
+}
+
+// came says that a batch job has come whole on a connection: it keeps its place until it has its answer. It gives
+// whether there are too many of those.
+func (g *gate) came(c net.Conn) (crowded bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ending || g.open > g.budget
+	if p := g.places[c]; p != nil {
+		p.known = true
+		g.put(p, nil)
+	}
+	return g.over()
 }
 
-func (g *gate) crowded() bool {
+func (g *gate) over() bool { return g.open-g.leaving.Len() > g.budget }
+
+// elsewhere says whether clients are to go elsewhere with their next batch job.
+func (g *gate) elsewhere() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.open > g.budget
+	return g.ending || g.over()
 }
 
-// letGo ends connections that rest. A read that is over wakes up their owner, which closes them; one that has
-// just read a message goes on with it, so none is lost between being read and being answered.
+// letGo ends connections that are silent. A read that is over wakes up their owner, which closes them; one that has
+// just read a message goes on with it, so none is lost between being read and being answered. An owner that was about
+// to read may have missed it, so those that leave are told again.
 func (g *gate) letGo(n int) {
-	for e := g.idle.Front(); e != nil && n > 0; e, n = e.Next(), n-1 {
-		e.Value.(net.Conn).SetReadDeadline(time.Unix(1, 0))
+	if n <= 0 {
+		return
 	}
+	for ; n > 0; n-- {
+		from := g.resting
+		if g.strangers.Len() > g.few {
+			from = g.strangers
+		}
+		if from.Len() == 0 {
+			break
+		}
+		g.put(from.Front().Value.(*place), g.leaving)
+	}
+	g.wake()
 }
 
-// end lets all go that rest, and says how many there are still.
+// wake ends the reads of those that leave.
+func (g *gate) wake() {
+	for e := g.leaving.Front(); e != nil; e = e.Next() {
+		e.Value.(*place).conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// end lets all go that are known and rest, and says how many there are still.
 func (g *gate) end() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ending = true
-	g.letGo(g.idle.Len())
-	return g.idle.Len()
+	for g.resting.Len() > 0 {
+		g.put(g.resting.Front().Value.(*place), g.leaving)
+	}
+	g.wake()
+	return g.leaving.Len()
 }
