Executors that turn all away are held back; a watch waits 2 s for news, so one that hangs is noticed

Looked into: the windows of the report and the list's lines in the log. Two executors drained, which the silent watch did not tell; each allocation there came back at once, its token was the oldest again, and the batch job went there up to six times. Ruled out: full queues (all others had free tokens, and start waits were under 10 ms). At fault: policy.go, settle, which counts such outcomes as queuing only and steps the quota down by one in 2 s, and list.go, hold, 20 s, by which a watch that hangs shows after 20.5 s.

A second turning away with no sign of life between holds back, save where it may be one tenant's throttle.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	hold       = 20 * time.Second // a watch waits so long for news
+	hold       = 2 * time.Second // a watch waits so long for news; one that hangs is noticed soon after
 	grace      = 500 * time.Millisecond
 	firstSpell = 50 * time.Millisecond // after a call that brought nothing usable, doubled up to lastSpell
 	lastSpell  = 800 * time.Millisecond
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -550,15 +550,16 @@
 	switch how {
 	case Handled:
 		d.handled(j, e, now)
-	case NoRoom:
-		// Full counts as queuing at the executor, unless only one tenant meets it.
-		e.fullWait += est
-		e.fullMany = e.fullMany || e.full && e.fullFrom != j.tenantID
-		e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
-	case Errored, Unfit, NoRoute, Cut:
+	case NoRoom, Errored, Unfit, NoRoute, Cut:
+		if how == NoRoom {
+			// Full counts as queuing at the executor, unless only one tenant meets it.
+			e.fullWait += est
+			e.fullMany = e.fullMany || e.full && e.fullFrom != j.tenantID
+			e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
+		}
 		// One may be the network's or the batch job's; a second, with no sign of life between, is the executor's.
-		if how == Errored || e.broke {
-			d.holdBack(e, now, "after an outcome that was no answer")
+		if how == Errored || e.broke && (how != NoRoom || j.tenant == nil || e.fullMany) {
+			d.holdBack(e, now, "after an outcome that was no result")
 		}
 		e.broke = true
 	case TooSlow, CalledOff:
--- a/policy/state.go
+++ b/policy/state.go
@@ -133,7 +133,7 @@
 	colds []spend         // work sent while cold, within the window
 	held  time.Duration   // tokens are held back until then
 	news  time.Duration   // last sign of life
-	broke bool            // a connection broke or never came up since then, or it took something for unfit
+	broke bool            // an outcome since then was no result
 
 	runs, works  float64 // running time seen and work done, fading
 	startWait    time.Duration
