A hold-back for silence lasts longer each time, until the executor shows life

Nothing breaks, nothing is missing, nothing is turned away: they take batch jobs and answer none. Each return sends one batch job, and where it may run once only it is lost. Ruled out: a zone cut off (no connection fails to come up) and silent connections (the executors answer on none).

At fault: policy.go, holdBack, one running time each time. Now one more after each silence without a sign of life.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -603,7 +603,7 @@
 	if e.held > now {
 		return
 	}
-	span := d.longestMean()
+	span := d.longestMean() * time.Duration(1+e.silences)
 	if e.inCap == 0 {
 		d.notes = append(d.notes, fmt.Sprintf("%s held back for %v %s", e.id, span.Round(time.Millisecond), why))
 	}
@@ -863,8 +863,9 @@
 	}
 	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
 	span := 2*times(e.longest(), pace) + 2*e.startWait + d.shortestQuoted
-	if now-e.news > span {
+	if now-e.news > span && e.held <= now {
 		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
+		e.silences++ // each try costs a batch job: the next comes later
 	}
 	e.out = slices.DeleteFunc(e.out, func(j *job) bool {
 		j.lost = d.tellsEvery > 0 && now-max(j.sentAt, j.shareAt) > max(span, 2*d.tellsEvery)
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -33,7 +33,7 @@
 }
 
 // alive books a sign of life.
-func (e *executor) alive(now time.Duration) { e.news, e.broke = now, false }
+func (e *executor) alive(now time.Duration) { e.news, e.broke, e.silences = now, false, 0 }
 
 // Left tells that the client has gone: nothing more is owed.
 func (d *Dispatcher) Left(now time.Duration, id JobID) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -125,15 +125,16 @@
 	started   time.Duration
 	coldUntil time.Duration
 
-	quota int
-	free  []time.Duration // since when each free token is free, oldest first
-	taken int             // tokens taken by allocations out and by those stopped
-	out   []*job          // allocations out
-	inCap int             // cap in flight that grows with answers; 0 for none
-	colds []spend         // work sent while cold, within the window
-	held  time.Duration   // tokens are held back until then
-	news  time.Duration   // last sign of life
-	broke bool            // an outcome since then was no result
+	quota    int
+	free     []time.Duration // since when each free token is free, oldest first
+	taken    int             // tokens taken by allocations out and by those stopped
+	out      []*job          // allocations out
+	inCap    int             // cap in flight that grows with answers; 0 for none
+	colds    []spend         // work sent while cold, within the window
+	held     time.Duration   // tokens are held back until then
+	news     time.Duration   // last sign of life
+	silences int             // hold-backs for silence since then
+	broke    bool            // an outcome since then was no result
 
 	runs, works  float64 // running time seen and work done, fading
 	startWait    time.Duration
