What an executor held back for silence has is given up, so that it can be tried again

An executor comes back with one place in flight; where the silent allocation still had it, that place stayed shut for another 2 to 4 s, until two notices were missing. Ruled out: tries that fail (every executor answered its first one). At fault: the two spans, which did not know of each other.

--- a/policy/books.go
+++ b/policy/books.go
@@ -62,6 +62,9 @@
 // dropGone drops executors that are gone, once nothing of ours is there: machines that are replaced come
 // under new ids.
 func (d *Dispatcher) dropGone() {
+	if !d.anyGone {
+		return
+	}
 	d.anyGone = false
 	d.ranked = slices.DeleteFunc(d.ranked, func(e *executor) bool {
 		drop := e.gone && e.taken == 0
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -88,9 +88,7 @@
 			}
 		}
 	}
-	if d.anyGone {
-		d.dropGone()
-	}
+	d.dropGone()
 	d.stale, d.freed = true, true
 	d.zoneLoads(now)
 }
@@ -863,12 +861,14 @@
 	}
 	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
 	span := 2*times(e.longest(), pace) + 2*e.startWait + d.shortestQuoted
+	limit := max(span, 2*d.tellsEvery)
 	if now-e.news > span && e.held <= now {
 		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
 		e.silences++ // each try costs a batch job: the next comes later
+		limit = span // and can come only if the tokens there are free
 	}
 	e.out = slices.DeleteFunc(e.out, func(j *job) bool {
-		j.lost = d.tellsEvery > 0 && now-max(j.sentAt, j.shareAt) > max(span, 2*d.tellsEvery)
+		j.lost = d.tellsEvery > 0 && now-max(j.sentAt, j.shareAt) > limit
 		if j.lost {
 			d.release(e, now, true)
 		}
