Silent allocations are given up after one missing notice where their executor is held back

Cause: a silence of under a second, after which tokens came free, may be one long batch job at work.

One notice of progress must be missing now, two where the executor was not held back.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -861,14 +861,14 @@
 	}
 	pace := (e.runs + d.kinds[e.kind].pace) / (e.works + 1)
 	span := 2*times(e.longest(), pace) + 2*e.startWait + d.shortestQuoted
-	limit := max(span, 2*d.tellsEvery)
 	if now-e.news > span && e.held <= now {
 		d.holdBack(e, now, fmt.Sprintf("after silence of %v", (now-e.news).Round(time.Millisecond)))
 		e.silences++ // each try costs a batch job: the next comes later
-		limit = span // and can come only if the tokens there are free
 	}
+	// Where its executor was held back one missing notice is enough, or the next try would find no token free.
+	notices := d.tellsEvery * time.Duration(2-min(e.silences, 1))
 	e.out = slices.DeleteFunc(e.out, func(j *job) bool {
-		j.lost = d.tellsEvery > 0 && now-max(j.sentAt, j.shareAt) > limit
+		j.lost = d.tellsEvery > 0 && now-max(j.sentAt, j.shareAt) > max(span, notices)
 		if j.lost {
 			d.release(e, now, true)
 		}
