--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -106,7 +106,8 @@
 	if err != nil || budget <= 0 {
 		return job, bad("X-Budget-Ms: %.40q is not a whole number over 0", text)
 	}
-	job.Budget = time.Duration(budget) * time.Millisecond
+	// A client that waits longer than the outer limit gets its answer by then all the same.
+	job.Budget = min(time.Duration(budget)*time.Millisecond, track.limit)
 	if text = h.Get("X-Call-Cost"); text != "" {
 		cost, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(cost >= 0 && cost < 1e12) {
--- a/internal/clients/front.go
+++ b/internal/clients/front.go
@@ -32,7 +32,8 @@
 // track is what a batch job's track asks of it.
 type track struct {
 	id     policy.TrackID
-	tagged bool // it comes with a tag
+	limit  time.Duration // its outer limit
+	tagged bool          // it comes with a tag
 }
 
 // New makes a front for tracks and their names, with a budget of connections.
@@ -40,7 +41,7 @@
 	f := &Front{tell: tell, tracks: map[string]track{}, gate: newGate(conns),
 		waiting: map[policy.JobID]chan node.Answer{}}
 	for i, name := range names {
-		f.tracks[name] = track{policy.TrackID(i), tracks[i].Repeat == policy.Tagged}
+		f.tracks[name] = track{policy.TrackID(i), tracks[i].OuterLimit, tracks[i].Repeat == policy.Tagged}
 	}
 	f.server = http.Server{Handler: http.HandlerFunc(f.handle), ConnState: f.gate.turned,
 		// Together from the first moment on, so that nobody holds a place by sending ever less.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -65,6 +65,7 @@
 	with("no allocation", `"max-allocations":6,`, ``)
 	with("a quantum under 0", `0.004`, `-1`)
 	with("a share over 1", `"report"`, `"rules":{"cold-share":2},"report"`)
+	with("progress told before it is made", `"report-x0"`, `"progress-s":-1,"report-x0"`)
 	with("no tracks", `"tracks"`, `"other"`)
 	with("no quoted time", `"quoted-time-s":0.3,`, ``)
 	with("no outer limit", `"outer-limit-s":20,`, ``)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -171,6 +171,7 @@
 		{rules.WarmWithin < 0, "rules.warm-within-s", "under 0"},
 		{rules.FallMultiple < 0, "rules.fall-multiple", "under 0"},
 		{rules.FallS < 0, "rules.fall-s", "under 0"},
+		{w.Domain.TellsEvery < 0, "domain.progress-s", "under 0"},
 		{len(w.Tracks) == 0, "tracks", "missing, or empty"},
 	} {
 		if c.bad {
