Chunks are turned down on every message, not only on batch jobs by POST

Seen, by reading the change as a whole: the check that keeps a body from hiding a batch job stood in clients/codec.go, decode, behind the method, and the readiness path never came there. A GET, or a call for readiness, with Content-Length and Transfer-Encoding was answered and what its length covered was read as the next message.

The check stands at the start of handle, before any path; that nothing more is read from such a connection is part of the answer (wrong.last), said once for 411 and 505. HTTP/1.0 stays allowed for readiness.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -146,6 +146,10 @@
 	chunks := "0\r\n\r\n" + job("handled-hidden")
 	ask("a body in chunks", job("handled", "Transfer-Encoding: chunked")+chunks, false)
 	ask("a length and chunks", job("handled", "Content-Length: 4", "Transfer-Encoding: chunked")+chunks, false)
+	ask("the same to readiness", strings.Replace(ready, "Host", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\nHost", 1)+
+		chunks, false)
+	ask("the same by GET", strings.Replace(job("handled", "Content-Length: 4", "Transfer-Encoding: chunked"), "POST", "GET", 1)+
+		chunks, false)
 	ask("the same by HTTP/1.0", strings.Replace(job("handled", fmt.Sprint("Content-Length: ", len(chunks)),
 		"Transfer-Encoding: chunked"), "1.1", "1.0", 1)+chunks, false)
 	ask("two lengths", job("handled", "Content-Length: 4", "Content-Length: 5")+"bodyPOST", false)
--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -32,20 +32,26 @@
 type wrong struct {
 	status int
 	reason string
+	last   bool // what stands behind its head may be a body or the next message: nothing of it is read as either
 }
 
-func (w *wrong) write(to http.ResponseWriter) { http.Error(to, w.reason, w.status) }
+func (w *wrong) write(to http.ResponseWriter) {
+	if w.last {
+		to.Header().Set("Connection", "close")
+	}
+	http.Error(to, w.reason, w.status)
+}
 
 func bad(format string, args ...any) *wrong {
-	return &wrong{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+	return &wrong{status: http.StatusBadRequest, reason: fmt.Sprintf(format, args...)}
 }
 
 var (
-	tooLong = &wrong{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
-	inHand  = &wrong{http.StatusConflict, "X-Call-Id: a batch job of this id is in hand"}
+	tooLong = &wrong{http.StatusRequestEntityTooLarge, "the body is over 64 KiB", false}
+	inHand  = &wrong{http.StatusConflict, "X-Call-Id: a batch job of this id is in hand", false}
 
-	noLength = &wrong{http.StatusLengthRequired, "a batch job's body comes with Content-Length, not in chunks"}
-	oldHTTP  = &wrong{http.StatusHTTPVersionNotSupported, "batch jobs come by HTTP/1.1"}
+	noLength = &wrong{http.StatusLengthRequired, "a batch job's body comes with Content-Length, not in chunks", true}
+	oldHTTP  = &wrong{http.StatusHTTPVersionNotSupported, "batch jobs come by HTTP/1.1", true}
 )
 
 func (f *Front) isReady(w http.ResponseWriter, r *http.Request) {
@@ -57,28 +63,13 @@
 	}
 }
 
-// frame lets a message go on only if all that reads it finds the same end. Guards against a body that hides another
-// batch job: net/http keeps to the chunks where a Content-Length stands beside them, without a word of it, and to the
-// Content-Length in HTTP/1.0.
-func frame(r *http.Request) *wrong {
-	switch {
-	case !r.ProtoAtLeast(1, 1):
-		return oldHTTP
-	case r.ContentLength < 0:
-		return noLength
-	}
-	return nil
-}
-
 // decode reads a batch job.
 func (f *Front) decode(w http.ResponseWriter, r *http.Request) (job node.Job, no *wrong) {
 	if r.Method != http.MethodPost {
-		return job, &wrong{http.StatusMethodNotAllowed, "batch jobs come by POST"}
+		return job, &wrong{http.StatusMethodNotAllowed, "batch jobs come by POST", false}
 	}
-	if no = frame(r); no != nil {
-		// What stands behind its head may be a body or the next message: nothing of it is read as either.
-		w.Header().Set("Connection", "close")
-		return job, no
+	if !r.ProtoAtLeast(1, 1) { // net/http drops its chunks and keeps to the Content-Length
+		return job, oldHTTP
 	}
 	h := r.Header
 	for _, name := range onceEach {
--- a/internal/clients/front.go
+++ b/internal/clients/front.go
@@ -83,6 +83,12 @@
 
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	f.sendElsewhere(w)
+	if r.ContentLength < 0 {
+		// Guards against a body that hides a batch job, whatever the message is: net/http keeps to the chunks where a
+		// Content-Length stands beside them, without a word of it.
+		noLength.write(w)
+		return
+	}
 	if r.URL.Path == readyPath {
 		f.isReady(w, r)
 		return
