--- a/policy/books.go
+++ b/policy/books.go
@@ -33,6 +33,13 @@
 	heap.Push(&d.due, it)
 }
 
+// lookAt notes when an allocation that is out gets its next look; a look noted before falls away.
+func (d *Dispatcher) lookAt(at time.Duration, s *shot) {
+	d.order++
+	s.turn++
+	heap.Push(&d.due, dueItem{at: at, order: d.order, turn: s.turn, shot: s})
+}
+
 // knowKind makes room for a kind's figures: a known executor may come back as another kind, too.
 func (d *Dispatcher) knowKind(id KindID, weight float64) {
 	if d.kinds[id] == nil {
@@ -134,18 +141,36 @@
 	delete(d.jobs, j.id)
 }
 
-// out is the batch job whose allocation n is out now, if it is.
-func (d *Dispatcher) out(id JobID, n AllocationID) *job {
-	if j := d.jobs[id]; j != nil && j.on != nil && int(n) == j.sent-1 {
-		return j
+// out is a batch job's allocation n, if it is out now.
+func (d *Dispatcher) out(id JobID, n AllocationID) *shot {
+	if j := d.jobs[id]; j != nil {
+		for _, s := range j.out {
+			if s.n == n {
+				return s
+			}
+		}
 	}
 	return nil
 }
 
+// end books a batch job that is over: what is still out of it gets its look at once.
+func (d *Dispatcher) end(j *job, now time.Duration) {
+	if len(j.out) == 0 {
+		d.forget(j)
+		return
+	}
+	d.unhold(j)
+	j.over = true
+	j.turn++
+	for _, s := range j.out {
+		d.lookAt(now, s)
+	}
+}
+
 // ---- Tokens ----
 
 // take uses the oldest free token.
-func (d *Dispatcher) take(e *executor, j *job) {
+func (d *Dispatcher) take(e *executor, s *shot) {
 	e.free = e.free[1:]
 	e.taken++
 	e.dry = e.dry || len(e.free) == 0
@@ -153,7 +178,8 @@
 		e.given = false
 		e.lent++
 	}
-	e.out = append(e.out, j)
+	e.out = append(e.out, s)
+	s.job.out = append(s.job.out, s)
 }
 
 // release frees a token. Late: the batch job did not start there at once.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -418,7 +418,14 @@
 // Place says where to send a batch job, or not yet, or never.
 func (d *Dispatcher) Place(now time.Duration, id JobID) Decision {
 	j := d.jobs[id]
-	if j == nil || j.over || j.on != nil {
+	if j == nil || j.over || len(j.out) > 0 && !j.copyDue {
+		return Decision{}
+	}
+	if j.copyDue {
+		j.copyDue = false
+		if e := d.pick(j, now, j.out[0].on, false); e != nil {
+			return d.send(j, e, now)
+		}
 		return Decision{}
 	}
 	d.hold(j, now)
@@ -519,14 +526,14 @@
 	if len(e.out) == 0 {
 		e.news = now
 	}
-	d.take(e, j)
+	s := &shot{job: j, n: AllocationID(j.sent), on: e, sentAt: now}
+	d.take(e, s)
 	if now < e.coldUntil {
 		e.colds = append(e.colds, spend{now, j.coldWork()})
 	}
-	j.on, j.sentAt, j.running, j.share, j.stopping, j.startedLate, j.lost = e, now, false, 0, false, false, false
 	j.sent++
 	j.turn++
-	d.at(now+d.lookAfter, j, nil)
+	d.lookAt(now+d.lookAfter, s)
 	return Decision{Act: Send, Executor: e.id}
 }
 
@@ -534,26 +541,31 @@
 
 // Ended says what to do after an allocation's outcome. Final: the batch job is over by it or before it.
 func (d *Dispatcher) Ended(now time.Duration, id JobID, n AllocationID, how Outcome, final bool) Decision {
-	j := d.out(id, n)
-	if j == nil {
+	s := d.out(id, n)
+	if s == nil {
 		return Decision{}
 	}
-	d.settle(j, how, now)
+	j := s.job
+	j.out = slices.DeleteFunc(j.out, func(o *shot) bool { return o == s })
+	s.turn++
+	d.settle(s, how, now)
 	if final || j.over {
-		d.forget(j)
+		d.end(j, now)
 		return Decision{}
 	}
 	if !how.NeverRan() && !j.mayHave {
-		j.mayHave, j.firstRan, j.ranZone, j.ranCell = true, j.sentAt, j.on.zone, j.on.cell
+		j.mayHave, j.firstRan, j.ranZone, j.ranCell = true, s.sentAt, s.on.zone, s.on.cell
+	}
+	if len(j.out) > 0 { // the other one goes on
+		return Decision{}
 	}
-	j.on = nil
 	j.turn++
 	d.wants = true
 	return d.Place(now, id)
 }
 
 // settle draws from an outcome what it says of the executor, and frees the token now or later.
-func (d *Dispatcher) settle(j *job, how Outcome, now time.Duration) {
+func (d *Dispatcher) settle(j *shot, how Outcome, now time.Duration) {
 	e := j.on
 	if j.lost { // its token is free already
 		return
@@ -590,10 +602,10 @@
 	d.release(e, now, j.startedLate)
 }
 
-func (d *Dispatcher) handled(j *job, e *executor, now time.Duration) {
+func (d *Dispatcher) handled(j *shot, e *executor, now time.Duration) {
 	e.alive(now)
 	if now <= j.quotedAt {
-		j.track.given += d.earnings(j)
+		j.track.given += d.earnings(j.job)
 	}
 	if e.inCap > 0 {
 		if e.inCap++; e.inCap > e.quota {
@@ -608,7 +620,7 @@
 		// Its like are done in a third of that: it must have waited there.
 		j.startedLate = now-j.sentAt > 3*times(j.work, d.pace(e, now))
 	}
-	d.learn(j, e, ran)
+	d.learn(j.job, e, ran)
 }
 
 // holdBack holds an executor's tokens back for as long as a batch job takes: a quick error frees a token at
@@ -628,7 +640,7 @@
 
 // look says whether to stop waiting for an allocation: the client has left, it has not started and another
 // token is open to it, or the executor crawls and another token would answer sooner.
-func (d *Dispatcher) look(j *job, now time.Duration) bool {
+func (d *Dispatcher) look(j *shot, now time.Duration) bool {
 	if j.stopping || !d.mayCancel {
 		return false
 	}
@@ -640,19 +652,22 @@
 	if j.running { // it can't crawl sooner
 		left = times(j.work, crawl*usual) - (now - j.startedAt)
 	}
-	d.at(now+max(left, d.lookAfter), j, nil)
+	d.lookAt(now+max(left, d.lookAfter), j)
 	pace := (e.runs + usual) / (e.works + 1)
 	if j.hinted { // without a hint, its own long run tells nothing of the executor
 		pace = d.pace(e, now)
 	}
 	crawls := (e.held > now || j.lost || pace >= crawl*usual) && left < 0
+	if !j.running && d.tellsStart && j.track.repeat == Repeatable && j.track.late == 0 && now > j.quotedAt-times(j.work, pace) {
+		return true
+	}
 	if j.sent >= j.track.allocations || j.running && !crawls || !j.running && !d.tellsStart {
 		return false
 	}
 	to := d.elsewhere(j, now)
 	if to == nil || !j.running {
 		// A move pays the price of crossing again, so it must be small change.
-		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j))
+		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j.job))
 	}
 	left = now - j.startedAt
 	if j.share > 0.02 {
@@ -662,12 +677,12 @@
 }
 
 // elsewhere is the executor that j would go to if it were stopped now, as one that may have run.
-func (d *Dispatcher) elsewhere(j *job, now time.Duration) *executor {
+func (d *Dispatcher) elsewhere(j *shot, now time.Duration) *executor {
 	was, zone, cell, first := j.mayHave, j.ranZone, j.ranCell, j.firstRan
 	if !was {
 		j.mayHave, j.ranZone, j.ranCell, j.firstRan = true, j.on.zone, j.on.cell, j.sentAt
 	}
-	e := d.pick(j, now, j.on, false)
+	e := d.pick(j.job, now, j.on, false)
 	j.mayHave, j.ranZone, j.ranCell, j.firstRan = was, zone, cell, first
 	return e
 }
@@ -883,7 +898,7 @@
 	}
 	// Where its executor was held back one missing notice is enough, or the next try would find no token free.
 	notices := d.tellsEvery * time.Duration(2-min(e.silences, 1))
-	e.out = slices.DeleteFunc(e.out, func(j *job) bool {
+	e.out = slices.DeleteFunc(e.out, func(j *shot) bool {
 		j.lost = d.tellsEvery > 0 && now-max(j.sentAt, j.shareAt) > max(span, notices)
 		if j.lost {
 			d.release(e, now, true)
@@ -915,19 +930,20 @@
 	}
 	for len(d.due) > 0 && d.due[0].at <= now {
 		it := heap.Pop(&d.due).(dueItem)
-		j := it.job
+		j, s := it.job, it.shot
 		switch {
 		case it.token != nil:
 			d.release(it.token, now, false)
+		case s != nil:
+			if s.turn == it.turn && d.look(s, now) {
+				s.stopping = true
+				return Due{Task: StopJob, Job: s.id, Allocation: s.n}
+			}
 		case j == nil:
 			d.unanswered(now)
 			d.stale, d.freed, d.wants = true, true, true
-		case j.turn != it.turn:
-		case j.on == nil:
+		case j.turn == it.turn && len(j.out) == 0:
 			return Due{Task: PlaceJob, Job: j.id}
-		case d.look(j, now):
-			j.stopping = true
-			return Due{Task: StopJob, Job: j.id, Allocation: AllocationID(j.sent - 1)}
 		}
 	}
 	if j := d.next(now); j != nil {
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -9,26 +9,26 @@
 
 // Started tells that an executor has begun on an allocation.
 func (d *Dispatcher) Started(now time.Duration, id JobID, n AllocationID) {
-	j := d.out(id, n)
-	if j == nil || j.running {
+	s := d.out(id, n)
+	if s == nil || s.running {
 		return
 	}
-	e := j.on
-	j.running, j.startedAt, j.shareAt = true, now, now
+	e := s.on
+	s.running, s.startedAt, s.shareAt = true, now, now
 	e.alive(now)
-	j.startedLate = now-j.sentAt > d.lookAfter
-	d.queued(e, j, now-j.sentAt)
+	s.startedLate = now-s.sentAt > d.lookAfter
+	d.queued(e, s, now-s.sentAt)
 	if k := d.kinds[e.kind]; now >= e.coldUntil {
 		k.parallel = max(k.parallel, e.running())
 	}
-	e.startedOther = e.startedOther || !e.full || j.tenantID != e.fullFrom
+	e.startedOther = e.startedOther || !e.full || s.tenantID != e.fullFrom
 }
 
 // Progressed tells how much of an allocation is done.
 func (d *Dispatcher) Progressed(now time.Duration, id JobID, n AllocationID, share float64) {
-	if j := d.out(id, n); j != nil {
-		j.share, j.shareAt = share, now
-		j.on.alive(now)
+	if s := d.out(id, n); s != nil {
+		s.share, s.shareAt = share, now
+		s.on.alive(now)
 	}
 }
 
@@ -37,12 +37,8 @@
 
 // Left tells that the client has gone: nothing more is owed.
 func (d *Dispatcher) Left(now time.Duration, id JobID) {
-	if j := d.jobs[id]; j != nil && j.on == nil {
-		d.forget(j)
-	} else if j != nil {
-		j.over = true
-		j.turn++
-		d.at(now, j, nil)
+	if j := d.jobs[id]; j != nil {
+		d.end(j, now)
 	}
 }
 
@@ -76,7 +72,7 @@
 }
 
 // queued books an allocation's wait at the executor.
-func (d *Dispatcher) queued(e *executor, j *job, wait time.Duration) {
+func (d *Dispatcher) queued(e *executor, s *shot, wait time.Duration) {
 	wait = max(0, wait-d.quantum)
 	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
 	e.workerWait += wait
@@ -87,7 +83,7 @@
 		}
 		*load += (wait.Seconds()/d.shortestQuoted.Seconds()/fullWait - *load) * 0.1
 	}
-	if j.sentAt-j.heldAt+wait > times(j.quotedAt-j.came-j.work, slackTarget) {
+	if s.sentAt-s.heldAt+wait > times(s.quotedAt-s.came-s.work, slackTarget) {
 		e.slow = true
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -134,7 +134,7 @@
 	known    int             // the quota that another process of this node gave it; 0 for none
 	free     []time.Duration // since when each free token is free, oldest first
 	taken    int             // tokens taken by allocations out and by those stopped
-	out      []*job          // allocations out
+	out      []*shot         // allocations out
 	inCap    int             // cap in flight that grows with answers; 0 for none
 	colds    []spend         // work sent while cold, within the window
 	held     time.Duration   // tokens are held back until then
@@ -206,21 +206,30 @@
 	over     bool          // the client has its answer or has left
 	asked    *executor     // of whose keeper a place was asked for it
 
-	startedLate bool
-	on          *executor // nil while no allocation is out
-	sent        int
+	out      []*shot // its allocations that are out; a second one only where the settings allow it
+	copyDue  bool    // a second one is to be sent
+	sent     int
+	mayHave  bool // an earlier allocation may have run
+	firstRan time.Duration
+	ranZone  ZoneID
+	ranCell  CellID
+	turn     int // guards due times that are no longer wanted
+}
+
+// shot is one allocation of a batch job, from its sending to its outcome.
+type shot struct {
+	*job
+	n           AllocationID
+	on          *executor
 	sentAt      time.Duration
 	startedAt   time.Duration
 	running     bool
+	startedLate bool
 	share       float64
 	shareAt     time.Duration
 	stopping    bool
 	lost        bool // silent for so long that its token is free again
-	mayHave     bool // an earlier allocation may have run
-	firstRan    time.Duration
-	ranZone     ZoneID
-	ranCell     CellID
-	turn        int // guards due times that are no longer wanted
+	turn        int
 }
 
 type dueItem struct {
@@ -228,6 +237,7 @@
 	order int
 	turn  int
 	job   *job
+	shot  *shot
 	token *executor // whose token comes free
 }
 
