--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,7 @@
 	hintMargin  = 1.25 // and for one without a hint, and for work sent to a cold executor
 	fewLate     = 0.1  // part of starts that may be late where a keeper lends one place more
 	restAfter   = 4    // intervals that a keeper leaves a lowered quota
+	fewCame     = 2.0  // batch jobs of a tenant by which chance may bring it over its part here
 )
 
 // many says whether the nodes are so many that one can't use all executors: then it uses a part of them.
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -193,7 +193,9 @@
 	// tenant is measured against the others at this node.
 	for i := range d.tenants {
 		t := &d.tenants[i]
-		t.over = t.rate / max(t.perS, 1e-9) * min(quotas/max(rates, 1e-9), 1)
+		part := t.perS * max(rates/max(quotas, 1e-9), 1)
+		few := fewCame / (5 * d.interval.Seconds()) // what a rate remembers
+		t.over = (t.rate + few) / (part + few)
 	}
 }
 
