Clients' marks tell first tries; short budgets of first tries tell nothing of the time spent

Now, where clients mark their repeats, an unmarked one is a first try; of a tenant whose first tries come with short budgets no budget tells what is spent; and nothing is quoted beyond the client's own limit. A batch job comes to the module as one value, Arrival. Settings read anew: clients.marks-retry, caps.second-copies (not used yet).

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -288,8 +288,13 @@
 	if err != nil {
 		return err
 	}
+	again, err := f.whole("again-by-client", false)
+	if err != nil {
+		return err
+	}
 	n.guard(func() {
-		n.brain.Arrived(now, policy.JobID(id), policy.TrackID(track), policy.TenantID(tenant), work, budget)
+		n.brain.Arrived(now, policy.Arrival{Job: policy.JobID(id), Track: policy.TrackID(track), Tenant: policy.TenantID(tenant),
+			Work: work, Budget: budget, Again: again == 1})
 	})
 	return nil
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -63,6 +63,7 @@
 	Caps       struct {
 		Cancel       bool
 		Peers        bool
+		Copies       bool    `json:"second-copies"`
 		Allocations  int     `json:"max-allocations"`
 		RetryAfter   bool    `json:"retry-after"`
 		MaxComeBackS float64 `json:"max-retry-after-s"`
@@ -76,6 +77,9 @@
 		FallMultiple float64 `json:"fall-multiple"`
 		FallS        float64 `json:"fall-s"`
 	}
+	Clients struct {
+		MarksRetry bool `json:"marks-retry"`
+	}
 	Domain struct {
 		Kind       []int     `json:"class-kind"`
 		Stretch    []float64 `json:"class-stretch"`
@@ -127,6 +131,7 @@
 		WholeWeight:    w.ScoreParts["whole"] + w.ScoreParts["worst-window"],
 		TrackWeight:    w.ScoreParts["worst-class"],
 		MaxAllocations: w.Caps.Allocations, MayCancel: w.Caps.Cancel, MayTell: w.Caps.Peers,
+		MayCopy: w.Caps.Copies, MarksAgain: w.Clients.MarksRetry,
 		ColdShare: w.Rules.ColdShare, WarmWithin: Seconds(w.Rules.WarmWithin),
 		FallMultiple: w.Rules.FallMultiple, FallWindow: Seconds(w.Rules.FallS),
 		TellsStart: w.Domain.TellsStart, TellsEvery: Seconds(w.Domain.TellsEvery),
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -28,6 +28,7 @@
 	Tenant policy.TenantID
 	Work   time.Duration // a guess; 0 for none
 	Budget time.Duration // how long the client waits
+	Again  bool          // the client marks it as a repeat of its own
 
 	Crowded bool // it came when the front was at the edge of its descriptors
 }
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -39,7 +39,7 @@
 // Module is the decision module, as the reducer calls it: *policy.Dispatcher, or one that sees what goes between.
 type Module interface {
 	Listed(now time.Duration, what policy.ListKind, entries []policy.Entry)
-	Arrived(now time.Duration, id policy.JobID, track policy.TrackID, tenant policy.TenantID, work, budget time.Duration)
+	Arrived(now time.Duration, in policy.Arrival)
 	Started(now time.Duration, id policy.JobID, a policy.AllocationID)
 	Progressed(now time.Duration, id policy.JobID, a policy.AllocationID, share float64)
 	Reported(id policy.ExecutorID, held, waiting, free float64)
@@ -212,7 +212,8 @@
 	j.order, j.dueAt = n.order, j.limitAt-n.limits.Quantum
 	heap.Push(&n.due, j)
 	n.deciding = j
-	n.brain.Arrived(n.now, j.ID, j.Track, j.Tenant, min(j.Work, n.limits.Work), j.Budget)
+	n.brain.Arrived(n.now, policy.Arrival{Job: j.ID, Track: j.Track, Tenant: j.Tenant, Work: min(j.Work, n.limits.Work),
+		Budget: j.Budget, Again: j.Again})
 	n.deciding = nil
 }
 
--- a/policy/books.go
+++ b/policy/books.go
@@ -14,6 +14,13 @@
 
 func times(t time.Duration, f float64) time.Duration { return time.Duration(float64(t) * f) }
 
+func flag(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // chance is a number from 0 to 1 drawn from the seed and a counter.
 func (d *Dispatcher) chance() float64 {
 	var b [8]byte
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,7 @@
 	hintMargin  = 1.25 // and for one without a hint, and for work sent to a cold executor
 	fewLate     = 0.1  // part of starts that may be late where a keeper lends one place more
 	restAfter   = 4    // intervals that a keeper leaves a lowered quota
+	mostCurt    = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
 	fewCame     = 2.0  // batch jobs of a tenant by which chance may bring it over its part here
 )
 
@@ -355,30 +356,34 @@
 // ---- Placing ----
 
 // Arrived tells of a batch job that this node has taken. A work of 0 means that no hint came.
-func (d *Dispatcher) Arrived(now time.Duration, id JobID, tr TrackID, te TenantID,
-	work, budget time.Duration) {
-	t := d.tracks[min(max(0, int(tr)), len(d.tracks)-1)]
-	j := &job{id: id, track: t, tenantID: te, work: work, hinted: work > 0, margin: margin, came: now,
-		limitAt: now + budget, spread: d.chance()}
+func (d *Dispatcher) Arrived(now time.Duration, in Arrival) {
+	t := d.tracks[min(max(0, int(in.Track)), len(d.tracks)-1)]
+	j := &job{id: in.Job, track: t, tenantID: in.Tenant, work: in.Work, hinted: in.Work > 0, margin: margin, came: now,
+		limitAt: now + in.Budget, spread: d.chance()}
 	if !j.hinted {
 		j.work, j.margin = t.meanWork, hintMargin
 	} else {
-		t.meanWork = times(t.meanWork, fade) + times(work, 1-fade)
+		t.meanWork = times(t.meanWork, fade) + times(in.Work, 1-fade)
 	}
-	if te >= 0 && int(te) < len(d.tenants) {
-		j.tenant = &d.tenants[te]
+	if in.Tenant >= 0 && int(in.Tenant) < len(d.tenants) {
+		j.tenant = &d.tenants[in.Tenant]
 		j.tenant.came++
 	}
 	// A try with less than the full budget is a repeat: its quoted time began with the first try.
-	t.fullBudget = max(t.fullBudget, budget)
-	spent := time.Duration(0)
-	if budget < t.fullBudget-d.quantum {
-		spent = max(0, t.outerLimit-budget)
+	t.fullBudget = max(t.fullBudget, in.Budget)
+	spent, short := time.Duration(0), in.Budget < t.fullBudget-d.quantum
+	if d.marks && !in.Again && j.tenant != nil {
+		// Clients that lose patience early and come again at once: then no budget tells what is spent.
+		j.tenant.curt = j.tenant.curt*fade + flag(short)*(1-fade)
 	}
-	j.quotedAt = now - spent + min(t.quoted+times(j.work, t.stretch), t.outerLimit)
+	curt := d.marks && (!in.Again || j.tenant != nil && j.tenant.curt > mostCurt)
+	if short && !curt {
+		spent = max(0, t.outerLimit-in.Budget)
+	}
+	j.quotedAt = min(now-spent+min(t.quoted+times(j.work, t.stretch), t.outerLimit), j.limitAt)
 	d.closeBy(j)
-	d.asked(j, spent == 0)
-	d.jobs[id] = j
+	d.asked(j, spent == 0 && !in.Again)
+	d.jobs[in.Job] = j
 	d.hold(j, now)
 	d.at(now, j, nil)
 	d.freed, d.wants = true, true
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,6 +69,8 @@
 	closing        time.Duration // when all must be over, once this node ends; 0 before
 
 	mayTell bool
+	mayCopy bool
+	marks   bool
 	wants   bool              // a batch job may want to ask for a place
 	givens  []*executor       // where a place was given
 	bySum   map[Sum]*executor // by the id that nodes use among each other
@@ -102,6 +104,7 @@
 	rate float64
 	over float64 // its part of this node's traffic against its part of all quotas, scaled by the load
 	came int
+	curt float64 // part of its marked first tries that came with less than the full budget
 }
 
 // kind holds what warm executors of one kind were seen to take.
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -196,7 +196,7 @@
 		track, _ := strconv.Atoi(args["track"])
 		tenant, _ := strconv.Atoi(args["tenant"])
 		work, budget := kept.Span(p.t, args["work"]), kept.Span(p.t, args["budget"])
-		p.d.Arrived(now, id, TrackID(track), TenantID(tenant), work, budget)
+		p.d.Arrived(now, Arrival{id, TrackID(track), TenantID(tenant), work, budget, args["again"] != ""})
 	case "started":
 		p.d.Started(now, id, n)
 	case "progress":
--- a/policy/types.go
+++ b/policy/types.go
@@ -108,6 +108,8 @@
 	MaxAllocations int
 	MayCancel      bool
 	MayTell        bool          // nodes may send each other words
+	MayCopy        bool          // a repeatable batch job may have a second allocation out
+	MarksAgain     bool          // clients mark their repeats
 	MaxComeBack    time.Duration // 0: the client is not told when to come back
 	Quantum        time.Duration
 
@@ -122,6 +124,16 @@
 	TellsEvery   time.Duration // between an executor's notices of progress; 0: there are none
 }
 
+// Arrival is a batch job as it came.
+type Arrival struct {
+	Job    JobID
+	Track  TrackID
+	Tenant TenantID
+	Work   time.Duration // a guess, as time on a standard core; 0 for none
+	Budget time.Duration // how long the client waits
+	Again  bool          // marked as a client's repeat, where clients mark them
+}
+
 // ListKind says what a list brings.
 type ListKind int
 
