Without start notices an answer counts as late from five times its foretold time, not three

Hints are rough there: a tap shows one handled in time taking 3.3 times its hint at the ninetieth percentile, so more than a tenth of starts counted as late (handled(), startedLate) and keepers lowered their quotas to one. Ruled out: unanswered keepers (3 of 9,829 words; 99% answer within 20 ms).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,6 +50,7 @@
 	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
 	margin      = 1.1  // what a prediction leaves over for a hinted batch job
 	hintMargin  = 1.25 // and for one without a hint, and for work sent to a cold executor
+	lateTimes   = 5.0  // times its foretold running time from which one without a start notice had to wait
 	fewLate     = 0.1  // part of starts that may be late where a keeper lends one place more
 	restAfter   = 4    // intervals that a keeper leaves a lowered quota
 	mostCurt    = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
@@ -623,8 +624,7 @@
 		// Without start notices: latency against what the pace foretells.
 		ran = min(now-j.sentAt, times(j.work, d.pace(e, now)))
 		d.queued(e, j, now-j.sentAt-ran)
-		// Its like are done in a third of that: it must have waited there.
-		j.startedLate = now-j.sentAt > 3*times(j.work, d.pace(e, now))
+		j.startedLate = now-j.sentAt > times(ran, lateTimes) // hints are rough
 	}
 	d.learn(j.job, e, ran)
 }
