--- a/policy/policy.go
+++ b/policy/policy.go
@@ -358,6 +358,7 @@
 
 // Arrived tells of a batch job that this node has taken. A work of 0 means that no hint came.
 func (d *Dispatcher) Arrived(now time.Duration, in Arrival) {
+	d.turn(now)
 	t := d.tracks[min(max(0, int(in.Track)), len(d.tracks)-1)]
 	j := &job{id: in.Job, track: t, tenantID: in.Tenant, work: in.Work, hinted: in.Work > 0, margin: margin, came: now,
 		limitAt: now + in.Budget, spread: d.chance()}
@@ -375,9 +376,9 @@
 	spent, short := time.Duration(0), in.Budget < t.fullBudget-d.quantum
 	if d.marks && !in.Again && j.tenant != nil {
 		// Clients that lose patience early and come again at once: then no budget tells what is spent.
-		j.tenant.curt = j.tenant.curt*fade + flag(short)*(1-fade)
+		j.tenant.curt = j.tenant.curt*fade + flag(t.fullBudget-in.Budget > d.gap)*(1-fade)
 	}
-	curt := d.marks && (!in.Again || j.tenant != nil && j.tenant.curt > mostCurt)
+	curt := d.marks && (!in.Again && t.fullBudget-in.Budget > d.gap || j.tenant != nil && j.tenant.curt > mostCurt)
 	if short && !curt {
 		spent = max(0, t.outerLimit-in.Budget)
 	}
@@ -548,6 +549,7 @@
 
 // Ended says what to do after an allocation's outcome. Final: the batch job is over by it or before it.
 func (d *Dispatcher) Ended(now time.Duration, id JobID, n AllocationID, how Outcome, final bool) Decision {
+	d.turn(now)
 	s := d.out(id, n)
 	if s == nil {
 		return Decision{}
@@ -622,9 +624,9 @@
 	ran := now - j.startedAt
 	if !j.running {
 		// Without start notices: latency against what the pace foretells.
-		ran = min(now-j.sentAt, times(j.work, d.pace(e, now)))
-		d.queued(e, j, now-j.sentAt-ran)
-		j.startedLate = now-j.sentAt > times(ran, lateTimes) // hints are rough
+		ran = min(d.took(j), times(j.work, d.pace(e, now)))
+		d.queued(e, j, d.took(j)-ran)
+		j.startedLate = d.took(j) > times(ran, lateTimes) // hints are rough
 	}
 	d.learn(j.job, e, ran)
 }
@@ -917,6 +919,7 @@
 
 // Wait says what has fallen due, or until when nothing will.
 func (d *Dispatcher) Wait(now time.Duration) Due {
+	d.turn(now)
 	for now >= d.tick {
 		d.tick += d.interval
 		d.everyInterval(now)
@@ -968,6 +971,7 @@
 	if mustSubscribe {
 		at = min(at, d.askAt)
 	}
+	d.sleepTo = at
 	return Due{At: at}
 }
 
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -7,8 +7,24 @@
 
 // What is seen, written down: running figures without decisions.
 
+// turn books when this node has its turn, and for how long it stood still before it.
+func (d *Dispatcher) turn(now time.Duration) {
+	if now == d.now {
+		return
+	}
+	d.gap, d.stood = now-d.now, now-d.sleepTo
+	if d.stood < d.lookAfter {
+		d.stood = 0
+	}
+	d.now, d.sleepTo = now, now
+}
+
+// took is the time since an allocation was sent, without what this node stood still just now: its news may be that old.
+func (d *Dispatcher) took(s *shot) time.Duration { return max(0, d.now-s.sentAt-d.stood) }
+
 // Started tells that an executor has begun on an allocation.
 func (d *Dispatcher) Started(now time.Duration, id JobID, n AllocationID) {
+	d.turn(now)
 	s := d.out(id, n)
 	if s == nil || s.running {
 		return
@@ -16,8 +32,8 @@
 	e := s.on
 	s.running, s.startedAt, s.shareAt = true, now, now
 	e.alive(now)
-	s.startedLate = now-s.sentAt > d.lookAfter
-	d.queued(e, s, now-s.sentAt)
+	s.startedLate = d.took(s) > d.lookAfter
+	d.queued(e, s, d.took(s))
 	if k := d.kinds[e.kind]; now >= e.coldUntil {
 		k.parallel = max(k.parallel, e.running())
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -66,6 +66,10 @@
 	coldWork       float64       // this node's part of the cold budget, for each unit of capacity
 	fallWindow     time.Duration
 	shortestQuoted time.Duration
+	now            time.Duration // the last moment that this node had its turn
+	sleepTo        time.Duration // when it wanted the next
+	gap            time.Duration // from its turn before until this one
+	stood          time.Duration // so much of it it stood still, though something was due
 	closing        time.Duration // when all must be over, once this node ends; 0 before
 
 	mayTell bool
