Probes show which executors are silent, and their repeatable batch jobs get second copies

So an allocation that is over its foretold time has its executor asked; one without answer for the shortest quoted time is passed over until it answers, which takes the place of the guess.

--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -26,8 +26,8 @@
 	armed time.Duration // when its timer is due; 0 for none
 	brain *policy.Dispatcher
 	out   []byte // this batch's actions
-	load  [3]int // where a load report has batch jobs held, waiting and places free; -1 where it has not
-	busy  bool   // it has had an event in this batch
+	load  config.LoadAt
+	busy  bool // it has had an event in this batch
 }
 
 type adapter struct {
@@ -157,7 +157,7 @@
 	case "HEARD":
 		return n.heard(now, f)
 	case "PROBE_RESULT":
-		return nil // this module does not probe
+		return n.probed(now, f)
 	}
 	return fmt.Errorf("unknown message %q", name)
 }
@@ -321,11 +321,11 @@
 	if err != nil {
 		return err
 	}
-	report, reported := f.report(n.load)
+	load, reported := f.report(n.load)
 	executor, _ := f.get("executor")
 	n.guard(func() {
 		if reported {
-			n.brain.Reported(policy.ExecutorID(executor), report[0], report[1], report[2])
+			n.brain.Reported(policy.ExecutorID(executor), load)
 		}
 		job := policy.JobID(id)
 		n.carryOut(job, n.brain.Ended(now, job, policy.AllocationID(shot), how, settled == 1))
@@ -333,6 +333,20 @@
 	return nil
 }
 
+func (n *instance) probed(now time.Duration, f *fields) error {
+	executor, err := f.need("executor")
+	if err != nil {
+		return err
+	}
+	text, err := f.need("disposition")
+	if err != nil {
+		return err
+	}
+	load, ok := f.report(n.load)
+	n.guard(func() { n.brain.Probed(now, policy.ExecutorID(executor), ok && string(text) == "pass", load) })
+	return nil
+}
+
 // What one node says to another: the word and the executor's sum, as five bytes.
 const wordBytes = 5
 
@@ -414,6 +428,9 @@
 			n.out = append(n.out, '\n')
 		case policy.Tell:
 			n.tell(due)
+		case policy.Probe:
+			n.say("ASK_LOAD", "executor", string(due.Executor))
+			n.out = append(n.out, '\n')
 		case policy.Note:
 			n.say("PRINT", "msg", due.Text)
 			n.out = append(n.out, '\n')
--- a/internal/benchwire/fields.go
+++ b/internal/benchwire/fields.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"fmt"
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
 	"birchstair/internal/config"
+	"birchstair/policy"
 )
 
 // fields are the name=value pairs of one line; they point into it.
@@ -109,25 +109,23 @@
 	return id, shot, err
 }
 
-// report reads the wanted values of a load report, if one came along that has them all.
-func (f *fields) report(at [3]int) (values [3]float64, ok bool) {
+// report reads the values of a load report that are known, if one came along whole.
+func (f *fields) report(at config.LoadAt) (load policy.Load, ok bool) {
 	text, ok := f.get("gauge")
-	if !ok || min(at[0], at[1], at[2]) < 0 {
-		return values, false
+	if !ok || len(text) == 0 {
+		return load, false
 	}
-	for i := 0; len(text) > 0; i++ {
+	values, n := [8]float64{}, 0
+	for ; len(text) > 0 && n < len(values); n++ {
 		var one []byte
 		one, text, _ = bytes.Cut(text, []byte{','})
-		if w := slices.Index(at[:], i); w >= 0 {
-			x, err := strconv.ParseFloat(string(one), 64)
-			if err != nil {
-				return values, false
-			}
-			values[w] = x
-			at[w] = -1
+		x, err := strconv.ParseFloat(string(one), 64)
+		if err != nil {
+			return load, false
 		}
+		values[n] = x
 	}
-	return values, at == [3]int{-1, -1, -1}
+	return at.Load(values[:n])
 }
 
 func (f *fields) seconds(key string) (time.Duration, error) {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -15,7 +15,7 @@
 type Settings struct {
 	Policy policy.Settings
 
-	Load   [3]int   // where a load report has batch jobs held, waiting and places free; -1 where it has not
+	Load   LoadAt
 	Tracks []string // names, by number
 	Zones  []string
 	Kinds  []string
@@ -24,11 +24,40 @@
 	DialLimit time.Duration // a connection that is not up by then counts as none
 }
 
-// TellsLoad says whether load reports have all that the module wants.
+// TellsLoad says whether load reports have all that the module wants of an answer.
 func (s *Settings) TellsLoad() bool { return min(s.Load[0], s.Load[1], s.Load[2]) >= 0 }
 
-// loadNames are the load report's values that the module wants, by the names of the settings.
-var loadNames = [3]string{"active", "waiting", "x0"}
+// LoadAt is where a load report has batch jobs held, waiting, places free, memory free and the running time of the
+// last in ms; -1 where it has not.
+type LoadAt [len(loadNames)]int
+
+// loadNames are those values by the names of the settings, and what the settings must say of two of them.
+var (
+	loadNames = [5]string{"active", "waiting", "x0", "x1", "avg_ms"}
+	loadMeans = map[string]string{"x0": "free slots", "x1": "free memory"}
+)
+
+// mostLoad is more than any executor could say: such a report counts as none.
+const mostLoad = 1e6
+
+// Load turns a report's values into what the module takes. One of them that makes no sense makes the report count as none.
+func (at LoadAt) Load(values []float64) (load policy.Load, ok bool) {
+	var x [len(loadNames)]float64
+	for i, place := range at {
+		x[i] = -1
+		if place >= 0 && place < len(values) {
+			if x[i] = values[place]; !(x[i] >= 0 && x[i] <= mostLoad) {
+				return load, false
+			}
+			ok = true
+		}
+	}
+	load = policy.Load{Held: x[0], Waiting: x[1], Free: x[2], Memory: x[3], Took: -1}
+	if x[4] >= 0 {
+		load.Took = Seconds(x[4] / 1000)
+	}
+	return load, ok
+}
 
 // Seconds turns seconds into a span, rounded to the microsecond.
 func Seconds(x float64) time.Duration { return time.Duration(math.Round(x*1e6)) * time.Microsecond }
@@ -63,7 +92,8 @@
 	Caps       struct {
 		Cancel       bool
 		Peers        bool
-		Copies       bool    `json:"second-copies"`
+		Copies       bool `json:"second-copies"`
+		Probes       bool
 		Allocations  int     `json:"max-allocations"`
 		RetryAfter   bool    `json:"retry-after"`
 		MaxComeBackS float64 `json:"max-retry-after-s"`
@@ -86,8 +116,12 @@
 		TellsStart bool      `json:"tells-start"`
 		TellsEvery float64   `json:"progress-s"`
 		X0         string    `json:"report-x0"`
+		X1         string    `json:"report-x1"`
+	}
+	Report struct {
+		How    string
+		Fields []string
 	}
-	Report   struct{ Fields []string }
 	Projects []struct {
 		Quota float64 `json:"quota-per-s"`
 	}
@@ -119,9 +153,9 @@
 		IdleLimit: cmp.Or(Seconds(w.Caps.IdleS), defaultIdle), DialLimit: cmp.Or(Seconds(w.Caps.DialS), defaultDial)}
 	for i, name := range loadNames {
 		s.Load[i] = slices.Index(w.Report.Fields, name)
-	}
-	if w.Domain.X0 != "free slots" {
-		s.Load[2] = -1
+		if means := loadMeans[name]; means != "" && means != map[string]string{"x0": w.Domain.X0, "x1": w.Domain.X1}[name] {
+			s.Load[i] = -1
+		}
 	}
 	s.Policy = policy.Settings{
 		Node: w.Number, Nodes: w.Balancers, Zone: policy.ZoneID(w.Locality),
@@ -131,7 +165,7 @@
 		WholeWeight:    w.ScoreParts["whole"] + w.ScoreParts["worst-window"],
 		TrackWeight:    w.ScoreParts["worst-class"],
 		MaxAllocations: w.Caps.Allocations, MayCancel: w.Caps.Cancel, MayTell: w.Caps.Peers,
-		MayCopy: w.Caps.Copies, MarksAgain: w.Clients.MarksRetry,
+		MayCopy: w.Caps.Copies, MayProbe: w.Caps.Probes && w.Report.How == "on_probe", MarksAgain: w.Clients.MarksRetry,
 		ColdShare: w.Rules.ColdShare, WarmWithin: Seconds(w.Rules.WarmWithin),
 		FallMultiple: w.Rules.FallMultiple, FallWindow: Seconds(w.Rules.FallS),
 		TellsStart: w.Domain.TellsStart, TellsEvery: Seconds(w.Domain.TellsEvery),
--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -180,7 +180,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		service.Run(ctx, service.Setup{Settings: config.Settings{Policy: p, Tracks: names, Load: [3]int{-1, -1, -1}, Zones: []string{"z"}},
+		service.Run(ctx, service.Setup{Settings: config.Settings{Policy: p, Tracks: names, Load: config.LoadAt{-1, -1, -1, -1, -1}, Zones: []string{"z"}},
 			Limits: node.Limits{Quantum: time.Millisecond, IdleUse: time.Minute, DialLimit: 100 * time.Millisecond, Conns: 100, Bodies: 10 << 20,
 				Work: time.Hour, ComeBack: time.Second, StopSpell: 100 * time.Millisecond, StopLimit: 200 * time.Millisecond},
 			ClientConns: clients.Budget{Whole: 300}, Discovery: "127.0.0.1:8500", Start: start, Module: policy.New(p), Listener: l, Executors: dial,
--- a/internal/lab/wired.go
+++ b/internal/lab/wired.go
@@ -402,10 +402,10 @@
 		panic(err) // the address has its start in it
 	}
 	known := n.listed(policy.WarmCopy, v.w.discovery.Copy(v.w.now-copyAge)).Executors
-	s := config.Settings{Policy: p, Load: [3]int{0, 1, 2}, Zones: f.Zones, Kinds: []string{"plain"},
+	s := config.Settings{Policy: p, Load: config.LoadAt{0, 1, 2, -1, -1}, Zones: f.Zones, Kinds: []string{"plain"},
 		IdleLimit: time.Duration(f.IdleLimit), DialLimit: time.Duration(f.DialLimit)}
 	if !f.Reports {
-		s.Load = [3]int{-1, -1, -1}
+		s.Load = config.LoadAt{-1, -1, -1, -1, -1}
 	}
 	for _, t := range v.w.s.Tracks {
 		s.Tracks = append(s.Tracks, t.Name)
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -211,7 +211,7 @@
 
 func (n *Node) reported(c *conn, load Load) {
 	if load.Known {
-		n.brain.Reported(c.to.id, load.Held, load.Waiting, load.Free)
+		n.brain.Reported(c.to.id, policy.Load{Held: load.Held, Waiting: load.Waiting, Free: load.Free, Memory: -1, Took: -1})
 	}
 }
 
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -42,7 +42,7 @@
 	Arrived(now time.Duration, in policy.Arrival)
 	Started(now time.Duration, id policy.JobID, a policy.AllocationID)
 	Progressed(now time.Duration, id policy.JobID, a policy.AllocationID, share float64)
-	Reported(id policy.ExecutorID, held, waiting, free float64)
+	Reported(id policy.ExecutorID, load policy.Load)
 	Left(now time.Duration, id policy.JobID)
 	Closing(now, by time.Duration)
 	Place(now time.Duration, id policy.JobID) policy.Decision
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -256,7 +256,7 @@
 
 // usable says whether e takes anything new at all, free token or not.
 func (d *Dispatcher) usable(e *executor, now time.Duration) bool {
-	return e.up && e.held <= now && (e.carried && now >= d.coldFrom || now >= e.coldUntil)
+	return e.up && !e.mute && e.held <= now && (e.carried && now >= d.coldFrom || now >= e.coldUntil)
 }
 
 // open says whether e may take j now: a free token, the cap in flight and rule 4.
@@ -426,12 +426,11 @@
 // Place says where to send a batch job, or not yet, or never.
 func (d *Dispatcher) Place(now time.Duration, id JobID) Decision {
 	j := d.jobs[id]
-	if j == nil || j.over || len(j.out) > 0 && !j.copyDue {
+	if j == nil || j.over || len(j.out) > 0 && !j.copied {
 		return Decision{}
 	}
-	if j.copyDue {
-		j.copyDue = false
-		if e := d.pick(j, now, j.out[0].on, false); e != nil {
+	if len(j.out) > 0 {
+		if e := d.pick(j, now, false); e != nil {
 			return d.send(j, e, now)
 		}
 		return Decision{}
@@ -449,7 +448,7 @@
 	if now > lastStart {
 		return d.giveUp(j)
 	}
-	if e := d.pick(j, now, nil, false); e != nil {
+	if e := d.pick(j, now, false); e != nil {
 		return d.send(j, e, now)
 	}
 	d.waited = d.waited || !j.heldLate
@@ -485,7 +484,7 @@
 // asked for a place. A token is passed over where its executor can't answer in time, unless j is late anyway,
 // and it ages at the rate of the executor's weight in the list, over its pace and the wait there. Guards
 // against many nodes, each with one token at least, that use small, full and idle executors alike.
-func (d *Dispatcher) pick(j *job, now time.Duration, not *executor, asking bool) *executor {
+func (d *Dispatcher) pick(j *job, now time.Duration, asking bool) *executor {
 	late, crosses, home := d.late(j, now), d.crosses(j), false
 	var best *executor
 	bestSide, bestAge := 0, 0.0
@@ -503,7 +502,7 @@
 		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
 			continue
 		}
-		if e == not || best != nil && side > bestSide || !d.cleared(e, now, asking) || !d.open(e, j, now) {
+		if len(j.out) > 0 && j.out[0].on == e || best != nil && side > bestSide || !d.cleared(e, now, asking) || !d.open(e, j, now) {
 			continue
 		}
 		pace := d.pace(e, now)
@@ -653,6 +652,9 @@
 		return false
 	}
 	e := j.on
+	if now-max(e.news, j.sentAt) > times(j.work, d.kinds[e.kind].pace) {
+		d.askLoad(e, now, d.shortestQuoted)
+	}
 	if j.over {
 		return !j.running || j.track.repeat == Repeatable // it may be stopped at no cost
 	}
@@ -665,11 +667,18 @@
 	if j.hinted { // without a hint, its own long run tells nothing of the executor
 		pace = d.pace(e, now)
 	}
-	crawls := (e.held > now || j.lost || pace >= crawl*usual) && left < 0
-	if !j.running && d.tellsStart && j.track.repeat == Repeatable && j.track.late == 0 && now > j.quotedAt-times(j.work, pace) {
+	crawls := (e.held > now || j.lost || pace >= crawl*usual) && left < 0 || e.mute
+	if (e.mute || !j.running && d.tellsStart) && j.track.repeat == Repeatable && j.track.late == 0 && now > j.quotedAt-times(j.work, pace) {
 		return true
 	}
-	if j.sent >= j.track.allocations || j.running && !crawls || !j.running && !d.tellsStart {
+	if j.sent >= j.track.allocations || (j.running || !d.tellsStart) && !crawls {
+		return false
+	}
+	if d.mayCopy && j.track.repeat == Repeatable && (j.running || !d.tellsStart) {
+		if !j.copied && len(j.job.out) == 1 && (!d.late(j.job, now) || j.track.late > 0) {
+			j.copied, d.freed, d.wants = true, true, true
+			d.copies = append(d.copies, j.job)
+		}
 		return false
 	}
 	to := d.elsewhere(j, now)
@@ -690,7 +699,7 @@
 	if !was {
 		j.mayHave, j.ranZone, j.ranCell, j.firstRan = true, j.on.zone, j.on.cell, j.sentAt
 	}
-	e := d.pick(j.job, now, j.on, false)
+	e := d.pick(j.job, now, false)
 	j.mayHave, j.ranZone, j.ranCell, j.firstRan = was, zone, cell, first
 	return e
 }
@@ -724,7 +733,7 @@
 		}
 	}
 	d.givens = d.givens[:0]
-	if len(d.held)+len(d.heldLate) == 0 {
+	if len(d.held)+len(d.heldLate)+len(d.copies) == 0 {
 		for _, e := range d.slice {
 			if e.asked && e.queued {
 				e.asked = false
@@ -736,10 +745,10 @@
 		return
 	}
 	d.wants = false
-	for _, list := range [...][]*job{d.held, d.heldLate} {
+	for _, list := range [...][]*job{d.held, d.heldLate, d.copies} {
 		for _, j := range list[:min(len(list), len(d.slice))] {
 			if j.asked == nil || !j.asked.asked || j.asked.queued {
-				d.ask(j, d.pick(j, now, nil, true), now)
+				d.ask(j, d.pick(j, now, true), now)
 			}
 		}
 	}
@@ -764,6 +773,17 @@
 // unanswered finds the keepers that have not answered: the next node in line stands in, then none does.
 // Guards against nodes that die by the half.
 func (d *Dispatcher) unanswered(now time.Duration) {
+	for _, e := range d.met {
+		if e.probing && now-e.probed-d.stood >= d.shortestQuoted {
+			if e.probing = false; !e.mute {
+				d.notes = append(d.notes, fmt.Sprintf("%s held back until it answers a probe", e.id))
+			}
+			e.mute, d.stale = true, true
+			d.at(now+d.longestMean(), nil, nil)
+		} else if e.mute {
+			d.askLoad(e, now, d.longestMean())
+		}
+	}
 	for _, e := range d.slice {
 		if !e.asked || e.queued || now-e.askedAt < d.shortestQuoted/4 {
 			continue
@@ -964,6 +984,11 @@
 		d.words = d.words[1:]
 		return w
 	}
+	if len(d.toProbe) > 0 {
+		e := d.toProbe[0]
+		d.toProbe = d.toProbe[1:]
+		return Due{Task: Probe, Executor: e.id}
+	}
 	at := d.tick
 	if len(d.due) > 0 {
 		at = min(at, d.due[0].at)
@@ -981,9 +1006,13 @@
 	if d.stale {
 		d.reslice(now)
 	}
-	for _, list := range [...][]*job{d.held, d.heldLate} {
+	d.copies = slices.DeleteFunc(d.copies, func(j *job) bool {
+		j.copied = !j.over && len(j.out) == 1 && (!d.late(j, now) || j.track.late > 0)
+		return !j.copied
+	})
+	for _, list := range [...][]*job{d.held, d.heldLate, d.copies} {
 		for _, j := range list[:min(len(list), 2*len(d.slice))] {
-			if d.freed && d.pick(j, now, nil, false) != nil {
+			if d.freed && d.pick(j, now, false) != nil {
 				return j
 			}
 		}
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -58,10 +58,10 @@
 	}
 }
 
-// Reported tells what an executor says of its load: batch jobs held, those that wait, and places free.
-func (d *Dispatcher) Reported(id ExecutorID, held, waiting, free float64) {
-	e, places := d.byID[id], held-waiting+free
-	if e == nil || places < 0.5 {
+// Reported tells what an executor says of its load with an answer: batch jobs held, those that wait, and places free.
+func (d *Dispatcher) Reported(id ExecutorID, load Load) {
+	e, places := d.byID[id], load.Held-load.Waiting+load.Free
+	if e == nil || places < 0.5 || min(load.Held, load.Waiting, load.Free) < 0 {
 		return
 	}
 	k := d.kinds[e.kind]
@@ -233,3 +233,26 @@
 		d.at(max(at, now), nil, nil)
 	}
 }
+
+// Probed tells what came of a probe; load means something only where it was answered.
+func (d *Dispatcher) Probed(now time.Duration, id ExecutorID, answered bool, load Load) {
+	d.turn(now)
+	e := d.byID[id]
+	if e == nil {
+		return
+	}
+	e.probing = false
+	if answered {
+		d.stale, d.freed = d.stale || e.mute, true
+		e.told, e.says, e.news, e.mute = now, load, now, false
+	}
+}
+
+// askLoad has an executor asked for its load, unless it was within that span.
+func (d *Dispatcher) askLoad(e *executor, now, within time.Duration) {
+	if d.probes && !e.probing && (e.probed == 0 || now-e.probed >= within) {
+		e.probing, e.probed = true, now
+		d.toProbe = append(d.toProbe, e)
+		d.at(now+d.shortestQuoted, nil, nil)
+	}
+}
--- a/policy/setup.go
+++ b/policy/setup.go
@@ -11,7 +11,7 @@
 	d := &Dispatcher{
 		seed: s.Seed, node: NodeID(s.Node), nodes: s.Nodes, zone: s.Zone,
 		kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{}, jobs: map[JobID]*job{},
-		bySum: map[Sum]*executor{}, kept: map[Sum]*keep{}, mayTell: s.MayTell, mayCopy: s.MayCopy, marks: s.MarksAgain,
+		bySum: map[Sum]*executor{}, kept: map[Sum]*keep{}, mayTell: s.MayTell, mayCopy: s.MayCopy, probes: s.MayProbe, marks: s.MarksAgain,
 		perWork: s.EarnPerWork, overage: s.OverageEarnings, crossPrice: s.CrossZonePrice,
 		wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
--- a/policy/state.go
+++ b/policy/state.go
@@ -24,6 +24,7 @@
 	jobs        map[JobID]*job
 	held        []*job // in time still
 	heldLate    []*job // and not
+	copies      []*job // that want a second allocation
 	due         dueHeap
 	order       int
 	tick        time.Duration // when the interval ends
@@ -74,6 +75,8 @@
 
 	mayTell bool
 	mayCopy bool
+	probes  bool
+	toProbe []*executor
 	marks   bool
 	wants   bool              // a batch job may want to ask for a place
 	givens  []*executor       // where a place was given
@@ -160,6 +163,12 @@
 	fullWait     time.Duration
 	startedOther bool
 
+	probing bool          // a probe is out
+	mute    bool          // a probe went without answer, and none was answered since
+	probed  time.Duration // when the last one was sent
+	told    time.Duration // when the last was answered, with the load here
+	says    Load
+
 	keeper  NodeID
 	firstAt time.Duration // from then on the first keeper in line is asked again
 	alone   time.Duration // no keeper answers: done without until then
@@ -214,7 +223,7 @@
 	asked    *executor     // of whose keeper a place was asked for it
 
 	out      []*shot // its allocations that are out; a second one only where the settings allow it
-	copyDue  bool    // a second one is to be sent
+	copied   bool    // a second one is wanted
 	sent     int
 	mayHave  bool // an earlier allocation may have run
 	firstRan time.Duration
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -217,7 +217,7 @@
 		for i := range load {
 			load[i], _ = strconv.ParseFloat(words[1+i], 64)
 		}
-		p.d.Reported(ExecutorID(words[0]), load[0], load[1], load[2])
+		p.d.Reported(ExecutorID(words[0]), Load{Held: load[0], Waiting: load[1], Free: load[2], Memory: -1, Took: -1})
 	case "left":
 		p.d.Left(now, id)
 	case "closing":
--- a/policy/types.go
+++ b/policy/types.go
@@ -110,6 +110,7 @@
 	MayTell        bool          // nodes may send each other words
 	MayCopy        bool          // a repeatable batch job may have a second allocation out
 	MarksAgain     bool          // clients mark their repeats
+	MayProbe       bool          // executors answer probes with their load, and only those
 	MaxComeBack    time.Duration // 0: the client is not told when to come back
 	Quantum        time.Duration
 
@@ -134,6 +135,15 @@
 	Again  bool          // marked as a client's repeat, where clients mark them
 }
 
+// Load is what an executor says of itself. What it does not tell is under 0.
+type Load struct {
+	Held    float64       // batch jobs
+	Waiting float64       // those of them that wait
+	Free    float64       // places
+	Memory  float64       // free units of it
+	Took    time.Duration // running time of its last ones
+}
+
 // ListKind says what a list brings.
 type ListKind int
 
@@ -193,6 +203,7 @@
 	Subscribe             // ask for the list and its changes
 	Tell                  // say Due.Word of the executor of Due.Sum to Due.Node
 	Note                  // write Due.Text to the log
+	Probe                 // ask Due.Executor for its load
 )
 
 // Due is the answer to how long to wait.
@@ -204,6 +215,7 @@
 	Node       NodeID
 	Word       Word
 	Sum        Sum
+	Executor   ExecutorID
 	Text       string
 }
 
