--- a/policy/policy.go
+++ b/policy/policy.go
@@ -820,9 +820,12 @@
 		} else if !k.waits(from) {
 			k.late = append(k.late, from)
 		}
-		if d.lend(k, now); k.waits(from) {
+		if d.lend(k, k.quota, now); k.waits(from) {
 			k.dry = true
 			d.tell(now, from, Later, sum)
+			if e := d.bySum[sum]; e != nil {
+				d.askLoad(e, now, d.shortestQuoted)
+			}
 		}
 	case Never:
 		k := d.keepOf(sum)
@@ -835,16 +838,17 @@
 			k.lateStarts++
 		}
 		k.back(from)
-		d.lend(k, now)
+		d.lend(k, k.quota, now)
 	}
 }
 
 // lend gives free places to the nodes that have waited longest. A place that does not come back within two
 // intervals is free again: its node is dead or its word was lost.
-func (d *Dispatcher) lend(k *keep, now time.Duration) {
+func (d *Dispatcher) lend(k *keep, most int, now time.Duration) {
 	k.lent = slices.DeleteFunc(k.lent, func(l lease) bool { return l.until <= now })
-	for len(k.queue)+len(k.late) > 0 && len(k.lent) < k.quota {
+	for len(k.queue)+len(k.late) > 0 && len(k.lent) < most {
 		to := k.first()
+		k.lentAt = now
 		k.lent = append(k.lent, lease{to, now + 2*d.interval})
 		d.tell(now, to, Lend, k.sum)
 	}
@@ -862,7 +866,7 @@
 			k.quota++
 		}
 		k.lateStarts, k.backs, k.dry = 0, 0, len(k.queue) > 0
-		d.lend(k, now)
+		d.lend(k, k.quota, now)
 	}
 	for _, e := range d.met {
 		e.asked = e.asked && now-e.askedAt <= d.interval
--- a/policy/state.go
+++ b/policy/state.go
@@ -190,6 +190,7 @@
 	lateStarts int      // those of them where the batch job had to wait at the executor
 	dry        bool     // somebody waited
 	rest       int      // intervals before the quota may rise
+	lentAt     time.Duration
 }
 
 type lease struct {
