Cut or without a connection an executor is passed over until a probe is answered

Now such an outcome has the executor asked at once where probes are allowed, and a silent one is asked more rarely the longer it is silent.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,29 +32,30 @@
 
 // The matters that the design leaves open, as plain ratios.
 const (
-	theta       = 0.3  // worker-side share of queuing above which the executor's queue is to blame
-	heldEmpty   = 0.5  // over this r, what waits here counts as an empty held queue at the tail
-	slackTarget = 0.5  // slowdown target: this part of the slack in the quoted time spent queuing
-	firstQuota  = 2    // the design's start
-	quotaCap    = 8    // the design's finite cap
-	intervals   = 0.4  // the interval, as a part of the shortest outer limit
-	lateWait    = 0.5  // part of the outer limit that a late batch job is held
-	lateSharers = 2    // nodes that send an executor their late batch jobs
-	manyNodes   = 6    // from so many on a node uses a part of the executors
-	sharers     = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
-	leastSlice  = 2    // executors of each zone side and bound kind in a slice at least; twice with keepers
-	fullZone    = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
-	fullWait    = 2.0  // and elsewhere: what starts take there, in shortest quoted times
-	smallChange = 0.1  // part of a batch job's value that the price of moving it may be
-	fade        = 0.85 // weight that an older observation keeps when a new one comes
-	crawl       = 2.0  // times the usual pace from which an executor counts as crawling
-	margin      = 1.1  // what a prediction leaves over for a hinted batch job
-	hintMargin  = 1.25 // and for one without a hint, and for work sent to a cold executor
-	lateTimes   = 5.0  // times its foretold running time from which one without a start notice had to wait
-	fewLate     = 0.1  // part of starts that may be late where a keeper lends one place more
-	restAfter   = 4    // intervals that a keeper leaves a lowered quota
-	mostCurt    = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
-	fewCame     = 2.0  // batch jobs of a tenant by which chance may bring it over its part here
+	theta        = 0.3  // worker-side share of queuing above which the executor's queue is to blame
+	heldEmpty    = 0.5  // over this r, what waits here counts as an empty held queue at the tail
+	slackTarget  = 0.5  // slowdown target: this part of the slack in the quoted time spent queuing
+	firstQuota   = 2    // the design's start
+	quotaCap     = 8    // the design's finite cap
+	intervals    = 0.4  // the interval, as a part of the shortest outer limit
+	lateWait     = 0.5  // part of the outer limit that a late batch job is held
+	lateSharers  = 2    // nodes that send an executor their late batch jobs
+	manyNodes    = 6    // from so many on a node uses a part of the executors
+	sharers      = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
+	leastSlice   = 2    // executors of each zone side and bound kind in a slice at least; twice with keepers
+	fullZone     = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
+	fullWait     = 2.0  // and elsewhere: what starts take there, in shortest quoted times
+	smallChange  = 0.1  // part of a batch job's value that the price of moving it may be
+	fade         = 0.85 // weight that an older observation keeps when a new one comes
+	crawl        = 2.0  // times the usual pace from which an executor counts as crawling
+	margin       = 1.1  // what a prediction leaves over for a hinted batch job
+	hintMargin   = 1.25 // and for one without a hint, and for work sent to a cold executor
+	lateTimes    = 5.0  // times its foretold running time from which one without a start notice had to wait
+	fewLate      = 0.1  // part of starts that may be late where a keeper lends one place more
+	mostSilences = 8    //
+	restAfter    = 4    // intervals that a keeper leaves a lowered quota
+	mostCurt     = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
+	fewCame      = 2.0  // batch jobs of a tenant by which chance may bring it over its part here
 )
 
 // many says whether the nodes are so many that one can't use all executors: then it uses a part of them.
@@ -591,6 +592,10 @@
 			e.fullMany = e.fullMany || e.full && e.fullFrom != j.tenantID
 			e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
 		}
+		if d.probes && (how == NoRoute || how == Cut) {
+			e.mute, d.stale = true, true // until it answers
+			d.askLoad(e, now, 0)
+		}
 		// One may be the network's or the batch job's; a second, with no sign of life between, is the executor's.
 		if how == Errored || e.broke && (how != NoRoom || j.tenant == nil || e.fullMany) {
 			d.holdBack(e, now, "after an outcome that was no result")
@@ -778,10 +783,10 @@
 			if e.probing = false; !e.mute {
 				d.notes = append(d.notes, fmt.Sprintf("%s held back until it answers a probe", e.id))
 			}
-			e.mute, d.stale = true, true
-			d.at(now+d.longestMean(), nil, nil)
+			e.mute, d.stale, e.silences = true, true, min(e.silences+1, mostSilences)
+			d.at(now+d.longestMean()*time.Duration(e.silences), nil, nil)
 		} else if e.mute {
-			d.askLoad(e, now, d.longestMean())
+			d.askLoad(e, now, d.longestMean()*time.Duration(e.silences))
 		}
 	}
 	for _, e := range d.slice {
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -244,7 +244,7 @@
 	e.probing = false
 	if answered {
 		d.stale, d.freed = d.stale || e.mute, true
-		e.told, e.says, e.news, e.mute = now, load, now, false
+		e.told, e.says, e.news, e.mute, e.silences = now, load, now, false, 0
 		if k := d.kept[e.sum]; k != nil && load.Free >= 0.5 && now-k.lentAt >= d.shortestQuoted {
 			d.lend(k, len(k.lent)+1, now)
 		}
