A zone counts as full by the part of allocations that don't start at once, moves among them

A tap shows seven executors of 32 with under 2 of 7 places in use while others hold twice theirs, and 25,206 allocations called off before their start: zoneLoads came from the waits of starts only (queued()), and quick moves cut those short, so a full zone never showed and too few batch jobs crossed.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	sharers      = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
 	leastSlice   = 2    // executors of each zone side and bound kind in a slice at least; twice with keepers
 	fullZone     = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
+	fullPart     = 0.3  // part of allocations that do not start at once from which a zone counts as full
 	fullWait     = 2.0  // and elsewhere: what starts take there, in shortest quoted times
 	smallChange  = 0.1  // part of a batch job's value that the price of moving it may be
 	fade         = 0.85 // weight that an older observation keeps when a new one comes
@@ -608,6 +609,9 @@
 			begun = j.startedAt
 		} else {
 			d.giveBack(e, now, true)
+			if d.tellsStart {
+				d.zoneWait(e, d.took(j))
+			}
 		}
 		d.at(max(now, begun+est), nil, e)
 		return
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -92,18 +92,28 @@
 	wait = max(0, wait-d.quantum)
 	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
 	e.workerWait += wait
-	if !d.liveWeights {
-		load := &d.homeLoad
-		if d.abroad(e) > 0 {
-			load = &d.awayLoad
-		}
-		*load += (wait.Seconds()/d.shortestQuoted.Seconds()/fullWait - *load) * 0.1
-	}
+	d.zoneWait(e, wait)
 	if s.sentAt-s.heldAt+wait > times(s.quotedAt-s.came-s.work, slackTarget) {
 		e.slow = true
 	}
 }
 
+// zoneWait books how full a start that took so long shows a zone.
+func (d *Dispatcher) zoneWait(e *executor, wait time.Duration) {
+	if d.liveWeights {
+		return
+	}
+	load := &d.homeLoad
+	if d.abroad(e) > 0 {
+		load = &d.awayLoad
+	}
+	if d.tellsStart {
+		*load += (flag(wait > d.lookAfter)/fullPart - *load) * 0.1
+	} else {
+		*load += (wait.Seconds()/d.shortestQuoted.Seconds()/fullWait - *load) * 0.1
+	}
+}
+
 // asked books what a batch job that came is worth; first: it is not a repeat by the client.
 func (d *Dispatcher) asked(j *job, first bool) {
 	e := d.earnings(j)
