--- a/policy/policy.go
+++ b/policy/policy.go
@@ -871,10 +871,10 @@
 		case r > theta && k.quota > 1:
 			k.quota--
 			k.rest = restAfter
-		case r < fewLate && k.dry && k.quota < quotaCap && k.rest <= 0:
+		case r < fewLate && k.dry && k.quota < quotaCap && k.rest <= 0 && (!d.probes || k.more):
 			k.quota++
 		}
-		k.lateStarts, k.backs, k.dry = 0, 0, len(k.queue) > 0
+		k.lateStarts, k.backs, k.dry, k.more = 0, 0, len(k.queue) > 0, false
 		d.lend(k, k.quota, now)
 	}
 	for _, e := range d.met {
--- a/policy/state.go
+++ b/policy/state.go
@@ -191,6 +191,7 @@
 	dry        bool     // somebody waited
 	rest       int      // intervals before the quota may rise
 	lentAt     time.Duration
+	more       bool // this interval: a probe showed a free place while all were lent
 }
 
 type lease struct {
