--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	lateSharers  = 2    // nodes that send an executor their late batch jobs
 	manyNodes    = 6    // from so many on a node uses a part of the executors
 	sharers      = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
-	leastSlice   = 2    // executors of each zone side and bound kind in a slice at least; twice with keepers
+	leastSlice   = 2    // executors of each zone side and bound kind in a slice at least; three times with keepers
 	fullZone     = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
 	fullPart     = 0.3  // part of allocations that do not start at once from which a zone counts as full
 	fullWait     = 2.0  // and elsewhere: what starts take there, in shortest quoted times
@@ -145,7 +145,7 @@
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
 		if d.mayTell {
-			size = max(size, 2*leastSlice)
+			size = max(size, 3*leastSlice)
 		}
 	}
 	d.slice = d.slice[:0]
