--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,6 +55,7 @@
 	fewLate      = 0.1  // part of starts that may be late where a keeper lends one place more
 	mostSilences = 8    //
 	restAfter    = 4    // intervals that a keeper leaves a lowered quota
+	needStep     = 0.05 // by which a try that was too short teaches
 	mostCurt     = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
 	fewCame      = 2.0  // batch jobs of a tenant by which chance may bring it over its part here
 )
@@ -362,7 +363,7 @@
 func (d *Dispatcher) Arrived(now time.Duration, in Arrival) {
 	d.turn(now)
 	t := d.tracks[min(max(0, int(in.Track)), len(d.tracks)-1)]
-	j := &job{id: in.Job, track: t, tenantID: in.Tenant, work: in.Work, hinted: in.Work > 0, margin: margin, came: now,
+	j := &job{id: in.Job, track: t, tenantID: in.Tenant, work: in.Work, hinted: in.Work > 0, margin: margin, need: 1, came: now,
 		limitAt: now + in.Budget, spread: d.chance()}
 	if !j.hinted {
 		j.work, j.margin = t.meanWork, hintMargin
@@ -381,8 +382,12 @@
 		j.tenant.curt = j.tenant.curt*fade + flag(t.fullBudget-in.Budget > d.gap)*(1-fade)
 	}
 	curt := d.marks && (!in.Again && t.fullBudget-in.Budget > d.gap || j.tenant != nil && j.tenant.curt > mostCurt)
-	if short && !curt {
+	switch {
+	case short && !curt:
 		spent = max(0, t.outerLimit-in.Budget)
+	case short && j.tenant != nil && in.Budget < t.outerLimit/2:
+		j.curt, j.need = true, 1+j.tenant.need
+		j.margin = max(j.margin, j.need)
 	}
 	j.quotedAt = min(now-spent+min(t.quoted+times(j.work, t.stretch), t.outerLimit), j.limitAt)
 	d.closeBy(j)
@@ -442,6 +447,7 @@
 		return d.giveUp(j)
 	}
 	best := d.bestPace(j, now)
+	best *= j.need
 	lastStart := j.quotedAt - times(j.work, best)
 	if j.track.late > 0 {
 		// Not to the outer limit: who has waited half of it with nothing out is told to come back instead.
@@ -603,6 +609,9 @@
 		}
 		e.broke = true
 	case TooSlow, CalledOff:
+		if j.curt && how == TooSlow {
+			j.tenant.need = min(j.tenant.need+4*needStep, 1.5)
+		}
 		// The executor may still be on it: the token stays taken until the work would be over.
 		begun := now
 		if j.running {
@@ -621,6 +630,9 @@
 
 func (d *Dispatcher) handled(j *shot, e *executor, now time.Duration) {
 	e.alive(now)
+	if j.curt {
+		j.tenant.need = max(j.tenant.need-needStep, 0)
+	}
 	if now <= j.quotedAt {
 		j.track.given += d.earnings(j.job)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -111,6 +111,7 @@
 	rate float64
 	over float64 // its part of this node's traffic against its part of all quotas, scaled by the load
 	came int
+	need float64 // times its foretold running time, over one, that a try of its impatient clients is to have
 	curt float64 // part of its marked first tries that came with less than the full budget
 }
 
@@ -212,6 +213,8 @@
 	tenantID TenantID
 	work     time.Duration
 	hinted   bool
+	curt     bool    // its client waits for less than the outer limit leaves
+	need     float64 // what its last start must leave over
 	margin   float64 // what a prediction for it must leave over
 	came     time.Duration
 	quotedAt time.Duration
