--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	lateSharers  = 2    // nodes that send an executor their late batch jobs
 	manyNodes    = 6    // from so many on a node uses a part of the executors
 	sharers      = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
-	leastSlice   = 2    // executors of each zone side and bound kind in a slice at least; three times with keepers
+	leastSlice   = 2    // executors of each zone side and bound kind in a slice at least; with keepers thrice
 	fullZone     = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
 	fullPart     = 0.3  // part of allocations that do not start at once from which a zone counts as full
 	fullWait     = 2.0  // and elsewhere: what starts take there, in shortest quoted times
@@ -53,7 +53,7 @@
 	hintMargin   = 1.25 // and for one without a hint, and for work sent to a cold executor
 	lateTimes    = 5.0  // times its foretold running time from which one without a start notice had to wait
 	fewLate      = 0.1  // part of starts that may be late where a keeper lends one place more
-	mostSilences = 8    //
+	mostSilences = 8    // times the usual span at most until a silent executor is probed again
 	restAfter    = 4    // intervals that a keeper leaves a lowered quota
 	needStep     = 0.05 // by which a try that was too short teaches
 	mostCurt     = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
@@ -310,17 +310,15 @@
 	if j.track.kind != AnyKind && j.track.kind != e.kind {
 		return false
 	}
-	group := !j.mayHave || j.track.repeat == Repeatable || j.track.group == GroupAll ||
-		j.track.group == GroupZone && e.zone == j.ranZone || j.track.group == GroupCell && e.cell == j.ranCell
+	group := j.ran == nil || j.track.repeat == Repeatable || j.track.group == GroupAll ||
+		j.track.group == GroupZone && e.zone == j.ran.zone || j.track.group == GroupCell && e.cell == j.ran.cell
 	return group && d.mayRepeat(j, now)
 }
 
 // mayRepeat is rule 2 for a further allocation.
 func (d *Dispatcher) mayRepeat(j *job, now time.Duration) bool {
-	if !j.mayHave || j.track.repeat == Repeatable {
-		return true
-	}
-	return j.track.repeat == Tagged && now < j.firstRan+j.track.groupWindow-d.quantum
+	return j.ran == nil || j.track.repeat == Repeatable ||
+		j.track.repeat == Tagged && now < j.ran.sentAt+j.track.groupWindow-d.quantum
 }
 
 func (d *Dispatcher) late(j *job, now time.Duration) bool { return j.quotedAt < now+j.work/2 }
@@ -363,8 +361,8 @@
 func (d *Dispatcher) Arrived(now time.Duration, in Arrival) {
 	d.turn(now)
 	t := d.tracks[min(max(0, int(in.Track)), len(d.tracks)-1)]
-	j := &job{id: in.Job, track: t, tenantID: in.Tenant, work: in.Work, hinted: in.Work > 0, margin: margin, need: 1, came: now,
-		limitAt: now + in.Budget, spread: d.chance()}
+	j := &job{id: in.Job, track: t, tenantID: in.Tenant, work: in.Work, hinted: in.Work > 0, margin: margin,
+		need: 1, came: now, limitAt: now + in.Budget, spread: d.chance()}
 	if !j.hinted {
 		j.work, j.margin = t.meanWork, hintMargin
 	} else {
@@ -374,18 +372,20 @@
 		j.tenant = &d.tenants[in.Tenant]
 		j.tenant.came++
 	}
-	// A try with less than the full budget is a repeat: its quoted time began with the first try.
+	// What a budget lacks was spent before: by tries until this one, or while this node stood still. But no budget
+	// tells what is spent where clients mark their repeats and first tries lack much as well: those clients lose
+	// patience early, and a try that can't be done by then is not to be sent.
 	t.fullBudget = max(t.fullBudget, in.Budget)
-	spent, short := time.Duration(0), in.Budget < t.fullBudget-d.quantum
-	if d.marks && !in.Again && j.tenant != nil {
-		// Clients that lose patience early and come again at once: then no budget tells what is spent.
-		j.tenant.curt = j.tenant.curt*fade + flag(t.fullBudget-in.Budget > d.gap)*(1-fade)
+	lacks, spent := t.fullBudget-in.Budget, time.Duration(0)
+	curt := d.marks && !in.Again && lacks > d.gap
+	if d.marks && j.tenant != nil {
+		curt = d.firstTries(j.tenant, in.Again, curt) > mostCurt || curt
 	}
-	curt := d.marks && (!in.Again && t.fullBudget-in.Budget > d.gap || j.tenant != nil && j.tenant.curt > mostCurt)
 	switch {
-	case short && !curt:
+	case lacks <= d.quantum:
+	case !curt:
 		spent = max(0, t.outerLimit-in.Budget)
-	case short && j.tenant != nil && in.Budget < t.outerLimit/2:
+	case j.tenant != nil && in.Budget < t.outerLimit/2:
 		j.curt, j.need = true, 1+j.tenant.need
 		j.margin = max(j.margin, j.need)
 	}
@@ -446,8 +446,7 @@
 	if now >= j.limitAt-d.quantum || j.sent >= j.track.allocations || !d.mayRepeat(j, now) {
 		return d.giveUp(j)
 	}
-	best := d.bestPace(j, now)
-	best *= j.need
+	best := d.bestPace(j, now) * j.need
 	lastStart := j.quotedAt - times(j.work, best)
 	if j.track.late > 0 {
 		// Not to the outer limit: who has waited half of it with nothing out is told to come back instead.
@@ -474,7 +473,7 @@
 // giveUp answers at once. A pushback says that nothing happened or that trying again is harmless: rule 2.
 func (d *Dispatcher) giveUp(j *job) Decision {
 	d.forget(j)
-	if !j.mayHave || j.track.repeat == Repeatable || j.track.repeat == Tagged && j.track.group == GroupAll {
+	if j.ran == nil || j.track.repeat == Repeatable || j.track.repeat == Tagged && j.track.group == GroupAll {
 		return Decision{Act: PushBack, ComeBack: d.comeBack}
 	}
 	return Decision{Act: BreakOff}
@@ -482,7 +481,7 @@
 
 // candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
 func (d *Dispatcher) candidates(j *job) []*executor {
-	if j.mayHave && j.track.repeat == Tagged && j.track.group != GroupAll {
+	if j.ran != nil && j.track.repeat == Tagged && j.track.group != GroupAll {
 		return d.ranked
 	}
 	return d.slice
@@ -510,7 +509,8 @@
 		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
 			continue
 		}
-		if len(j.out) > 0 && j.out[0].on == e || best != nil && side > bestSide || !d.cleared(e, now, asking) || !d.open(e, j, now) {
+		taken := len(j.out) > 0 && j.out[0].on == e || best != nil && side > bestSide
+		if taken || !d.cleared(e, now, asking) || !d.open(e, j, now) {
 			continue
 		}
 		pace := d.pace(e, now)
@@ -541,7 +541,7 @@
 	if len(e.out) == 0 {
 		e.news = now
 	}
-	s := &shot{job: j, n: AllocationID(j.sent), on: e, sentAt: now}
+	s := &shot{job: j, n: AllocationID(j.sent), on: e, zone: e.zone, cell: e.cell, sentAt: now}
 	d.take(e, s)
 	if now < e.coldUntil {
 		e.colds = append(e.colds, spend{now, j.coldWork()})
@@ -569,8 +569,8 @@
 		d.end(j, now)
 		return Decision{}
 	}
-	if !how.NeverRan() && !j.mayHave {
-		j.mayHave, j.firstRan, j.ranZone, j.ranCell = true, s.sentAt, s.on.zone, s.on.cell
+	if !how.NeverRan() && j.ran == nil {
+		j.ran = s
 	}
 	if len(j.out) > 0 { // the other one goes on
 		return Decision{}
@@ -689,14 +689,15 @@
 		pace = d.pace(e, now)
 	}
 	crawls := (e.held > now || j.lost || pace >= crawl*usual) && left < 0 || e.mute
-	if (e.mute || !j.running && d.tellsStart) && j.track.repeat == Repeatable && j.track.late == 0 && now > j.quotedAt-times(j.work, pace) {
-		return true
+	begun, repeatable := j.running || !d.tellsStart, j.track.repeat == Repeatable
+	if repeatable && (e.mute || !begun) && j.track.late == 0 && now > j.quotedAt-times(j.work, pace) {
+		return true // it can earn nothing more
 	}
-	if j.sent >= j.track.allocations || (j.running || !d.tellsStart) && !crawls {
+	if j.sent >= j.track.allocations || len(j.job.out) > 1 || begun && !crawls {
 		return false
 	}
-	if d.mayCopy && j.track.repeat == Repeatable && (j.running || !d.tellsStart) {
-		if !j.copied && len(j.job.out) == 1 && (!d.late(j.job, now) || j.track.late > 0) {
+	if begun && repeatable && d.mayCopy {
+		if d.wantsCopy(j.job, now) && !j.copied {
 			j.copied, d.freed, d.wants = true, true, true
 			d.copies = append(d.copies, j.job)
 		}
@@ -714,15 +715,18 @@
 	return left > 2*times(j.work, d.pace(to, now))
 }
 
+// wantsCopy says whether a second allocation of j may still earn something.
+func (d *Dispatcher) wantsCopy(j *job, now time.Duration) bool {
+	return !j.over && len(j.out) == 1 && now < j.limitAt-d.quantum && (!d.late(j, now) || j.track.late > 0)
+}
+
 // elsewhere is the executor that j would go to if it were stopped now, as one that may have run.
 func (d *Dispatcher) elsewhere(j *shot, now time.Duration) *executor {
-	was, zone, cell, first := j.mayHave, j.ranZone, j.ranCell, j.firstRan
-	if !was {
-		j.mayHave, j.ranZone, j.ranCell, j.firstRan = true, j.on.zone, j.on.cell, j.sentAt
+	if j.ran == nil {
+		j.ran = j
+		defer func() { j.ran = nil }()
 	}
-	e := d.pick(j.job, now, false)
-	j.mayHave, j.ranZone, j.ranCell, j.firstRan = was, zone, cell, first
-	return e
+	return d.pick(j.job, now, false)
 }
 
 // ---- Keepers ----
@@ -1009,11 +1013,6 @@
 		d.words = d.words[1:]
 		return w
 	}
-	if len(d.toProbe) > 0 {
-		e := d.toProbe[0]
-		d.toProbe = d.toProbe[1:]
-		return Due{Task: Probe, Executor: e.id}
-	}
 	at := d.tick
 	if len(d.due) > 0 {
 		at = min(at, d.due[0].at)
@@ -1032,7 +1031,7 @@
 		d.reslice(now)
 	}
 	d.copies = slices.DeleteFunc(d.copies, func(j *job) bool {
-		j.copied = !j.over && len(j.out) == 1 && (!d.late(j, now) || j.track.late > 0)
+		j.copied = d.wantsCopy(j, now)
 		return !j.copied
 	})
 	for _, list := range [...][]*job{d.held, d.heldLate, d.copies} {
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -114,6 +114,14 @@
 	}
 }
 
+// firstTries books whether a tenant's first try lacked budget, and gives the part of them that do.
+func (d *Dispatcher) firstTries(t *tenant, again, lacks bool) float64 {
+	if !again {
+		t.curt = t.curt*fade + flag(lacks)*(1-fade)
+	}
+	return t.curt
+}
+
 // asked books what a batch job that came is worth; first: it is not a repeat by the client.
 func (d *Dispatcher) asked(j *job, first bool) {
 	e := d.earnings(j)
@@ -266,7 +274,7 @@
 func (d *Dispatcher) askLoad(e *executor, now, within time.Duration) {
 	if d.probes && !e.probing && (e.probed == 0 || now-e.probed >= within) {
 		e.probing, e.probed = true, now
-		d.toProbe = append(d.toProbe, e)
+		d.words = append(d.words, Due{Task: Probe, Executor: e.id})
 		d.at(now+d.shortestQuoted, nil, nil)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,14 +76,13 @@
 	mayTell bool
 	mayCopy bool
 	probes  bool
-	toProbe []*executor
 	marks   bool
 	wants   bool              // a batch job may want to ask for a place
 	givens  []*executor       // where a place was given
 	bySum   map[Sum]*executor // by the id that nodes use among each other
 	kept    map[Sum]*keep     // what this node keeps for all
 	keeps   []*keep
-	words   []Due // to be said
+	words   []Due // to be said, probes among them
 }
 
 // track holds a track's derived figures and running averages.
@@ -227,14 +226,11 @@
 	over     bool          // the client has its answer or has left
 	asked    *executor     // of whose keeper a place was asked for it
 
-	out      []*shot // its allocations that are out; a second one only where the settings allow it
-	copied   bool    // a second one is wanted
-	sent     int
-	mayHave  bool // an earlier allocation may have run
-	firstRan time.Duration
-	ranZone  ZoneID
-	ranCell  CellID
-	turn     int // guards due times that are no longer wanted
+	out    []*shot // its allocations that are out; a second one only where the settings allow it
+	copied bool    // a second one is wanted
+	sent   int
+	ran    *shot // the first of those over that may have run
+	turn   int   // guards due times that are no longer wanted
 }
 
 // shot is one allocation of a batch job, from its sending to its outcome.
@@ -242,6 +238,8 @@
 	*job
 	n           AllocationID
 	on          *executor
+	zone        ZoneID
+	cell        CellID
 	sentAt      time.Duration
 	startedAt   time.Duration
 	running     bool
