--- a/policy/books.go
+++ b/policy/books.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
 	"math"
 	"slices"
@@ -30,6 +31,11 @@
 	return float64(crc32.ChecksumIEEE(b[:])) / math.MaxUint32
 }
 
+// note writes a line to the log.
+func (d *Dispatcher) note(format string, args ...any) {
+	d.words = append(d.words, Due{Task: Note, Text: fmt.Sprintf(format, args...)})
+}
+
 // at notes a due time of a batch job, of a token that is to come free, or of neither: a look at everything.
 func (d *Dispatcher) at(at time.Duration, j *job, token *executor) {
 	d.order++
@@ -73,9 +79,16 @@
 	d.ranked = slices.Insert(d.ranked, i, e)
 }
 
-// dropGone drops executors that are gone, once nothing of ours is there: machines that are replaced come
-// under new ids.
-func (d *Dispatcher) dropGone() {
+// dropGone drops executors that are gone, those that a whole list does not name among them, once nothing of ours is
+// there: machines that are replaced come under new ids.
+func (d *Dispatcher) dropGone(whole bool) {
+	if whole {
+		for _, e := range d.ranked {
+			if e.listed != d.lists {
+				e.up, e.gone, d.anyGone = false, true, true
+			}
+		}
+	}
 	if !d.anyGone {
 		return
 	}
@@ -245,10 +258,29 @@
 	return k
 }
 
+// wait puts a node into the queue, or into that of those with late batch jobs.
+func (k *keep) wait(n NodeID, late bool) {
+	if k.waits(n) {
+		return
+	}
+	list := &k.queue
+	if late {
+		list = &k.late
+	}
+	*list = append(*list, n)
+}
+
+func (k *keep) leave(n NodeID) {
+	is := func(o NodeID) bool { return o == n }
+	k.queue, k.late = slices.DeleteFunc(k.queue, is), slices.DeleteFunc(k.late, is)
+}
+
 func (k *keep) waits(n NodeID) bool { return slices.Contains(k.queue, n) || slices.Contains(k.late, n) }
 
-// back takes a place back; one that has been given up for lost is passed over.
-func (k *keep) back(from NodeID) {
+// back takes a place back; one that has been given up for lost is passed over. Late: the batch job had to wait there.
+func (k *keep) back(from NodeID, late bool) {
+	k.backs++
+	k.lateStarts += int(flag(late))
 	if i := slices.IndexFunc(k.lent, func(l lease) bool { return l.to == from }); i >= 0 {
 		k.lent = slices.Delete(k.lent, i, i+1)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,21 +1,22 @@
 // Package policy decides for one node which executor gets which batch job, and when.
 //
-// How it is called: the front tells what it sees (Listed, Arrived, Started, Progressed, Reported, Heard,
-// Left, Closing) and asks three things: Place (where to send this batch job, or not yet, or never), Ended
-// (what to do after this outcome) and Wait (how long to wait, or what has fallen due). Plain values come
-// back; their types, the interface's other half, stand in types.go. Times are spans since the start.
-// What is kept in mind stands in state.go, its upkeep in books.go and seen.go, the start in setup.go.
+// The front tells what it sees (Listed, Arrived, Started, Progressed, Reported, Probed, Heard, Left, Closing)
+// and asks three things: Place (where to send this batch job, or not yet, or never), Ended (what to do after
+// this outcome) and Wait (how long to wait, or what has fallen due). Plain values come back; their types
+// stand in types.go. Times are spans since the start. What is kept in mind stands in state.go, its upkeep in
+// books.go and seen.go, the start in setup.go.
 //
 // The design decides the ordinary path: batch jobs are held until an executor has a free token under its
-// quota, they take the oldest free token of their slice, and quotas move by single steps. Beside it stand
-// six mechanisms, each the answer to a way in which that breaks:
+// quota, they take the oldest free token of their slice, and quotas move by single steps. Beside it stand six
+// mechanisms, each the answer to a way in which that breaks:
 //  1. cold cap: a fresh executor has a cap in flight that grows with its answers, and a budget of work that a
 //     few nodes carry for all.
-//  2. hold-back: errors, breaks and silence hold an executor's tokens back; it returns under a cap of one.
+//  2. hold-back: errors, breaks and silence hold an executor's tokens back, until it answers a probe where it
+//     may be probed; it returns under a cap of one.
 //  3. pace: a token is passed over where what is seen of its executor can't meet the quoted time, and ages
 //     the slower the less the executor can take.
 //  4. move: an allocation that does not start, or crawls, is stopped and sent elsewhere where rule 2 allows;
-//     its token stays taken until its work would be over.
+//     its token stays taken until its work would be over. With copies it goes on beside the other.
 //  5. early pushback: a batch job that can earn nothing more gets its final answer at once.
 //  6. keepers: where many nodes may talk, one of them keeps an executor's places for all and lends them.
 package policy
@@ -65,8 +66,8 @@
 
 // ---- The list ----
 
-// spreadAsks lets many nodes ask one after another: the list's service doesn't grow with them, and calls that
-// wait too long there fail. Until then the copy at hand serves; the last asks while that still counts.
+// spreadAsks lets many nodes ask one after another: the list's service doesn't grow with them. Until then the
+// copy at hand serves; the last asks while that still counts.
 func (d *Dispatcher) spreadAsks(within time.Duration) {
 	d.askEvery = within / 8
 	if d.many() {
@@ -88,14 +89,7 @@
 	for _, n := range entries {
 		d.listed(now, n)
 	}
-	if what != Changes {
-		for _, e := range d.ranked {
-			if e.listed != d.lists {
-				e.up, e.gone, d.anyGone = false, true, true
-			}
-		}
-	}
-	d.dropGone()
+	d.dropGone(what != Changes)
 	d.stale, d.freed = true, true
 	d.zoneLoads(now)
 }
@@ -115,33 +109,27 @@
 	d.knowKind(n.Kind, max(n.Weight, 1e-3))
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
 	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
-	e.up, e.gone, e.weight = n.State == Up, n.State == Gone, max(n.Weight, 1e-3)
+	e.up, e.gone = n.State == Up, n.State == Gone
 	d.anyGone = d.anyGone || e.gone
-	if d.liveWeights {
-		// Live weights are the size over one and the batch jobs held a core; an idle one shows its size.
-		e.size = max(e.size, e.weight)
-		e.load = e.size/e.weight - 1
+	d.weigh(e, max(n.Weight, 1e-3))
+	if !restarted {
+		return
 	}
-	k := d.kinds[e.kind]
-	k.size += (max(e.size, e.weight) - k.size) * (1 - fade)
-	if restarted {
-		e.started = n.Started
-		if until := n.Started + d.warmWithin; until > now {
-			// A fresh executor can do part of its work only, and what we knew of it no longer holds.
-			if e.carried && now >= e.coldUntil {
-				d.cold = append(d.cold, e)
-			}
-			e.coldUntil, e.inCap, e.held, e.startWait, e.colds = until, 1, 0, 0, e.colds[:0]
+	e.started = n.Started
+	if until := n.Started + d.warmWithin; until > now {
+		// A fresh executor can do part of its work only, and what we knew of it no longer holds.
+		if e.carried && now >= e.coldUntil {
+			d.cold = append(d.cold, e)
 		}
+		e.coldUntil, e.inCap, e.held, e.startWait, e.colds = until, 1, 0, 0, e.colds[:0]
 	}
 }
 
 // reslice picks the executors that this node uses: where it can't use all, those that rank highest, in its
-// own zone and beyond it, for each bound kind. One that is lost or held back makes room for the next in rank.
-// Guards against many nodes, whose least quotas add up to a jam, and against nodes that no executor picks.
+// own zone and beyond it, for each bound kind. Guards against many nodes, whose least quotas add up to a jam.
 func (d *Dispatcher) reslice(now time.Duration) {
-	d.stale = false
 	size := len(d.ranked)
+	d.stale = false
 	d.lateSlice = max(1, (lateSharers*size+d.nodes-1)/d.nodes)
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
@@ -154,7 +142,6 @@
 	d.cold = slices.DeleteFunc(d.cold, func(e *executor) bool { return e.gone || now >= e.coldUntil })
 	for _, e := range d.cold {
 		if d.usable(e, now) {
-			d.slice = append(d.slice, e)
 			d.grant(e, now)
 		}
 	}
@@ -176,15 +163,15 @@
 			}
 		}
 		if near {
-			d.slice = append(d.slice, e)
 			d.grant(e, now)
 		}
 	}
 }
 
-// grant gives an executor its first tokens: its slice's mean quota, or the design's start. Their ages are
-// strewn so that nodes don't start on the same one.
+// grant takes an executor into the slice and gives it its first tokens: its slice's mean quota, or the
+// design's start. Their ages are strewn so that nodes don't start on the same one.
 func (d *Dispatcher) grant(e *executor, now time.Duration) {
+	d.slice = append(d.slice, e)
 	if e.quota > 0 {
 		return
 	}
@@ -268,9 +255,8 @@
 		(now >= e.coldUntil || d.withinCold(e, j, now))
 }
 
-// shareCold derives this node's part of the cold budget. Divided among all of many nodes it would be less
-// than a batch job and nobody would warm the executor: so the same few carry it all, as many as could each
-// send something to one place of it.
+// shareCold derives this node's part of the cold budget. Divided among many nodes it would be less than a
+// batch job: so the same few carry it all, as many as could each send something to one place of it.
 func (d *Dispatcher) shareCold(multiple float64) {
 	d.carriers = int(multiple * d.coldShare * d.fallWindow.Seconds() / d.shortestQuoted.Seconds())
 	d.carriers = max(1, min(d.carriers, d.nodes))
@@ -293,8 +279,8 @@
 	return j.coldWork().Seconds() <= budget
 }
 
-// coldWork is what j counts for at a cold executor: more than it is thought to be, and without a hint the more so the
-// fewer of its track are known.
+// coldWork is what j counts for at a cold executor: more than it is thought to be, the more so without a hint
+// the fewer of its track are known.
 func (j *job) coldWork() time.Duration {
 	m := hintMargin
 	if !j.hinted {
@@ -343,13 +329,12 @@
 	if part := d.crossPrice / d.value(j); part < 1 {
 		return times(max(0, j.quotedAt-j.heldAt-j.work), part)
 	}
-	return math.MaxInt64 / 4
+	return Endless / 4
 }
 
-// crosses says whether j goes to another zone at once: so many of the batch jobs that are worth it as bring
-// the zones' loads together, as the list or start waits tell them. Each has a chance of its own, so that
-// nodes don't turn with one list. Guards against a zone with far more traffic than executors, where a token is
-// always free.
+// crosses says whether j goes to another zone at once: so many of those worth it as bring the zones' loads
+// together, each by a chance of its own, so that nodes don't turn with one list. Guards against a zone with
+// far more traffic than executors, where a token is always free.
 func (d *Dispatcher) crosses(j *job) bool {
 	return d.crossPrice > 0 && d.homeLoad > 1 &&
 		j.spread < (d.homeLoad-d.awayLoad)/d.homeLoad-d.crossPrice/d.value(j)
@@ -372,15 +357,13 @@
 		j.tenant = &d.tenants[in.Tenant]
 		j.tenant.came++
 	}
-	// What a budget lacks was spent before: by tries until this one, or while this node stood still. But no budget
-	// tells what is spent where clients mark their repeats and first tries lack much as well: those clients lose
-	// patience early, and a try that can't be done by then is not to be sent.
+	// What a budget lacks was spent before: by tries until this one, or while this node stood still. But no
+	// budget tells what is spent where clients mark their repeats and first tries lack much as well: those
+	// clients lose patience early, and a try that can't be done by then is not to be sent.
 	t.fullBudget = max(t.fullBudget, in.Budget)
 	lacks, spent := t.fullBudget-in.Budget, time.Duration(0)
-	curt := d.marks && !in.Again && lacks > d.gap
-	if d.marks && j.tenant != nil {
-		curt = d.firstTries(j.tenant, in.Again, curt) > mostCurt || curt
-	}
+	first := !in.Again && lacks > d.gap
+	curt := d.marks && (j.tenant.firstTries(in.Again, first) > mostCurt || first)
 	switch {
 	case lacks <= d.quantum:
 	case !curt:
@@ -398,8 +381,8 @@
 	d.freed, d.wants = true, true
 }
 
-// Closing tells that this node ends: all that it has in hand must be over by then. What is held is looked at
-// anew: what can't be handled by then gets its answer at once. Guards against planned restarts.
+// Closing tells that this node ends: all in hand must be over by then, and what can't be gets its answer at
+// once.
 func (d *Dispatcher) Closing(now, by time.Duration) {
 	d.closing = by
 	for _, j := range d.jobs {
@@ -410,8 +393,8 @@
 	}
 }
 
-// hold puts j among the held ones. The release order is the design's open matter: least slack to the quoted
-// time over what is earned for the work goes first, late ones after all others.
+// hold puts j among the held ones: least slack to the quoted time over what is earned for the work goes
+// first, late ones after all others.
 func (d *Dispatcher) hold(j *job, now time.Duration) {
 	slack := j.quotedAt - now - j.work
 	if j.isHeld && j.heldLate == (slack < 0) {
@@ -489,8 +472,8 @@
 
 // pick finds the executor with the oldest free token that j may take now, or, asking, whose keeper is to be
 // asked for a place. A token is passed over where its executor can't answer in time, unless j is late anyway,
-// and it ages at the rate of the executor's weight in the list, over its pace and the wait there. Guards
-// against many nodes, each with one token at least, that use small, full and idle executors alike.
+// and ages at its weight in the list, over its pace and the wait there: many nodes have one token at least
+// each.
 func (d *Dispatcher) pick(j *job, now time.Duration, asking bool) *executor {
 	late, crosses, home := d.late(j, now), d.crosses(j), false
 	var best *executor
@@ -504,8 +487,8 @@
 			side = 1 - side
 		}
 		home = home || side == 0
-		// A late batch job must not fill the places of those still to come: it goes where nothing of ours is
-		// out, and, where it may be held until the outer limit, where few nodes send their late ones.
+		// Late ones must not fill the places of those still to come: they go where nothing of ours is out, and,
+		// where they may be held for long, where few nodes send theirs.
 		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
 			continue
 		}
@@ -659,7 +642,7 @@
 	}
 	span := d.longestMean() * time.Duration(1+e.silences)
 	if e.inCap == 0 {
-		d.notes = append(d.notes, fmt.Sprintf("%s held back for %v %s", e.id, span.Round(time.Millisecond), why))
+		d.note("%s held back for %v %s", e.id, span.Round(time.Millisecond), why)
 	}
 	e.held, e.inCap = now+span, 1
 	d.stale = true
@@ -697,9 +680,8 @@
 		return false
 	}
 	if begun && repeatable && d.mayCopy {
-		if d.wantsCopy(j.job, now) && !j.copied {
-			j.copied, d.freed, d.wants = true, true, true
-			d.copies = append(d.copies, j.job)
+		if !j.copied && d.wantsCopy(j.job, now) {
+			j.copied, d.freed, d.wants, d.copies = true, true, true, append(d.copies, j.job)
 		}
 		return false
 	}
@@ -731,9 +713,8 @@
 
 // ---- Keepers ----
 
-// Where nodes are many and may talk, one node keeps each executor's places for all: a place is asked for
-// before a token there is used, and given back with the token. A node alone sees one batch job a second and
-// nothing of what the others have sent. A keeper that does not answer is done without for a while.
+// Where nodes are many and may talk, one keeps each executor's places for all: a place is asked for before a
+// token there is used, and given back with it. A keeper that does not answer is done without for a while.
 
 func (d *Dispatcher) keeperOf(sum Sum) NodeID { return NodeID(sum % Sum(d.nodes)) }
 
@@ -748,8 +729,7 @@
 	return e.given || e.alone > now
 }
 
-// askKeepers gives back places that nothing wants any more, and asks for one for each batch job that waits,
-// one keeper after another.
+// askKeepers gives back places that nothing wants any more, and asks for one for each batch job that waits.
 func (d *Dispatcher) askKeepers(now time.Duration) {
 	for _, e := range d.givens {
 		if e.given {
@@ -758,12 +738,10 @@
 		}
 	}
 	d.givens = d.givens[:0]
-	if len(d.held)+len(d.heldLate)+len(d.copies) == 0 {
-		for _, e := range d.slice {
-			if e.asked && e.queued {
-				e.asked = false
-				d.tell(now, e.keeper, Never, e.sum)
-			}
+	for _, e := range d.slice {
+		if e.asked && e.queued && len(d.held)+len(d.heldLate)+len(d.copies) == 0 {
+			e.asked = false
+			d.tell(now, e.keeper, Never, e.sum)
 		}
 	}
 	if !d.wants || !d.mayTell || !d.many() {
@@ -782,8 +760,7 @@
 func (d *Dispatcher) ask(j *job, e *executor, now time.Duration) {
 	if e == nil {
 		return
-	}
-	if now >= e.firstAt && e.lent == 0 {
+	} else if now >= e.firstAt && e.lent == 0 {
 		e.keeper = d.keeperOf(e.sum)
 	}
 	j.asked, e.asked, e.queued, e.askedAt = e, true, false, now
@@ -795,13 +772,13 @@
 	d.tell(now, e.keeper, word, e.sum)
 }
 
-// unanswered finds the keepers that have not answered: the next node in line stands in, then none does.
-// Guards against nodes that die by the half.
+// unanswered finds the executors and keepers that have not answered. A silent executor is asked again, the
+// more rarely the longer; for a keeper the next node in line stands in, then none does.
 func (d *Dispatcher) unanswered(now time.Duration) {
 	for _, e := range d.met {
 		if e.probing && now-e.probed-d.stood >= d.shortestQuoted {
 			if e.probing = false; !e.mute {
-				d.notes = append(d.notes, fmt.Sprintf("%s held back until it answers a probe", e.id))
+				d.note("%s held back until it answers a probe", e.id)
 			}
 			e.mute, d.stale, e.silences = true, true, min(e.silences+1, mostSilences)
 			d.at(now+d.longestMean()*time.Duration(e.silences), nil, nil)
@@ -840,11 +817,7 @@
 		}
 	case Want, WantLate:
 		k := d.keepOf(sum)
-		if word == Want && !k.waits(from) {
-			k.queue = append(k.queue, from)
-		} else if !k.waits(from) {
-			k.late = append(k.late, from)
-		}
+		k.wait(from, word == WantLate)
 		if d.lend(k, k.quota, now); k.waits(from) {
 			k.dry = true
 			d.tell(now, from, Later, sum)
@@ -853,16 +826,10 @@
 			}
 		}
 	case Never:
-		k := d.keepOf(sum)
-		is := func(n NodeID) bool { return n == from }
-		k.queue, k.late = slices.DeleteFunc(k.queue, is), slices.DeleteFunc(k.late, is)
+		d.keepOf(sum).leave(from)
 	case Back, BackLate:
 		k := d.keepOf(sum)
-		k.backs++
-		if word == BackLate {
-			k.lateStarts++
-		}
-		k.back(from)
+		k.back(from, word == BackLate)
 		d.lend(k, k.quota, now)
 	}
 }
@@ -893,9 +860,6 @@
 		k.lateStarts, k.backs, k.dry, k.more = 0, 0, len(k.queue) > 0, false
 		d.lend(k, k.quota, now)
 	}
-	for _, e := range d.met {
-		e.asked = e.asked && now-e.askedAt <= d.interval
-	}
 }
 
 // ---- The interval ----
@@ -914,11 +878,8 @@
 		}
 		d.adjust(e, now)
 		d.watchSilence(e, now)
-		e.workerWait, e.ourWait, e.slow, e.dry = 0, 0, false, len(e.free) == 0
-		// What was seen grows old, or an executor passed over for it would never be tried again.
-		e.startWait = times(e.startWait, fade)
-		e.runs, e.works = e.runs*fade, e.works*fade
-		e.full, e.fullMany, e.startedOther, e.fullWait = false, false, false, 0
+		e.growOld()
+		e.asked = e.asked && now-e.askedAt <= d.interval
 	}
 	d.keepInterval(now)
 	d.waited, d.freed, d.stale, d.wants = len(d.held) > 0, true, true, true
@@ -939,10 +900,9 @@
 	}
 }
 
-// watchSilence guards against an executor that takes batch jobs and answers none: no start, progress or
-// outcome for longer than all that is out there should take. And against a connection that falls silent: an
-// allocation of which as long nothing is told, notices of progress included, shows nothing of its executor any
-// more; its token comes free, or each would shut an executor out until its outer limit.
+// watchSilence guards against an executor that takes batch jobs and tells nothing for longer than all that is
+// out there should take, and against a connection that falls silent: an allocation of which as long nothing
+// is told shows nothing of its executor any more; its token comes free, or it would shut it out for long.
 func (d *Dispatcher) watchSilence(e *executor, now time.Duration) {
 	if len(e.out) == 0 || !e.up {
 		return
@@ -973,11 +933,6 @@
 		d.tick += d.interval
 		d.everyInterval(now)
 	}
-	if len(d.notes) > 0 {
-		text := d.notes[0]
-		d.notes = d.notes[1:]
-		return Due{Task: Note, Text: text}
-	}
 	mustSubscribe := d.mustAsk && !d.subscribed && !d.asking
 	if mustSubscribe && now >= d.askAt {
 		d.asking = true
@@ -992,11 +947,10 @@
 		switch {
 		case it.token != nil:
 			d.release(it.token, now, false)
+		case s != nil && s.turn == it.turn && d.look(s, now):
+			s.stopping = true
+			return Due{Task: StopJob, Job: s.id, Allocation: s.n}
 		case s != nil:
-			if s.turn == it.turn && d.look(s, now) {
-				s.stopping = true
-				return Due{Task: StopJob, Job: s.id, Allocation: s.n}
-			}
 		case j == nil:
 			d.unanswered(now)
 			d.stale, d.freed, d.wants = true, true, true
@@ -1024,8 +978,8 @@
 	return Due{At: at}
 }
 
-// next is the first in the release order that a free token is open to. It is asked once after each change
-// that may have opened a token, and looks at no more batch jobs than the slice has tokens for.
+// next is the first in the release order that a free token is open to, copies last. It is asked once after
+// each change that may have opened a token, and looks at no more batch jobs than the slice has tokens for.
 func (d *Dispatcher) next(now time.Duration) *job {
 	if d.stale {
 		d.reslice(now)
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -72,6 +72,26 @@
 	k.parallel = max(1, int(k.places+0.5))
 }
 
+// weigh books what the list weighs an executor.
+func (d *Dispatcher) weigh(e *executor, weight float64) {
+	e.weight = weight
+	if d.liveWeights {
+		// Live weights are the size over one and the batch jobs held a core; an idle one shows its size.
+		e.size = max(e.size, weight)
+		e.load = e.size/weight - 1
+	}
+	k := d.kinds[e.kind]
+	k.size += (max(e.size, weight) - k.size) * (1 - fade)
+}
+
+// growOld lets what was seen of an executor grow old at an interval's end, or one passed over would never be tried again.
+func (e *executor) growOld() {
+	e.workerWait, e.ourWait, e.slow, e.dry = 0, 0, false, len(e.free) == 0
+	e.startWait = times(e.startWait, fade)
+	e.runs, e.works = e.runs*fade, e.works*fade
+	e.full, e.fullMany, e.startedOther, e.fullWait = false, false, false, 0
+}
+
 // zoneLoads books how full the list shows this zone and the others.
 func (d *Dispatcher) zoneLoads(now time.Duration) {
 	if !d.liveWeights {
@@ -115,7 +135,10 @@
 }
 
 // firstTries books whether a tenant's first try lacked budget, and gives the part of them that do.
-func (d *Dispatcher) firstTries(t *tenant, again, lacks bool) float64 {
+func (t *tenant) firstTries(again, lacks bool) float64 {
+	if t == nil {
+		return 0
+	}
 	if !again {
 		t.curt = t.curt*fade + flag(lacks)*(1-fade)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,7 +35,6 @@
 	stale       bool // the slice must be picked anew
 	waited      bool // batch jobs were held in this interval
 	freed       bool // a token has come free since the last look
-	notes       []string
 
 	perWork        bool
 	overage        float64
@@ -82,7 +81,7 @@
 	bySum   map[Sum]*executor // by the id that nodes use among each other
 	kept    map[Sum]*keep     // what this node keeps for all
 	keeps   []*keep
-	words   []Due // to be said, probes among them
+	words   []Due // to be said; probes and notes among them
 }
 
 // track holds a track's derived figures and running averages.
