The program carries two allocations of a batch job, and probes; marks of clients' repeats reach the module

internal/node: a batch job holds a connection for each allocation that is out, by number; the first answer goes to the client, the other is called off and its connection closed as any given up one. Probes go out as effects on a connection of their own, within the descriptors, and never where an eighth of them is not free; internal/executors asks by GET on the configured path and reads the load report's head. X-Again reaches the module.

--- a/internal/clients/codec.go
+++ b/internal/clients/codec.go
@@ -26,7 +26,7 @@
 )
 
 // onceEach are the words that may stand in a head once only: a second one could mean something else to an executor.
-var onceEach = [...]string{"X-Call-Id", "X-Call-Class", "X-Budget-Ms", "X-Call-Cost", "Idempotency-Key"}
+var onceEach = [...]string{"X-Call-Id", "X-Call-Class", "X-Budget-Ms", "X-Call-Cost", "X-Again", "Idempotency-Key"}
 
 // wrong is why a message is no batch job.
 type wrong struct {
@@ -107,6 +107,7 @@
 		}
 		job.Work = time.Duration(cost * float64(time.Microsecond))
 	}
+	job.Again = h.Get("X-Again") == "1"
 	job.Body, no = readBody(w, r)
 	return job, no
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,12 +83,14 @@
 	leastSockets   = 64
 	defaultIdle    = 60 * time.Second
 	defaultDial    = 100 * time.Millisecond
+	defaultProbe   = 0.25 // seconds
 	leastQuantum   = time.Millisecond
 
 	reserve      = 16       // part of the descriptors that is held in reserve
 	leastReserve = 16       // and at least so many
 	clientMemory = 96 << 10 // what a client's connection takes at most: a body, buffers, a stack
 	quickest     = 4        // times a standard core that an executor's core may be
+	longestProbe = 10 * time.Second
 	killAfter    = 3 * time.Second
 	killGrace    = 700 * time.Millisecond
 )
@@ -104,7 +106,11 @@
 		Memory  *int `json:"memory_mb"`
 		Sockets *int
 	}
-	Known    json.RawMessage
+	Known json.RawMessage
+	Probe struct {
+		Path    string
+		Timeout *float64 `json:"timeout_s"`
+	}
 	Settings json.RawMessage
 }
 
@@ -154,6 +160,11 @@
 		window := &c.Settings.Policy.Tracks[i].GroupWindow
 		*window = max(0, *window-c.Settings.DialLimit)
 	}
+	p := &c.Settings.Policy
+	c.Settings.Probe = Probe{w.Probe.Path, Seconds(orElse(w.Probe.Timeout, defaultProbe))}
+	// The protocol has no call for a probe and no link between nodes: the settings' leave alone makes neither.
+	p.MayProbe = p.MayProbe && c.Settings.Probe.Path != ""
+	p.MayTell = false
 	return c, c.check()
 }
 
@@ -203,6 +214,8 @@
 	// The tracks are taken up at once.
 	other.Settings.Tracks, other.Settings.Policy.Tracks = c.Settings.Tracks, c.Settings.Policy.Tracks
 	other.Settings.Policy.MaxAllocations = c.Settings.Policy.MaxAllocations
+	probe := other.Settings.Probe
+	other.Settings.Probe = c.Settings.Probe
 	for _, k := range [...]struct {
 		same bool
 		key  string
@@ -213,6 +226,7 @@
 		{c.Cores == other.Cores, "limits.cores"},
 		{c.Memory == other.Memory, "limits.memory_mb"},
 		{c.Sockets == other.Sockets, "limits.sockets"},
+		{c.Settings.Probe == probe, "probe"},
 		{reflect.DeepEqual(c.Settings, other.Settings), "settings"},
 	} {
 		if !k.same {
@@ -245,6 +259,14 @@
 	case c.Sockets < leastSockets:
 		return fmt.Errorf("limits.sockets: %d is under %d", c.Sockets, leastSockets)
 	}
+	switch probe := c.Settings.Probe; {
+	case probe.Path != "" && (probe.Path[0] != '/' || strings.ContainsAny(probe.Path, " \t\r\n")):
+		return fmt.Errorf("probe.path: %.40q is no path that begins with /", probe.Path)
+	case !(probe.Limit > 0 && probe.Limit <= longestProbe):
+		return fmt.Errorf("probe.timeout_s: not over 0, or over %g", longestProbe.Seconds())
+	case probe.Path != "" && !c.Settings.Policy.MayProbe:
+		return errors.New("probe.path: set, but settings.caps.probes is not true or settings.report.how is not on_probe")
+	}
 	names := map[string]bool{}
 	for i, name := range c.Settings.Tracks {
 		if name == "" || names[name] {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -16,6 +16,7 @@
 	Policy policy.Settings
 
 	Load   LoadAt
+	Probe  Probe
 	Tracks []string // names, by number
 	Zones  []string
 	Kinds  []string
@@ -24,6 +25,21 @@
 	DialLimit time.Duration // a connection that is not up by then counts as none
 }
 
+// Probe is how executors may be asked for their load; no path: they are not.
+type Probe struct {
+	Path  string
+	Limit time.Duration
+}
+
+// Told says which values the settings name that the module can use, by the protocol's names.
+func (s *Settings) Told() map[string]bool {
+	told := map[string]bool{}
+	for i, name := range [...]string{"inflight", "queue", "x0", "x1", "latency_ms"} {
+		told[name] = s.Load[i] >= 0
+	}
+	return told
+}
+
 // TellsLoad says whether load reports have all that the module wants of an answer.
 func (s *Settings) TellsLoad() bool { return min(s.Load[0], s.Load[1], s.Load[2]) >= 0 }
 
@@ -70,6 +86,9 @@
 	"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell,
 }
 
+// reportHows are the ways in which executors tell their load.
+var reportHows = []string{"inline", "on_probe", "off"}
+
 // longestLimit is the longest outer limit in seconds: a year.
 const longestLimit = 366 * 24 * 3600.0
 
@@ -216,6 +235,7 @@
 		{rules.FallS < 0, "rules.fall-s", "under 0"},
 		{w.Domain.TellsEvery < 0, "domain.progress-s", "under 0"},
 		{len(w.Tracks) == 0, "tracks", "missing, or empty"},
+		{w.Report.How != "" && !slices.Contains(reportHows, w.Report.How), "report.how", "none of inline, on_probe and off"},
 	} {
 		if c.bad {
 			return fmt.Errorf("settings.%s: %s", c.key, c.why)
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -545,6 +545,8 @@
 
 func (s *executorsSide) Close(c node.ConnID) { s.executors.Close(c) }
 
+func (s *executorsSide) Probe(id policy.ExecutorID, addr string) { s.executors.Probe(id, addr) }
+
 // End ends the edge once the reducer has ended: what waits for the disk is written.
 func (d *Durable) End() error {
 	d.stop()
--- a/internal/executors/codec.go
+++ b/internal/executors/codec.go
@@ -135,14 +135,17 @@
 			return load
 		}
 	}
-	return node.Load{Held: x[0], Waiting: x[1], Free: x[2], Known: true}
+	return node.Load{Load: policy.Load{Held: x[0], Waiting: x[1], Free: x[2], Memory: -1, Took: -1}, Known: true}
 }
 
-// loadOf reads a load report in a header: TEXT name=value, name=value.
-func (p *Pool) loadOf(header string) node.Load {
+// loadOf reads a load report in an answer's head.
+func (p *Pool) loadOf(header string) node.Load { return p.loadFrom(reportOf(header)) }
+
+// reportOf reads a load report in a head: TEXT name=value, name=value.
+func reportOf(header string) map[string]float64 {
 	text, ok := strings.CutPrefix(header, "TEXT ")
 	if !ok {
-		return node.Load{}
+		return nil
 	}
 	values := map[string]float64{}
 	for pair := range strings.SplitSeq(text, ",") {
@@ -151,5 +154,5 @@
 			values[name] = x
 		}
 	}
-	return p.loadFrom(values)
+	return values
 }
--- a/internal/executors/executors.go
+++ b/internal/executors/executors.go
@@ -16,6 +16,7 @@
 	tell    func(node.Event)
 	dial    Dialer
 	reports bool // load reports hold what the module wants
+	probing Probing
 
 	mu    sync.Mutex
 	links map[node.ConnID]*link
@@ -34,8 +35,8 @@
 }
 
 // New makes an empty pool.
-func New(dial Dialer, reports bool, tell func(node.Event)) *Pool {
-	return &Pool{tell: tell, dial: dial, reports: reports, links: map[node.ConnID]*link{}}
+func New(dial Dialer, reports bool, probing Probing, tell func(node.Event)) *Pool {
+	return &Pool{tell: tell, dial: dial, reports: reports, probing: probing, links: map[node.ConnID]*link{}}
 }
 
 // Dial opens a connection in the background.
--- a/internal/executors/executors_test.go
+++ b/internal/executors/executors_test.go
@@ -200,7 +200,7 @@
 		p.out.WriteString(c.name + "\n")
 		p.events = make(chan node.Event, 100)
 		addr, got := standIn(t, c.texts...)
-		pool := New(TCP(10*time.Second), true, func(ev node.Event) { p.events <- ev })
+		pool := New(TCP(10*time.Second), true, Probing{}, func(ev node.Event) { p.events <- ev })
 		pool.Dial(1, addr)
 		for id := 1; ; {
 			ev := p.next(t)
@@ -225,7 +225,7 @@
 // Whether a batch job may have run hangs on its last byte: before that is written it never ran.
 func TestLastByte(t *testing.T) {
 	p := printer{events: make(chan node.Event, 100)}
-	pool := New(TCP(10*time.Second), false, func(ev node.Event) { p.events <- ev })
+	pool := New(TCP(10*time.Second), false, Probing{}, func(ev node.Event) { p.events <- ev })
 	dial := func(id node.ConnID, addr, what string) {
 		p.out.WriteString(what + "\n")
 		pool.Dial(id, addr)
--- /dev/null
+++ b/internal/executors/probe.go
@@ -0,0 +1,68 @@
+package executors
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"birchstair/internal/node"
+	"birchstair/policy"
+)
+
+// Probing is how executors are asked for their load: by GET on a path of theirs, answered 200 with the load report in a
+// head. The operators' protocol has no such call: off where no path is set.
+type Probing struct {
+	Path  string
+	Limit time.Duration   // for connection, call and answer together
+	Told  map[string]bool // the values that the settings say a report has, by the protocol's names
+}
+
+// Probe asks an executor for its load, in the background and on a connection of its own.
+func (p *Pool) Probe(id policy.ExecutorID, addr string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), p.probing.Limit)
+		defer cancel()
+		load, answered := p.ask(ctx, addr)
+		p.tell(node.Probed{Executor: id, Answered: answered, Load: load})
+	}()
+}
+
+// ask makes one probe. An answer without a report, or with one that makes no sense, shows no more than that the executor
+// is there.
+func (p *Pool) ask(ctx context.Context, addr string) (load policy.Load, answered bool) {
+	load = policy.Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}
+	conn, err := p.dial(ctx, 0, addr)
+	if err != nil {
+		return load, false
+	}
+	defer conn.Close()
+	deadline, _ := ctx.Deadline()
+	conn.SetDeadline(deadline)
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", p.probing.Path, addr); err != nil {
+		return load, false
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, longestHead)), nil)
+	if err != nil || answer.StatusCode != http.StatusOK {
+		return load, false
+	}
+	values := reportOf(answer.Header.Get("X-Load-Report"))
+	tell := func(name, other string) float64 {
+		x, ok := values[name]
+		if !ok {
+			x, ok = values[other]
+		}
+		if !ok || !p.probing.Told[name] || !(x >= 0 && x <= mostLoad) {
+			return -1
+		}
+		return x
+	}
+	load.Held, load.Waiting = tell("inflight", "active"), tell("queue", "waiting")
+	load.Free, load.Memory = tell("x0", "x0"), tell("x1", "x1")
+	if took := tell("latency_ms", "avg_ms"); took >= 0 {
+		load.Took = time.Duration(took * float64(time.Millisecond))
+	}
+	return load, true
+}
--- a/internal/lab/net.go
+++ b/internal/lab/net.go
@@ -406,7 +406,7 @@
 
 // say brings an executor's word to the node.
 func (c *wire) say(o standin.Say) {
-	load := node.Load{Held: o.Load.Held, Waiting: o.Load.Waiting, Free: o.Load.Free, Known: o.Load.Known}
+	load := node.Load{Load: policy.Load{Held: o.Load.Held, Waiting: o.Load.Waiting, Free: o.Load.Free, Memory: -1, Took: -1}, Known: o.Load.Known}
 	sentAt := c.n.w.now
 	c.bring(func() {
 		l := c.load
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -32,7 +32,8 @@
 	id      ConnID
 	to      *executor
 	state   connState
-	job     *job           // whose allocation it carries, or is to carry once it is up
+	job     *job // whose allocation it carries, or is to carry once it is up
+	number  policy.AllocationID
 	given   bool           // this node has stopped waiting for that allocation
 	as      policy.Outcome // and why
 	rested  bool           // it has been up and at rest
@@ -55,14 +56,15 @@
 
 // send puts an allocation on its way.
 func (n *Node) send(j *job, id policy.ExecutorID) {
+	number := policy.AllocationID(j.sent)
 	j.sent++
-	if e := n.executors[id]; e == nil || !n.place(j, e) {
-		n.over(j, policy.NotSent)
+	if e := n.executors[id]; e == nil || !n.place(j, number, e) {
+		n.over(j, number, policy.NotSent)
 	}
 }
 
 // place finds a connection for an allocation: the one that has rested least, or a new one.
-func (n *Node) place(j *job, e *executor) bool {
+func (n *Node) place(j *job, number policy.AllocationID, e *executor) bool {
 	if !e.up {
 		return false
 	}
@@ -73,7 +75,7 @@
 	if c == nil {
 		return false
 	}
-	c.job, j.conn = j, c
+	c.job, c.number, j.conns = j, number, append(j.conns, c)
 	if c.state == resting {
 		n.write(c)
 	}
@@ -111,7 +113,7 @@
 
 // dial opens a connection. At the edge of the descriptors one that rests elsewhere makes room.
 func (n *Node) dial(e *executor) *conn {
-	if len(n.conns) >= n.mostConns() && !n.makeRoom() {
+	if len(n.conns)+n.probing >= n.mostConns() && !n.makeRoom() {
 		return nil
 	}
 	n.lastConn++
@@ -121,6 +123,18 @@
 	return c
 }
 
+// probe has an executor asked for its load. At the edge of the descriptors, or of an executor that takes nothing new,
+// nothing is asked: a probe makes no room and takes none of a batch job's.
+func (n *Node) probe(id policy.ExecutorID) {
+	e := n.executors[id]
+	if e == nil || !e.up || len(n.conns)+n.probing >= n.mostConns()-n.mostConns()/8 {
+		n.brain.Probed(n.now, id, false, policy.Load{})
+		return
+	}
+	n.probing++
+	n.say(Probe{id, e.addr})
+}
+
 // makeRoom closes the connection that has rested longest.
 func (n *Node) makeRoom() bool {
 	var oldest *conn
@@ -157,7 +171,7 @@
 	case !c.to.up || c.job.answered:
 		j := n.unlink(c)
 		n.rest(c)
-		n.over(j, policy.NotSent)
+		n.over(j, c.number, policy.NotSent)
 	default:
 		n.write(c)
 	}
@@ -176,7 +190,8 @@
 func (n *Node) unlink(c *conn) *job {
 	j := c.job
 	if j != nil {
-		c.job, j.conn = nil, nil
+		c.job = nil
+		j.conns = slices.DeleteFunc(j.conns, func(o *conn) bool { return o == c })
 	}
 	return j
 }
@@ -186,9 +201,9 @@
 func (n *Node) giveUp(c *conn, as policy.Outcome) {
 	switch {
 	case c.state == dialling && c.job.answered:
-		n.over(n.unlink(c), policy.NotSent)
+		n.over(n.unlink(c), c.number, policy.NotSent)
 	case c.state == dialling:
-		n.over(n.unlink(c), policy.NoRoute)
+		n.over(n.unlink(c), c.number, policy.NoRoute)
 	case !c.given:
 		c.given, c.as = true, as
 		n.say(Close{c.id})
@@ -201,17 +216,16 @@
 	}
 	c.heard = true
 	n.reported(c, ev.Load)
-	number := policy.AllocationID(c.job.sent - 1)
 	if ev.Share > 0 {
-		n.brain.Progressed(n.now, c.job.ID, number, ev.Share)
+		n.brain.Progressed(n.now, c.job.ID, c.number, ev.Share)
 	} else {
-		n.brain.Started(n.now, c.job.ID, number)
+		n.brain.Started(n.now, c.job.ID, c.number)
 	}
 }
 
 func (n *Node) reported(c *conn, load Load) {
 	if load.Known {
-		n.brain.Reported(c.to.id, policy.Load{Held: load.Held, Waiting: load.Waiting, Free: load.Free, Memory: -1, Took: -1})
+		n.brain.Reported(c.to.id, load.Load)
 	}
 }
 
@@ -247,7 +261,7 @@
 		// The others may lead nowhere as well; a new one shows before anything is written whether there is a way.
 		n.closeResting(c.to)
 	}
-	n.over(j, how)
+	n.over(j, c.number, how)
 }
 
 func (n *Node) rested(c *conn) {
@@ -283,8 +297,8 @@
 		}
 		n.say(Log{Text: detail, Executor: c.to.id, Job: j.ID})
 		n.closeResting(c.to)
-		n.over(j, policy.NoRoute)
-	case c.given || j.answered || !n.place(j, c.to):
-		n.over(j, policy.NotSent)
+		n.over(j, c.number, policy.NoRoute)
+	case c.given || j.answered || !n.place(j, c.number, c.to):
+		n.over(j, c.number, policy.NotSent)
 	}
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -53,8 +53,8 @@
 
 // Load is what an executor says of itself; Known says whether it does.
 type Load struct {
-	Held, Waiting, Free float64
-	Known               bool
+	policy.Load
+	Known bool
 }
 
 // Allocation is one sending of a batch job.
@@ -114,6 +114,12 @@
 		Broken  bool   // the connection broke, or brought what makes no sense
 		Detail  string // for the log
 	}
+	// Probed: what came of a probe; load means something only where it was answered.
+	Probed struct {
+		Executor policy.ExecutorID
+		Answered bool
+		Load     policy.Load
+	}
 	// Rested: a connection may carry the next allocation.
 	Rested struct{ Conn ConnID }
 	// Closed: a connection's descriptor is given back. It is the last event of every connection.
@@ -158,6 +164,7 @@
 func (Told) event()        {}
 func (Ended) event()       {}
 func (Rested) event()      {}
+func (Probed) event()      {}
 func (Closed) event()      {}
 func (Stopping) event()    {}
 func (FrontClosed) event() {}
@@ -189,6 +196,11 @@
 		Conn       ConnID
 		Allocation Allocation
 	}
+	// Probe asks an executor for its load, on a connection of its own. One Probed event answers it.
+	Probe struct {
+		Executor policy.ExecutorID
+		Addr     string
+	}
 	// Close closes a connection, or gives up dialling it.
 	Close struct{ Conn ConnID }
 	// Watch asks for the list again, now.
@@ -236,6 +248,7 @@
 func (Dial) effect()       {}
 func (Write) effect()      {}
 func (Close) effect()      {}
+func (Probe) effect()      {}
 func (Watch) effect()      {}
 func (Follow) effect()     {}
 func (Ready) effect()      {}
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -10,6 +10,7 @@
 	"container/heap"
 	"fmt"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"birchstair/policy"
@@ -43,6 +44,7 @@
 	Started(now time.Duration, id policy.JobID, a policy.AllocationID)
 	Progressed(now time.Duration, id policy.JobID, a policy.AllocationID, share float64)
 	Reported(id policy.ExecutorID, load policy.Load)
+	Probed(now time.Duration, id policy.ExecutorID, answered bool, load policy.Load)
 	Left(now time.Duration, id policy.JobID)
 	Closing(now, by time.Duration)
 	Place(now time.Duration, id policy.JobID) policy.Decision
@@ -62,6 +64,7 @@
 	executors map[policy.ExecutorID]*executor
 	conns     map[ConnID]*conn
 	lastConn  ConnID
+	probing   int           // probes out
 	shortRest time.Duration // so long a connection may rest and still be used, by what was seen to break
 	shortSeen time.Duration // when that was seen last
 	jobs      map[policy.JobID]*job
@@ -95,7 +98,7 @@
 	Job
 	limitAt  time.Duration
 	answered bool
-	conn     *conn // of the allocation that is out
+	conns    []*conn // of the allocations that are out: two at most, and a second one only where the module copies
 	sent     int
 	dueAt    time.Duration
 	order    int // of those due at the same time
@@ -132,7 +135,7 @@
 // and all others go on.
 func (n *Node) broke(text string) {
 	n.say(Log{Text: text})
-	if j := n.deciding; j != nil && j.conn == nil {
+	if j := n.deciding; j != nil && len(j.conns) == 0 {
 		n.answer(j, Answer{Final: BrokenOff})
 	}
 	n.deciding = nil
@@ -162,6 +165,9 @@
 		n.told(n.conns[ev.Conn], ev)
 	case Ended:
 		n.ended(n.conns[ev.Conn], ev)
+	case Probed:
+		n.probing--
+		n.brain.Probed(n.now, ev.Executor, ev.Answered, ev.Load)
 	case Rested:
 		n.rested(n.conns[ev.Conn])
 	case Closed:
@@ -219,7 +225,7 @@
 
 // drop gives a batch job back, once it has its answer and nothing of it is out.
 func (n *Node) drop(j *job) {
-	if j.answered && j.conn == nil && n.jobs[j.ID] == j {
+	if j.answered && len(j.conns) == 0 && n.jobs[j.ID] == j {
 		delete(n.jobs, j.ID)
 		n.bodies -= len(j.Body)
 	}
@@ -256,10 +262,10 @@
 }
 
 // over tells the module of an allocation's end and does what follows.
-func (n *Node) over(j *job, how policy.Outcome) {
+func (n *Node) over(j *job, a policy.AllocationID, how policy.Outcome) {
 	n.drop(j)
 	n.deciding = j
-	n.carryOut(j, n.brain.Ended(n.now, j.ID, policy.AllocationID(j.sent-1), how, j.answered))
+	n.carryOut(j, n.brain.Ended(n.now, j.ID, a, how, j.answered))
 }
 
 // fallDue stops what is out at its outer limit. What the module has left without an answer even then is broken
@@ -274,8 +280,8 @@
 		}
 		j.dueAt = j.limitAt
 		heap.Fix(&n.due, 0)
-		if j.conn != nil {
-			n.giveUp(j.conn, policy.TooSlow)
+		for _, c := range slices.Clone(j.conns) {
+			n.giveUp(c, policy.TooSlow)
 		}
 	}
 }
@@ -293,9 +299,13 @@
 				n.brain.Left(n.now, due.Job)
 			}
 		case policy.StopJob:
-			if j := n.jobs[due.Job]; j != nil && j.conn != nil && int(due.Allocation) == j.sent-1 {
-				n.giveUp(j.conn, policy.CalledOff)
+			if j := n.jobs[due.Job]; j != nil {
+				if i := slices.IndexFunc(j.conns, func(c *conn) bool { return c.number == due.Allocation }); i >= 0 {
+					n.giveUp(j.conns[i], policy.CalledOff)
+				}
 			}
+		case policy.Probe:
+			n.probe(due.Executor)
 		case policy.Subscribe:
 			n.say(Watch{})
 		case policy.Note:
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"birchstair/policy"
 )
 
 // Clients gives answers to those who wait for them. None of its calls blocks, nor do the others'.
@@ -22,6 +24,7 @@
 	Dial(ConnID, string)
 	Write(ConnID, Allocation)
 	Close(ConnID)
+	Probe(id policy.ExecutorID, addr string)
 }
 
 // List follows the list.
@@ -124,6 +127,8 @@
 				to.Executors.Write(e.Conn, e.Allocation)
 			case Close:
 				to.Executors.Close(e.Conn)
+			case Probe:
+				to.Executors.Probe(e.Executor, e.Addr)
 			case Watch:
 				to.List.Watch()
 			case Follow:
