Copies and probes in the lab; what carries over under another number of nodes; tests for both

The lab draws worlds where copies and probes are allowed, with planted defects for a copy where none is allowed and of a once-only track. And an executor that broke, silent for the first time, was asked again by each due time (silences 0), each asking making one more.

--- a/cmd/birchstair/main.go
+++ b/cmd/birchstair/main.go
@@ -100,6 +100,13 @@
 	clients, executors := c.Descriptors()
 	fmt.Printf("%s is sound: %d tracks, at most %d connections from clients and %d to executors\n",
 		os.Getenv("ROUTER_CONFIG"), len(c.Settings.Tracks), clients, executors)
+	onOff := map[bool]string{true: "on", false: "off"}
+	probes := "off"
+	if c.Settings.Policy.MayProbe {
+		probes = fmt.Sprintf("by GET %s within %v", c.Settings.Probe.Path, c.Settings.Probe.Limit)
+	}
+	fmt.Printf("probes are %s; second copies of repeatable batch jobs are %s; marks of clients' repeats are %s\n", probes,
+		onOff[c.Settings.Policy.MayCopy && s.Durable == nil], map[bool]string{true: "taken", false: "passed over"}[c.Settings.Policy.MarksAgain])
 	return nil
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -65,6 +65,9 @@
 			j := ev.Job
 			fmt.Fprintf(&c.out, "  arrived: %s track %d work %v budget %v, %s %s host %s type %q tag %q body %d bytes",
 				j.ID, j.Track, j.Work, j.Budget, j.Method, j.URI, j.Host, j.ContentType, j.Tag, len(j.Body))
+			if j.Again {
+				c.out.WriteString(", again")
+			}
 			if j.Crowded {
 				c.out.WriteString(", crowded")
 			}
@@ -145,6 +148,9 @@
 	ask("readiness by POST", strings.Replace(ready, "GET", "POST", 1), false)
 	ask("a batch job", job("handled", "X-Call-Cost: 2500", "Idempotency-Key: k", "Content-Type: text/plain",
 		"X-Call-Info: slots=1", "Content-Length: 4")+"body", true)
+	ask("a repeat that its client marks", job("handled", "X-Again: 1"), true)
+	ask("a mark that is none", job("handled", "X-Again: 0"), true)
+	ask("marked twice", job("handled", "X-Again: 1", "X-Again: 1"), false)
 	chunks := "0\r\n\r\n" + job("handled-hidden")
 	ask("a body in chunks, and nothing is read behind it", job("handled", "Transfer-Encoding: chunked")+"2;x=1\r\nbo\r\n2\r\ndy\r\n"+chunks, true)
 	ask("chunks of more than a body", job("handled", "Transfer-Encoding: chunked")+"10001\r\n"+strings.Repeat("x", 65537)+"\r\n0\r\n\r\n", false)
--- a/internal/executors/probe.go
+++ b/internal/executors/probe.go
@@ -30,8 +30,8 @@
 	}()
 }
 
-// ask makes one probe. An answer without a report, or with one that makes no sense, shows no more than that the executor
-// is there.
+// ask makes one probe. Any answer shows that the executor is there, or a wrong path would shut all of them out; one without a
+// report, or with values that make no sense, shows no more.
 func (p *Pool) ask(ctx context.Context, addr string) (load policy.Load, answered bool) {
 	load = policy.Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}
 	conn, err := p.dial(ctx, 0, addr)
@@ -45,10 +45,13 @@
 		return load, false
 	}
 	answer, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, longestHead)), nil)
-	if err != nil || answer.StatusCode != http.StatusOK {
+	if err != nil {
 		return load, false
 	}
-	values := reportOf(answer.Header.Get("X-Load-Report"))
+	var values map[string]float64
+	if answer.StatusCode == http.StatusOK {
+		values = reportOf(answer.Header.Get("X-Load-Report"))
+	}
 	tell := func(name, other string) float64 {
 		x, ok := values[name]
 		if !ok {
--- /dev/null
+++ b/internal/executors/probe_test.go
@@ -0,0 +1,60 @@
+package executors
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"birchstair/internal/kept"
+	"birchstair/internal/node"
+)
+
+// What comes of a probe, from executors that answer in time, late, never, wrongly or with half a report.
+func TestProbes(t *testing.T) {
+	var out strings.Builder
+	told := map[string]bool{"inflight": true, "x0": true, "latency_ms": true}
+	ask := func(name, addr string, limit time.Duration) {
+		events := make(chan node.Event, 1)
+		pool := New(TCP(limit), false, Probing{Path: "/load", Limit: limit, Told: told}, func(ev node.Event) { events <- ev })
+		pool.Probe("e1", addr)
+		select {
+		case ev := <-events:
+			p := ev.(node.Probed)
+			fmt.Fprintf(&out, "%s: of %s, answered %t, held %v waiting %v free %v memory %v took %v\n", name, p.Executor, p.Answered,
+				p.Load.Held, p.Load.Waiting, p.Load.Free, p.Load.Memory, p.Load.Took)
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s: nothing came of it", name)
+		}
+	}
+	for _, c := range []struct{ name, text string }{
+		{"a whole report", answer("200 OK\r\nX-Load-Report: TEXT inflight=7, x0=2, latency_ms=12.5")},
+		{"by the settings' names", answer("200 OK\r\nX-Load-Report: TEXT active=7, x0=0, avg_ms=3")},
+		{"values that the settings don't name", answer("200 OK\r\nX-Load-Report: TEXT x0=1, queue=4, x1=3, odd=5")},
+		{"half a report", answer("200 OK\r\nX-Load-Report: TEXT x0=1, inflight")},
+		{"no report", answer("200 OK")},
+		{"another form", answer("200 OK\r\nX-Load-Report: JSON {}")},
+		{"numbers that make no sense", answer("200 OK\r\nX-Load-Report: TEXT x0=NaN, inflight=-1, latency_ms=1e300")},
+		{"nothing at that path", answer("404 Not Found\r\nX-Load-Report: TEXT x0=9")},
+		{"no room for probes", answer("503 Service Unavailable")},
+		{"no HTTP at all", "SSH-2.0-x\r\n\r\n"},
+		{"a head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: b\r\n", longestHead/8)},
+		{"half a head", "HTTP/1.1 200 O"},
+		{"closed without a word", ""},
+	} {
+		addr, got := standIn(t, c.text)
+		ask(c.name, addr, 10*time.Second)
+		if c.name == "a whole report" {
+			out.WriteString("  came: " + strings.ReplaceAll(strings.Join(*got, " "), addr, "EXECUTOR") + "\n")
+		}
+	}
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // takes connections, and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask("never", silent.Addr().String(), 50*time.Millisecond)
+	silent.Close()
+	ask("nobody there", silent.Addr().String(), 10*time.Second)
+	kept.Compare(t, "probes.txt", out.String())
+}
--- a/internal/lab/defects_test.go
+++ b/internal/lab/defects_test.go
@@ -40,6 +40,12 @@
 	plant plant
 }
 
+// crawling has many executors slow down while few batch jobs come: what runs there is worth a second copy.
+func crawling(s *Scenario) {
+	s.Load.Of, s.Fleet.TellsStart = 0.4, true
+	s.Faults = []Fault{{Kind: standin.Slow, At: Span(4 * time.Second), For: Span(18 * time.Second), Where: []string{"e0", "e1", "e2", "e3", "e4"}, Size: 20}}
+}
+
 // fewSeconds is for tagged tracks whose window passes soon.
 func tagged(group string, window time.Duration) func(*Scenario) {
 	return func(s *Scenario) {
@@ -205,6 +211,16 @@
 				}
 			}
 		}}},
+	{"a second copy where none is allowed", rules.NoEffectTwice, crawling, plant{
+		settings: func(p *policy.Settings) { p.MayCopy = true }}},
+	{"a once-only track is copied", rules.NoEffectTwice, func(s *Scenario) { crawling(s); s.Fleet.Copies = true }, plant{
+		settings: func(p *policy.Settings) {
+			for i := range p.Tracks {
+				if p.Tracks[i].Repeat == policy.OnceOnly {
+					p.Tracks[i].Repeat = policy.Repeatable
+				}
+			}
+		}}},
 	{"a zone's group is taken for all executors", rules.NoEffectTwice, tagged("zone", 5*time.Second), plant{
 		settings: func(p *policy.Settings) {
 			for i := range p.Tracks {
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -28,6 +28,7 @@
 	run    int
 	sent   int
 	sentAt time.Duration
+	out    int                  // allocations out
 	over   bool                 // nothing of it is owed any more
 	cut    bool                 // its client's connection broke, and the node does not know yet
 	conn   interface{ Reset() } // its client's connection, where the world is wired
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -54,6 +54,8 @@
 	for range r.IntN(3) {
 		s.Faults = append(s.Faults, drawFault(r, &s, byHand[r.IntN(len(byHand))]))
 	}
+	r = stream(seed, "beside") // likewise what is allowed beside one allocation at a time
+	s.Fleet.Copies, s.Fleet.Probes = r.IntN(2) == 0, r.IntN(2) == 0
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return s
 }
--- a/internal/lab/net.go
+++ b/internal/lab/net.go
@@ -140,6 +140,9 @@
 	l := &load{try: t, x: x, number: policy.AllocationID(t.sent)}
 	t.sent++
 	t.sentAt = w.now
+	if t.out++; t.out > 1 {
+		w.result.Copies++
+	}
 	n.out++
 	w.result.Allocations++
 	if x.Zone != n.zone {
@@ -153,6 +156,7 @@
 // over books that the node is told of an allocation's end.
 func (n *sim) over(l *load, proof bool) {
 	n.out--
+	l.try.out--
 	n.w.see(rules.Seen{What: rules.Over, Node: n.id, Job: l.try.job, Allocation: l.number, Executor: l.x.ID, Proof: proof})
 }
 
@@ -219,6 +223,40 @@
 	c.n.tell(ev)
 }
 
+// probeLimit is how long a node waits for an executor to answer a probe.
+const probeLimit = 250 * time.Millisecond
+
+// probe asks an executor for its load, beside its queue. One that answers no batch job answers no probe either.
+func (n *sim) probe(e node.Probe) {
+	w, x, told := n.w, n.w.byAddr[e.Addr], false
+	tell := func(ev node.Probed) {
+		if !told {
+			told = true
+			n.tell(ev)
+		}
+	}
+	w.result.Probes++
+	n.later(probeLimit, func() { tell(node.Probed{Executor: e.Executor}) })
+	if x == nil {
+		return
+	}
+	run := n.run
+	w.at(w.passes(n.zone, x.Zone), func() {
+		if x.gone || !x.Up || x.Mute() {
+			return
+		}
+		load := policy.Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}
+		if says := x.Says(w.now); says.Known {
+			load.Held, load.Waiting, load.Free = says.Held, says.Waiting, says.Free
+		}
+		w.at(w.passes(x.Zone, n.zone), func() {
+			if n.up && n.run == run {
+				tell(node.Probed{Executor: e.Executor, Answered: true, Load: load})
+			}
+		})
+	})
+}
+
 func (n *sim) dial(e node.Dial) {
 	w := n.w
 	w.wires++
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -23,6 +23,8 @@
 
 	Allocations  int `json:"allocations"`
 	Crossings    int `json:"crossings"` // allocations to another zone
+	Copies       int `json:"copies"`    // allocations while another of the batch job was out
+	Probes       int `json:"probes"`
 	Dials        int `json:"dials"`
 	NoConnection int `json:"no_connection"` // dials that led nowhere
 	StartsWaited int `json:"starts_waited"`
@@ -165,6 +167,9 @@
 		r.Allocations, part(float64(r.Allocations), float64(r.tries())), r.Crossings, r.Dials, r.NoConnection, r.StartsWaited)
 	fmt.Fprintf(to, "  most held by a node %d; %d clients left; %d executors fell over; %d tagged ran again too late to be dropped\n",
 		r.MostHeld, r.Left, r.Fell, r.LateTwice)
+	if r.Copies+r.Probes > 0 {
+		fmt.Fprintf(to, "  %d copies; %d probes\n", r.Copies, r.Probes)
+	}
 	if r.Panics > 0 {
 		fmt.Fprintf(to, "  the module broke %d times\n", r.Panics)
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -60,6 +60,8 @@
 	TellsStart   bool     `toml:"tells-start"`
 	TellsEvery   Span     `toml:"tells-every"`
 	Reports      bool     `toml:"reports"`
+	Copies       bool     `toml:"copies"` // repeatable batch jobs may have a second allocation out
+	Probes       bool     `toml:"probes"` // executors answer probes with their load
 	ReportEvery  Span     `toml:"report-every"`
 	Near         Span     `toml:"near"` // one way within a zone
 	Far          Span     `toml:"far"`  // and between zones
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -95,7 +95,7 @@
 	w.tracks, w.module = s.tracks()
 	w.checker = rules.New(rules.Settings{Tracks: w.module, Slack: slack, Grace: time.Duration(s.Fleet.DrainGrace),
 		Prompt: prompt, WarmWithin: time.Duration(s.Fleet.WarmWithin), FallMultiple: s.Fleet.FallMultiple,
-		FallWindow: time.Duration(s.Fleet.FallWindow)})
+		FallWindow: time.Duration(s.Fleet.FallWindow), Copies: s.Fleet.Copies})
 	w.result = newResult(s, seed)
 	return w
 }
@@ -293,7 +293,8 @@
 		EarnPerWork: f.PerWork, CrossZonePrice: f.CrossPrice, WholeWeight: 0.8, TrackWeight: 0.2, MaxAllocations: f.Allocations,
 		MayCancel: true, MaxComeBack: time.Duration(f.ComeBack), Quantum: 4 * time.Millisecond, LiveWeights: f.WeightsEvery > 0,
 		ColdShare: f.ColdShare, WarmWithin: time.Duration(f.WarmWithin), FallMultiple: f.FallMultiple,
-		FallWindow: time.Duration(f.FallWindow), TellsStart: f.TellsStart, TellsEvery: time.Duration(f.TellsEvery)}
+		FallWindow: time.Duration(f.FallWindow), TellsStart: f.TellsStart, TellsEvery: time.Duration(f.TellsEvery),
+		MayCopy: f.Copies, MayProbe: f.Probes && n.w.wired == nil}
 	longest := time.Duration(0)
 	for _, t := range n.w.module {
 		t.GroupWindow = max(0, t.GroupWindow-time.Duration(f.DialLimit)) // as config does
@@ -413,6 +414,8 @@
 		n.write(e)
 	case node.Close:
 		n.close(e.Conn)
+	case node.Probe:
+		n.probe(e)
 	case node.Ready:
 		n.later(time.Millisecond, func() { n.ready = e.Yes })
 	case node.SendAway:
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -25,6 +25,7 @@
 //	2s notfollowed x:1           no list from there yet
 //	2s out a                     an operator takes an executor out; back a, check, figures, drain, undrain
 //	2s joined 0                  another process, 0 the older one; heard 0 state out=a listed=b, heard 1 yes, parted 1
+//	2s probed a answered         what came of a probe; or silent
 //	9s wait                      let time pass until then
 type player struct {
 	t     *testing.T
@@ -49,6 +50,12 @@
 			s.Tracks[0].Repeat = policy.OnceOnly
 		case "conns":
 			l.Conns = figure
+		case "copies":
+			s.MayCopy = true
+		case "late":
+			s.Tracks[0].LateEarnings = 0.5
+		case "probes":
+			s.MayProbe = true
 		case "broken":
 			return nil, l
 		}
@@ -138,6 +145,8 @@
 	case "ended":
 		return Ended{Conn: p.conn(words[1]), Outcome: outcomes[words[2]], Broken: last == "broken",
 			Result: []byte("result")}
+	case "probed":
+		return Probed{policy.ExecutorID(words[1]), last == "answered", policy.Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}}
 	case "left":
 		return Left{policy.JobID(last)}
 	case "reread":
@@ -237,6 +246,8 @@
 			line = fmt.Sprintf("write %s on %d, %v left", e.Allocation.ID, e.Conn, e.Allocation.Budget)
 		case Close:
 			line = fmt.Sprintf("close %d", e.Conn)
+		case Probe:
+			line = fmt.Sprintf("probe %s at %s", e.Executor, e.Addr)
 		case Watch:
 			line = "watch"
 		case Follow:
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -15,7 +15,7 @@
 
 const (
 	OneAnswer     Rule = iota + 1 // exactly one final answer before the outer limit, nothing sent afterwards
-	NoEffectTwice                 // no effect twice, and never two allocations out at once
+	NoEffectTwice                 // no effect twice, and no two allocations out at once but where copies are allowed
 	DrainKept                     // nothing new later than the grace after being told
 	ColdSpared                    // a cold executor is not pushed over
 	AtOnce                        // a batch job given up on is answered at once
@@ -34,6 +34,7 @@
 	WarmWithin   time.Duration
 	FallMultiple float64
 	FallWindow   time.Duration
+	Copies       bool // a repeatable batch job may have two allocations out
 }
 
 // Broken is a rule that broke, with the lines of the trace that show it.
@@ -260,15 +261,21 @@
 			s.Job, s.Executor, s.At-t.at, s.Node)
 	}
 	track := c.s.Tracks[j.track]
-	first := -1
+	first, out := -1, 0
 	for i, a := range j.sent {
 		if !a.over {
-			c.breaks(NoEffectTwice, s.At, key, j.work, s.Executor, "%s has two allocations out at once", s.Job)
+			out++
 		}
 		if first < 0 && !(a.over && a.proof) {
 			first = i
 		}
 	}
+	switch {
+	case out > 1:
+		c.breaks(NoEffectTwice, s.At, key, j.work, s.Executor, "%s has three allocations out at once", s.Job)
+	case out == 1 && !(c.s.Copies && track.Repeat == policy.Repeatable):
+		c.breaks(NoEffectTwice, s.At, key, j.work, s.Executor, "%s has two allocations out at once", s.Job)
+	}
 	if first >= 0 {
 		a := j.sent[first]
 		switch {
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -156,3 +156,38 @@
 		t.Error("nonsense can be seen")
 	}
 }
+
+// Where copies are allowed, a repeatable batch job may have two allocations out, and no other, and never three.
+func TestCopies(t *testing.T) {
+	allowed := site
+	allowed.Copies = true
+	for _, c := range []struct {
+		name  string
+		track policy.TrackID
+		seen  []Seen
+		want  bool
+	}{
+		{"a copy", 0, []Seen{sentTo(1*ms, 0, "a", 0), sentTo(2*ms, 1, "b", 0)}, false},
+		{"a copy, and one more after the first is over", 0, []Seen{sentTo(1*ms, 0, "a", 0), sentTo(2*ms, 1, "b", 0), over(3*ms, 0, false), sentTo(4*ms, 2, "c", 0)}, false},
+		{"three at once", 0, []Seen{sentTo(1*ms, 0, "a", 0), sentTo(2*ms, 1, "b", 0), sentTo(3*ms, 2, "c", 0)}, true},
+		{"once-only", 1, []Seen{sentTo(1*ms, 0, "a", 0), sentTo(2*ms, 1, "b", 0)}, true},
+		{"tagged, in its group", 2, []Seen{sentTo(1*ms, 0, "a", 0), sentTo(2*ms, 1, "b", 0)}, true},
+		{"a copy after the answer", 0, []Seen{sentTo(1*ms, 0, "a", 0), ranAt(2*ms, 0, "a"), answer(3*ms, Handled), sentTo(4*ms, 1, "b", 0)}, true},
+	} {
+		checker := New(allowed)
+		checker.See(taken(c.track))
+		for _, s := range c.seen {
+			checker.See(s)
+		}
+		if got := len(checker.Broken()) > 0; got != c.want {
+			t.Errorf("%s: broken %v: %v", c.name, got, checker.Broken())
+		}
+	}
+	checker := New(site)
+	for _, s := range []Seen{taken(0), sentTo(1*ms, 0, "a", 0), sentTo(2*ms, 1, "b", 0)} {
+		checker.See(s)
+	}
+	if len(checker.Broken()) == 0 {
+		t.Error("a copy where none is allowed is not seen")
+	}
+}
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -363,6 +363,13 @@
 	return e.load
 }
 
+// Says is the load that it tells now, and Mute whether it answers nobody.
+func (e *Executor) Says(now time.Duration) Load {
+	e.now = max(e.now, now)
+	return e.report()
+}
+func (e *Executor) Mute() bool { return e.trouble.Mute }
+
 // Held is how many batch jobs are there, and Running how many of them run.
 func (e *Executor) Held() int    { return len(e.running) + len(e.waiting) }
 func (e *Executor) Running() int { return len(e.running) }
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -10,6 +10,7 @@
 
 // Knowledge is what was learnt.
 type Knowledge struct {
+	Nodes        int // among so many; 0: as many as there are now
 	Tracks       []KnownTrack
 	Kinds        []KnownKind
 	Executors    []KnownExecutor
@@ -47,7 +48,7 @@
 
 // Knows gives what was learnt, in the order of ids.
 func (d *Dispatcher) Knows(now time.Duration) (k Knowledge) {
-	k.MeanEarnings, k.MeanDensity = d.meanEarnings, d.meanDensity
+	k.Nodes, k.MeanEarnings, k.MeanDensity = d.nodes, d.meanEarnings, d.meanDensity
 	for id, t := range d.tracks {
 		if slices.Contains(d.current, t) {
 			k.Tracks = append(k.Tracks, KnownTrack{TrackID(id), t.meanWork, t.learnt, t.fullBudget, t.asked, t.given, t.unit})
@@ -67,8 +68,12 @@
 }
 
 // Learn takes over what another process of this node has learnt, of tracks by this one's numbers. What makes no sense is
-// passed over; executors that are not on the list, or have started since by this one's list, are too.
+// passed over; executors that are not on the list, or have started since by this one's list, are too. What was learnt
+// among another number of nodes holds where it is of executors and batch jobs: paces, places, work, hold-backs. Quotas,
+// waits and how the tracks fare are of the nodes together, and begin afresh: carried over, each of many nodes would send
+// what one of a few did.
 func (d *Dispatcher) Learn(now time.Duration, k Knowledge) {
+	among := k.Nodes == 0 || k.Nodes == d.nodes
 	if k.MeanEarnings > 0 && k.MeanDensity > 0 {
 		d.meanEarnings, d.meanDensity = k.MeanEarnings, k.MeanDensity
 	}
@@ -78,7 +83,10 @@
 		}
 		t := d.tracks[in.ID]
 		t.meanWork, t.learnt, t.fullBudget = in.MeanWork, in.Learnt, min(in.FullBudget, t.outerLimit)
-		t.asked, t.given, t.unit = max(0, in.Asked), max(0, in.Given), in.Unit
+		t.unit = in.Unit
+		if among {
+			t.asked, t.given = max(0, in.Asked), max(0, in.Given)
+		}
 	}
 	for _, in := range k.Kinds {
 		if kind := d.kinds[in.ID]; kind != nil && in.Pace > 0 && in.Parallel > 0 && in.Size > 0 {
@@ -90,12 +98,15 @@
 		if e == nil || now < e.coldUntil || in.Quota < 1 || in.Runs < 0 || in.Works < 0 {
 			continue
 		}
-		e.runs, e.works, e.startWait, e.silences = in.Runs, in.Works, max(0, in.StartWait), in.Silences
+		e.runs, e.works, e.silences = in.Runs, in.Works, in.Silences
 		if in.HeldFor > 0 || in.InCap > 0 {
 			e.held, e.inCap = now+in.HeldFor, max(1, in.InCap)
 			d.at(e.held, nil, nil)
 		}
-		e.known = min(in.Quota, quotaCap)
+		if !among {
+			continue
+		}
+		e.startWait, e.known = max(0, in.StartWait), min(in.Quota, quotaCap)
 		for e.quota > 0 && e.quota < e.known {
 			d.step(e, 1, now)
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -583,7 +583,7 @@
 			e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
 		}
 		if d.probes && (how == NoRoute || how == Cut) {
-			e.mute, d.stale = true, true // until it answers
+			e.mute, d.stale, e.silences = true, true, max(1, e.silences) // until it answers
 			d.askLoad(e, now, 0)
 		}
 		// One may be the network's or the batch job's; a second, with no sign of life between, is the executor's.
@@ -656,7 +656,7 @@
 		return false
 	}
 	e := j.on
-	if now-max(e.news, j.sentAt) > times(j.work, d.kinds[e.kind].pace) {
+	if !e.mute && now-max(e.news, j.sentAt) > times(j.work, d.kinds[e.kind].pace) {
 		d.askLoad(e, now, d.shortestQuoted)
 	}
 	if j.over {
@@ -699,7 +699,8 @@
 
 // wantsCopy says whether a second allocation of j may still earn something.
 func (d *Dispatcher) wantsCopy(j *job, now time.Duration) bool {
-	return !j.over && len(j.out) == 1 && now < j.limitAt-d.quantum && (!d.late(j, now) || j.track.late > 0)
+	return !j.over && len(j.out) == 1 && j.sent < j.track.allocations &&
+		now < j.limitAt-d.quantum && (!d.late(j, now) || j.track.late > 0)
 }
 
 // elsewhere is the executor that j would go to if it were stopped now, as one that may have run.
@@ -950,12 +951,11 @@
 		case s != nil && s.turn == it.turn && d.look(s, now):
 			s.stopping = true
 			return Due{Task: StopJob, Job: s.id, Allocation: s.n}
-		case s != nil:
-		case j == nil:
+		case j != nil && j.turn == it.turn && len(j.out) == 0:
+			return Due{Task: PlaceJob, Job: j.id}
+		case s == nil && j == nil:
 			d.unanswered(now)
 			d.stale, d.freed, d.wants = true, true, true
-		case j.turn == it.turn && len(j.out) == 0:
-			return Due{Task: PlaceJob, Job: j.id}
 		}
 	}
 	if j := d.next(now); j != nil {
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// alive books a sign of life.
-func (e *executor) alive(now time.Duration) { e.news, e.broke, e.silences = now, false, 0 }
+// alive books a sign of life, which is as good as an answer to a probe.
+func (e *executor) alive(now time.Duration) { e.news, e.broke, e.mute, e.silences = now, false, false, 0 }
 
 // Left tells that the client has gone: nothing more is owed.
 func (d *Dispatcher) Left(now time.Duration, id JobID) {
@@ -282,7 +282,11 @@
 	if e == nil {
 		return
 	}
+	prompt := e.probing
 	e.probing = false
+	if !answered && prompt && e.broke { // it is there, or its machine is: the next break will tell
+		e.mute, d.stale = false, true
+	}
 	if answered {
 		d.stale, d.freed = d.stale || e.mute, true
 		e.told, e.says, e.news, e.mute, e.silences = now, load, now, false, 0
