--- a/policy/seen.go
+++ b/policy/seen.go
@@ -49,7 +49,9 @@
 }
 
 // alive books a sign of life, which is as good as an answer to a probe.
-func (e *executor) alive(now time.Duration) { e.news, e.broke, e.mute, e.silences = now, false, false, 0 }
+func (e *executor) alive(now time.Duration) {
+	e.news, e.broke, e.mute, e.silences = now, false, false, 0
+}
 
 // Left tells that the client has gone: nothing more is owed.
 func (d *Dispatcher) Left(now time.Duration, id JobID) {
