--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -19,7 +19,7 @@
 //	2s job j1 work=300ms         a batch job comes (track, tenant, work, budget)
 //	2s started j1                then progress j1 0.5, ended j1 cut, left j1; of the last allocation, or j1/0: of the first
 //	2s heard 4 lend a            a word from node 4; reported a 4 1 0: held, waiting, free
-//	2s probed a answered free=1  what came of a probe; or refused
+//	2s probed a answered free=1  what came of a probe; or unanswered
 //	9s closing 12s               the node ends; all must be over by then
 //	9s! ended j1 handled         the node had no turn since the line before
 //	9s wait                      let time pass until then
