--- a/policy/policy.go
+++ b/policy/policy.go
@@ -332,7 +332,7 @@
 	return Endless / 4
 }
 
-// crosses says whether j goes to another zone at once: so many of those that gain by it as bring the zones' loads
+// crosses says whether j goes to another zone at once: so many of those that gain by it as bring the loads
 // together, each by a chance of its own, so that nodes don't turn with one list. Guards against a zone with
 // far more traffic than executors, where a token is always free.
 func (d *Dispatcher) crosses(j *job) bool {
