--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -345,29 +345,25 @@
 }
 
 func (e *Executor) say(t *task, w Word, share float64) {
-	e.out = append(e.out, Say{t.Conn, t.Job, w, share, e.report()})
+	e.out = append(e.out, Say{t.Conn, t.Job, w, share, e.Says(e.now)})
 }
 
-// report is late and noisy: the same for all who hear of it until it is renewed.
-func (e *Executor) report() Load {
+// Says is the load that it tells, late and noisy: the same for all who hear of it until it is renewed.
+func (e *Executor) Says(now time.Duration) Load {
 	if !e.Reports {
 		return Load{}
 	}
-	if !e.load.Known || e.now-e.loadAt >= e.ReportEvery {
+	if !e.load.Known || now-e.loadAt >= e.ReportEvery {
 		off := func(x int) float64 {
 			return math.Max(0, float64(x)*(1+e.ReportNoise*(2*e.rand.Float64()-1)))
 		}
-		e.loadAt = e.now
+		e.loadAt = now
 		e.load = Load{off(len(e.running) + len(e.waiting)), off(len(e.waiting)), off(max(0, e.Places-len(e.running))), true}
 	}
 	return e.load
 }
 
-// Says is the load that it tells now, and Mute whether it answers nobody.
-func (e *Executor) Says(now time.Duration) Load {
-	e.now = max(e.now, now)
-	return e.report()
-}
+// Mute says whether it answers nobody.
 func (e *Executor) Mute() bool { return e.trouble.Mute }
 
 // Held is how many batch jobs are there, and Running how many of them run.
