--- a/cmd/birchstair/serve.go
+++ b/cmd/birchstair/serve.go
@@ -67,6 +67,7 @@
 			return err
 		}
 		p = durable.Tracks(p, time.Duration(own.Durable.OuterLimit))
+		p.MayCopy = false // a lease is one executor's
 		c.Settings.Policy = p
 	}
 	more := make(chan node.Event)
@@ -79,7 +80,6 @@
 		Int("executors", toExecutors).Msg("the node is up")
 	return service.Run(ctx, service.Setup{Settings: c.Settings, ClientConns: clients.Budget{Whole: fromClients, Half: fromFewer}, Known: c.known, Discovery: c.Discovery,
 		Start: start, Module: policy.New(p), Listener: listener, Door: door, Heirs: c.Shared, Elder: elder, Share: share, Durable: lasting, Executors: executors.TCP(c.Settings.DialLimit), Log: log,
-		Probing: executors.Probing{Path: c.Probe.Path, Limit: c.Probe.Limit, Told: c.Settings.Load},
 		Limits: node.Limits{Quantum: p.Quantum, IdleUse: c.Settings.IdleLimit * 4 / 5, DialLimit: c.Settings.DialLimit,
 			Conns: toExecutors, HalfConns: toFewer, ColdSpell: p.FallWindow + coldSlack, Bodies: int(c.Memory / 4), ComeBack: p.MaxComeBack,
 			Work: c.LongestWork(), StopSpell: config.StopSpell, StopLimit: c.StopLimit()}}, more)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,7 +30,6 @@
 	Memory     int64           // bytes; over them the node is killed
 	Sockets    int             // descriptors
 	Known      json.RawMessage // the list as this node last had it, in discovery's form; may be absent
-	Probe      Probe
 	Settings   Settings
 
 	keys map[string]bool // that stand in the file
@@ -162,9 +161,9 @@
 		*window = max(0, *window-c.Settings.DialLimit)
 	}
 	p := &c.Settings.Policy
-	c.Probe = Probe{w.Probe.Path, Seconds(orElse(w.Probe.Timeout, defaultProbe))}
+	c.Settings.Probe = Probe{w.Probe.Path, Seconds(orElse(w.Probe.Timeout, defaultProbe))}
 	// The protocol has no call for a probe and no link between nodes: the settings' leave alone makes neither.
-	p.MayProbe = p.MayProbe && c.Probe.Path != ""
+	p.MayProbe = p.MayProbe && c.Settings.Probe.Path != ""
 	p.MayTell = false
 	return c, c.check()
 }
@@ -215,6 +214,8 @@
 	// The tracks are taken up at once.
 	other.Settings.Tracks, other.Settings.Policy.Tracks = c.Settings.Tracks, c.Settings.Policy.Tracks
 	other.Settings.Policy.MaxAllocations = c.Settings.Policy.MaxAllocations
+	probe := other.Settings.Probe
+	other.Settings.Probe = c.Settings.Probe
 	for _, k := range [...]struct {
 		same bool
 		key  string
@@ -225,7 +226,7 @@
 		{c.Cores == other.Cores, "limits.cores"},
 		{c.Memory == other.Memory, "limits.memory_mb"},
 		{c.Sockets == other.Sockets, "limits.sockets"},
-		{c.Probe == other.Probe, "probe"},
+		{c.Settings.Probe == probe, "probe"},
 		{reflect.DeepEqual(c.Settings, other.Settings), "settings"},
 	} {
 		if !k.same {
@@ -258,7 +259,7 @@
 	case c.Sockets < leastSockets:
 		return fmt.Errorf("limits.sockets: %d is under %d", c.Sockets, leastSockets)
 	}
-	switch probe := c.Probe; {
+	switch probe := c.Settings.Probe; {
 	case probe.Path != "" && (probe.Path[0] != '/' || strings.ContainsAny(probe.Path, " \t\r\n")):
 		return fmt.Errorf("probe.path: %.40q is no path that begins with /", probe.Path)
 	case !(probe.Limit > 0 && probe.Limit <= longestProbe):
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -16,6 +16,7 @@
 	Policy policy.Settings
 
 	Load   LoadAt
+	Probe  Probe
 	Tracks []string // names, by number
 	Zones  []string
 	Kinds  []string
@@ -30,6 +31,15 @@
 	Limit time.Duration
 }
 
+// Told says which values the settings name that the module can use, by the protocol's names.
+func (s *Settings) Told() map[string]bool {
+	told := map[string]bool{}
+	for i, name := range [...]string{"inflight", "queue", "x0", "x1", "latency_ms"} {
+		told[name] = s.Load[i] >= 0
+	}
+	return told
+}
+
 // TellsLoad says whether load reports have all that the module wants of an answer.
 func (s *Settings) TellsLoad() bool { return min(s.Load[0], s.Load[1], s.Load[2]) >= 0 }
 
@@ -43,28 +53,26 @@
 	loadMeans = map[string]string{"x0": "free slots", "x1": "free memory"}
 )
 
+// mostLoad is more than any executor could say: such a report counts as none.
+const mostLoad = 1e6
+
 // Load turns a report's values into what the module takes. One of them that makes no sense makes the report count as none.
 func (at LoadAt) Load(values []float64) (load policy.Load, ok bool) {
 	var x [len(loadNames)]float64
 	for i, place := range at {
 		x[i] = -1
 		if place >= 0 && place < len(values) {
-			if x[i] = values[place]; !(x[i] >= 0 && x[i] <= policy.MostLoad) {
+			if x[i] = values[place]; !(x[i] >= 0 && x[i] <= mostLoad) {
 				return load, false
 			}
 			ok = true
 		}
 	}
-	return LoadOf(x), ok
-}
-
-// LoadOf makes a load of values in the order of LoadAt; those under 0 are not told.
-func LoadOf(x [len(loadNames)]float64) policy.Load {
-	load := policy.Load{Held: x[0], Waiting: x[1], Free: x[2], Memory: x[3], Took: policy.Untold.Took}
+	load = policy.Load{Held: x[0], Waiting: x[1], Free: x[2], Memory: x[3], Took: -1}
 	if x[4] >= 0 {
 		load.Took = Seconds(x[4] / 1000)
 	}
-	return load
+	return load, ok
 }
 
 // Seconds turns seconds into a span, rounded to the microsecond.
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -91,9 +91,7 @@
 const Twin = "durable/"
 
 // Tracks adds a twin of each track for durable batch jobs: with their outer limit, and in time as long as that lasts.
-// None has copies, since a lease is one executor's.
 func Tracks(s policy.Settings, limit time.Duration) policy.Settings {
-	s.MayCopy = false
 	for _, t := range slices.Clone(s.Tracks) {
 		t.Work = t.Quoted // hours to be in time say nothing of the work
 		t.OuterLimit, t.Quoted, t.Stretch, t.LateEarnings = limit, limit, 0, 0
--- a/internal/executors/codec.go
+++ b/internal/executors/codec.go
@@ -113,31 +113,29 @@
 	return policy.Errored, "an answer that is not in the protocol: " + answer.Status
 }
 
-// loadNames are a load report's values, by the settings' names and by the protocol's: they may go by either. They stand in
-// the order of config.LoadAt.
-var loadNames = [...][2]string{{"inflight", "active"}, {"queue", "waiting"}, {"x0", "x0"}, {"x1", "x1"}, {"latency_ms", "avg_ms"}}
+// A load report's values may go by the settings' names or by the protocol's. One that no executor could have makes
+// the report count as none.
+const mostLoad = 1e6
 
-// value is a report's value of that place, or -1 where there is none, or one that no executor could have.
-func value(values map[string]float64, i int) float64 {
-	x, ok := values[loadNames[i][0]]
-	if !ok {
-		x, ok = values[loadNames[i][1]]
-	}
-	if !ok || !(x >= 0 && x <= policy.MostLoad) {
-		return -1
-	}
-	return x
-}
+var loadNames = [3][2]string{{"inflight", "active"}, {"queue", "waiting"}, {"x0", "x0"}}
 
-// loadFrom is the load that came with an answer. One that lacks a value that the module wants counts as none.
 func (p *Pool) loadFrom(values map[string]float64) (load node.Load) {
-	held, waiting, free := value(values, 0), value(values, 1), value(values, 2)
-	if !p.reports || min(held, waiting, free) < 0 {
+	if !p.reports {
 		return load
 	}
-	load = node.Load{Load: policy.Untold, Known: true}
-	load.Held, load.Waiting, load.Free = held, waiting, free
-	return load
+	var x [3]float64
+	for i, names := range loadNames {
+		ok := false
+		if x[i], ok = values[names[0]]; !ok {
+			if x[i], ok = values[names[1]]; !ok {
+				return load
+			}
+		}
+		if !(x[i] >= 0 && x[i] <= mostLoad) {
+			return load
+		}
+	}
+	return node.Load{Load: policy.Load{Held: x[0], Waiting: x[1], Free: x[2], Memory: -1, Took: -1}, Known: true}
 }
 
 // loadOf reads a load report in an answer's head.
--- a/internal/executors/probe.go
+++ b/internal/executors/probe.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"birchstair/internal/config"
 	"birchstair/internal/node"
 	"birchstair/policy"
 )
@@ -17,8 +16,8 @@
 // head. The operators' protocol has no such call: off where no path is set.
 type Probing struct {
 	Path  string
-	Limit time.Duration // for connection, call and answer together
-	Told  config.LoadAt // what the settings say that a report has
+	Limit time.Duration   // for connection, call and answer together
+	Told  map[string]bool // the values that the settings say a report has, by the protocol's names
 }
 
 // Probe asks an executor for its load, in the background and on a connection of its own.
@@ -34,7 +33,7 @@
 // ask makes one probe. Any answer shows that the executor is there, or a wrong path would shut all of them out; one without a
 // report, or with values that make no sense, shows no more.
 func (p *Pool) ask(ctx context.Context, addr string) (load policy.Load, answered bool) {
-	load = policy.Untold
+	load = policy.Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}
 	conn, err := p.dial(ctx, 0, addr)
 	if err != nil {
 		return load, false
@@ -53,11 +52,20 @@
 	if answer.StatusCode == http.StatusOK {
 		values = reportOf(answer.Header.Get("X-Load-Report"))
 	}
-	var told [len(loadNames)]float64
-	for i, at := range p.probing.Told {
-		if told[i] = -1; at >= 0 {
-			told[i] = value(values, i)
+	tell := func(name, other string) float64 {
+		x, ok := values[name]
+		if !ok {
+			x, ok = values[other]
 		}
+		if !ok || !p.probing.Told[name] || !(x >= 0 && x <= mostLoad) {
+			return -1
+		}
+		return x
+	}
+	load.Held, load.Waiting = tell("inflight", "active"), tell("queue", "waiting")
+	load.Free, load.Memory = tell("x0", "x0"), tell("x1", "x1")
+	if took := tell("latency_ms", "avg_ms"); took >= 0 {
+		load.Took = time.Duration(took * float64(time.Millisecond))
 	}
-	return config.LoadOf(told), true
+	return load, true
 }
--- a/internal/executors/probe_test.go
+++ b/internal/executors/probe_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"birchstair/internal/config"
 	"birchstair/internal/kept"
 	"birchstair/internal/node"
 )
@@ -15,7 +14,7 @@
 // What comes of a probe, from executors that answer in time, late, never, wrongly or with half a report.
 func TestProbes(t *testing.T) {
 	var out strings.Builder
-	told := config.LoadAt{0, -1, 1, -1, 2}
+	told := map[string]bool{"inflight": true, "x0": true, "latency_ms": true}
 	ask := func(name, addr string, limit time.Duration) {
 		events := make(chan node.Event, 1)
 		pool := New(TCP(limit), false, Probing{Path: "/load", Limit: limit, Told: told}, func(ev node.Event) { events <- ev })
--- a/internal/lab/net.go
+++ b/internal/lab/net.go
@@ -245,7 +245,10 @@
 		if x.gone || !x.Up || x.Mute() {
 			return
 		}
-		load := loadOf(x.Says(w.now)).Load
+		load := policy.Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}
+		if says := x.Says(w.now); says.Known {
+			load.Held, load.Waiting, load.Free = says.Held, says.Waiting, says.Free
+		}
 		w.at(w.passes(x.Zone, n.zone), func() {
 			if n.up && n.run == run {
 				tell(node.Probed{Executor: e.Executor, Answered: true, Load: load})
@@ -439,18 +442,9 @@
 
 var words = map[standin.Word]policy.Outcome{standin.Done: policy.Handled, standin.Errored: policy.Errored, standin.NoRoom: policy.NoRoom}
 
-// loadOf is a stand-in's load as a node takes it.
-func loadOf(says standin.Load) node.Load {
-	load := node.Load{Load: policy.Untold, Known: says.Known}
-	if says.Known {
-		load.Held, load.Waiting, load.Free = says.Held, says.Waiting, says.Free
-	}
-	return load
-}
-
 // say brings an executor's word to the node.
 func (c *wire) say(o standin.Say) {
-	load := loadOf(o.Load)
+	load := node.Load{Load: policy.Load{Held: o.Load.Held, Waiting: o.Load.Waiting, Free: o.Load.Free, Memory: -1, Took: -1}, Known: o.Load.Known}
 	sentAt := c.n.w.now
 	c.bring(func() {
 		l := c.load
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -146,7 +146,7 @@
 		return Ended{Conn: p.conn(words[1]), Outcome: outcomes[words[2]], Broken: last == "broken",
 			Result: []byte("result")}
 	case "probed":
-		return Probed{policy.ExecutorID(words[1]), last == "answered", policy.Untold}
+		return Probed{policy.ExecutorID(words[1]), last == "answered", policy.Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}}
 	case "left":
 		return Left{policy.JobID(last)}
 	case "reread":
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -33,7 +33,6 @@
 	Listener  net.Listener
 	Door      net.Listener // for operators; nil where there is none
 	Executors executors.Dialer
-	Probing   executors.Probing
 	List      list.Dialer
 	Log       zerolog.Logger
 	Tap       node.Tap // told of every step; nil for nobody
@@ -66,7 +65,8 @@
 	loop.Tap = s.Tap
 	core := node.New(s.Module, s.Limits, Tracks(s.Settings))
 	front := clients.New(core.Tracks()[:len(s.Settings.Tracks)], s.ClientConns, loop.Tell)
-	pool := executors.New(s.Executors, s.Settings.TellsLoad(), s.Probing, loop.Tell)
+	pool := executors.New(s.Executors, s.Settings.TellsLoad(), executors.Probing{Path: s.Settings.Probe.Path,
+		Limit: s.Settings.Probe.Limit, Told: s.Settings.Told()}, loop.Tell)
 	watcher := list.New(list.Names{Zones: s.Settings.Zones, Kinds: s.Settings.Kinds, Start: s.Start}, s.List, loop.Tell)
 	door := operators.New(config.DoorCallers, loop.TellFirst)
 	edges := node.Edges{List: watcher, Operators: door}
--- a/policy/books.go
+++ b/policy/books.go
@@ -38,23 +38,19 @@
 
 // at notes a due time of a batch job, of a token that is to come free, or of neither: a look at everything.
 func (d *Dispatcher) at(at time.Duration, j *job, token *executor) {
-	it := dueItem{at: at, job: j, token: token}
+	d.order++
+	it := dueItem{at: at, order: d.order, job: j, token: token}
 	if j != nil {
 		it.turn = j.turn
 	}
-	d.push(it)
-}
-
-func (d *Dispatcher) push(it dueItem) {
-	d.order++
-	it.order = d.order
 	heap.Push(&d.due, it)
 }
 
 // lookAt notes when an allocation that is out gets its next look; a look noted before falls away.
 func (d *Dispatcher) lookAt(at time.Duration, s *shot) {
+	d.order++
 	s.turn++
-	d.push(dueItem{at: at, turn: s.turn, shot: s})
+	heap.Push(&d.due, dueItem{at: at, order: d.order, turn: s.turn, shot: s})
 }
 
 // knowKind makes room for a kind's figures: a known executor may come back as another kind, too.
@@ -158,6 +154,13 @@
 	}
 }
 
+func (d *Dispatcher) forget(j *job) {
+	d.unhold(j)
+	j.over = true
+	j.turn++
+	delete(d.jobs, j.id)
+}
+
 // out is a batch job's allocation n, if it is out now.
 func (d *Dispatcher) out(id JobID, n AllocationID) *shot {
 	if j := d.jobs[id]; j != nil {
@@ -170,14 +173,15 @@
 	return nil
 }
 
-// end books a batch job that is over: what is still out of it gets its look at once, and without any it is forgotten.
+// end books a batch job that is over: what is still out of it gets its look at once.
 func (d *Dispatcher) end(j *job, now time.Duration) {
+	if len(j.out) == 0 {
+		d.forget(j)
+		return
+	}
 	d.unhold(j)
 	j.over = true
 	j.turn++
-	if len(j.out) == 0 {
-		delete(d.jobs, j.id)
-	}
 	for _, s := range j.out {
 		d.lookAt(now, s)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -128,8 +128,8 @@
 // reslice picks the executors that this node uses: where it can't use all, those that rank highest, in its
 // own zone and beyond it, for each bound kind. Guards against many nodes, whose least quotas add up to a jam.
 func (d *Dispatcher) reslice(now time.Duration) {
-	d.stale = false
 	size := len(d.ranked)
+	d.stale = false
 	d.lateSlice = max(1, (lateSharers*size+d.nodes-1)/d.nodes)
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
@@ -427,7 +427,7 @@
 	}
 	d.hold(j, now)
 	if now >= j.limitAt-d.quantum || j.sent >= j.track.allocations || !d.mayRepeat(j, now) {
-		return d.giveUp(j, now)
+		return d.giveUp(j)
 	}
 	best := d.bestPace(j, now) * j.need
 	lastStart := j.quotedAt - times(j.work, best)
@@ -436,7 +436,7 @@
 		lastStart = min(j.limitAt, j.heldAt+times(j.track.outerLimit, lateWait)) - times(j.work, best)
 	}
 	if now > lastStart {
-		return d.giveUp(j, now)
+		return d.giveUp(j)
 	}
 	if e := d.pick(j, now, false); e != nil {
 		return d.send(j, e, now)
@@ -454,8 +454,8 @@
 }
 
 // giveUp answers at once. A pushback says that nothing happened or that trying again is harmless: rule 2.
-func (d *Dispatcher) giveUp(j *job, now time.Duration) Decision {
-	d.end(j, now)
+func (d *Dispatcher) giveUp(j *job) Decision {
+	d.forget(j)
 	if j.ran == nil || j.track.repeat == Repeatable || j.track.repeat == Tagged && j.track.group == GroupAll {
 		return Decision{Act: PushBack, ComeBack: d.comeBack}
 	}
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -291,7 +291,7 @@
 	}
 	if answered {
 		d.stale, d.freed = d.stale || e.mute, true
-		e.news, e.mute, e.silences = now, false, 0
+		e.told, e.says, e.news, e.mute, e.silences = now, load, now, false, 0
 		if k := d.kept[e.sum]; k != nil && load.Free >= 0.5 && now-k.lentAt >= d.shortestQuoted {
 			k.more = k.more || len(k.lent) >= k.quota
 			d.lend(k, len(k.lent)+1, now)
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -231,11 +231,9 @@
 		for i := range load {
 			load[i], _ = strconv.ParseFloat(words[1+i], 64)
 		}
-		said := Untold
-		said.Held, said.Waiting, said.Free = load[0], load[1], load[2]
-		p.d.Reported(ExecutorID(words[0]), said)
+		p.d.Reported(ExecutorID(words[0]), Load{Held: load[0], Waiting: load[1], Free: load[2], Memory: -1, Took: -1})
 	case "probed":
-		load := Untold
+		load := Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}
 		for _, w := range words[2:] {
 			load.Free, _ = strconv.ParseFloat(strings.TrimPrefix(w, "free="), 64)
 		}
--- a/policy/types.go
+++ b/policy/types.go
@@ -144,12 +144,6 @@
 	Took    time.Duration // running time of its last ones
 }
 
-// Untold is the load of one that tells nothing.
-var Untold = Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}
-
-// MostLoad is more than any executor could say of itself.
-const MostLoad = 1e6
-
 // ListKind says what a list brings.
 type ListKind int
 
