The module takes a cut line and tallies what came, was handled, was lost and waits

Change: Tally sums up work by earnings for the work, Cut sets the line, below() in policy.go decides when a batch job comes, and giveUp spreads the time to come back.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,7 +17,8 @@
 //     the slower the less the executor can take.
 //  4. move: an allocation that does not start, or crawls, is stopped and sent elsewhere where rule 2 allows;
 //     its token stays taken until its work would be over. With copies it goes on beside the other.
-//  5. early pushback: a batch job that can earn nothing more gets its final answer at once.
+//  5. early pushback: a batch job that can earn nothing more, or is below the cut line where nodes talk, gets
+//     its final answer at once.
 //  6. keepers: where many nodes may talk, one of them keeps an executor's places for all and lends them.
 package policy
 
@@ -375,6 +376,7 @@
 	j.quotedAt = min(now-spent+min(t.quoted+times(j.work, t.stretch), t.outerLimit), j.limitAt)
 	d.closeBy(j)
 	d.asked(j, spent == 0 && !in.Again)
+	j.cut = d.talks && d.below(j)
 	d.jobs[in.Job] = j
 	d.hold(j, now)
 	d.at(now, j, nil)
@@ -426,7 +428,7 @@
 		return Decision{}
 	}
 	d.hold(j, now)
-	if now >= j.limitAt-d.quantum || j.sent >= j.track.allocations || !d.mayRepeat(j, now) {
+	if j.cut || now >= j.limitAt-d.quantum || j.sent >= j.track.allocations || !d.mayRepeat(j, now) {
 		return d.giveUp(j)
 	}
 	best := d.bestPace(j, now) * j.need
@@ -453,9 +455,20 @@
 	return Decision{Act: Hold}
 }
 
+// below says whether j earns less for its work than the cut line: what the fleet has no capacity for.
+// Guards against low earners taken here while dearer ones find no token elsewhere.
+func (d *Dispatcher) below(j *job) bool {
+	rung := d.offered(j)
+	return rung < d.line.Rung || rung == d.line.Rung && (j.tight || d.chance() >= d.line.Part)
+}
+
 // giveUp answers at once. A pushback says that nothing happened or that trying again is harmless: rule 2.
 func (d *Dispatcher) giveUp(j *job) Decision {
 	d.forget(j)
+	if j.cut { // they come back at times of their own, not all together
+		return Decision{Act: PushBack, ComeBack: times(d.comeBack, (1+d.chance())/2)}
+	}
+	d.lost(j)
 	if j.ran == nil || j.track.repeat == Repeatable || j.track.repeat == Tagged && j.track.group == GroupAll {
 		return Decision{Act: PushBack, ComeBack: d.comeBack}
 	}
@@ -616,9 +629,7 @@
 	if j.curt {
 		j.tenant.need = max(j.tenant.need-needStep, 0)
 	}
-	if now <= j.quotedAt {
-		j.track.given += d.earnings(j.job)
-	}
+	d.booked(j, now)
 	if e.inCap > 0 {
 		if e.inCap++; e.inCap > e.quota {
 			e.inCap = 0
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -307,3 +307,74 @@
 		d.at(now+d.shortestQuoted, nil, nil)
 	}
 }
+
+// ---- For nodes that talk ----
+
+// Tally is what this node saw since it was asked last; from the first asking on it is kept.
+func (d *Dispatcher) Tally(now time.Duration) Tally {
+	t := d.tally
+	d.talks, d.tally = true, Tally{}
+	for _, j := range d.held {
+		t.Waiting += j.pressing()
+	}
+	for _, e := range d.ranked {
+		if k := d.kinds[e.kind]; e.up && !e.mute && e.held <= now {
+			part := 1.0
+			if now < e.coldUntil {
+				part = d.coldShare
+			}
+			t.Capacity += part * float64(k.parallel) * (e.works + 1) / max(e.runs+k.pace, 1e-9)
+		}
+	}
+	for _, e := range d.met {
+		for _, s := range e.out {
+			if !s.running && d.tellsStart && !s.over {
+				t.Waiting += s.pressing()
+			}
+		}
+	}
+	return t
+}
+
+// Cut tells where the cut line of nodes that talk is from now on. Batch jobs in hand stay.
+func (d *Dispatcher) Cut(line CutLine) { d.line = line }
+
+// offered books a batch job that came, and gives its rung. A tenant over its share is weighed down as in value. One that came with less than half
+// of its slack, as repeats do, is no measure of what the fleet is short of: it may find no token in time where most are free.
+func (d *Dispatcher) offered(j *job) int {
+	work := max(j.work.Seconds(), 1e-6)
+	density := d.earnings(j) / work
+	if t := j.tenant; t != nil && t.over > 1 {
+		density *= d.overage + (1-d.overage)/t.over
+	}
+	rung := Rungs/2 + int(math.Round(2*math.Log2(max(density, 1e-9))))
+	rung = min(max(0, rung), Rungs-1)
+	if j.tight = j.quotedAt-d.now-j.work < j.slack()/2; !j.tight {
+		d.tally.Offered[rung] += work
+	}
+	return rung
+}
+
+// slack is what j's quoted time leaves beyond its work, counted from its first try.
+func (j *job) slack() time.Duration {
+	return min(j.track.quoted+times(j.work, j.track.stretch), j.track.outerLimit) - j.work
+}
+
+// pressing is j's work against its slack.
+func (j *job) pressing() float64 { return j.work.Seconds() / max(j.slack().Seconds(), 1e-3) }
+
+// booked books an answer, in its quoted time or not.
+func (d *Dispatcher) booked(s *shot, now time.Duration) {
+	d.tally.Done += s.work.Seconds()
+	if now <= s.quotedAt {
+		s.track.given += d.earnings(s.job)
+	}
+}
+
+// lost books a batch job that is given up on. What could not be done when it came has not waited: a line that fell for
+// it would cut more and more, to no end.
+func (d *Dispatcher) lost(j *job) {
+	if !j.tight && d.now-j.came > d.quantum && j.sent < j.track.allocations {
+		d.tally.Lost += j.work.Seconds()
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -72,6 +72,10 @@
 	stood          time.Duration // so much of it it stood still, though something was due
 	closing        time.Duration // when all must be over, once this node ends; 0 before
 
+	talks bool // nodes reckon a cut line together
+	line  CutLine
+	tally Tally // since it was asked for last
+
 	mayTell bool
 	mayCopy bool
 	probes  bool
@@ -205,6 +209,8 @@
 
 // job is a batch job in hand.
 type job struct {
+	cut      bool // below the cut line when it came
+	tight    bool // it came with less than half of its slack
 	id       JobID
 	track    *track
 	tenant   *tenant
