--- a/cmd/birchstair/main.go
+++ b/cmd/birchstair/main.go
@@ -95,7 +95,8 @@
 		return err
 	}
 	if own.Site != "" {
-		fmt.Printf("%s is sound: durable batch jobs are %s\n", own.Site, map[bool]string{true: "on", false: "off"}[s.Durable != nil])
+		onOff := map[bool]string{true: "on", false: "off"}
+		fmt.Printf("%s is sound: durable batch jobs are %s, nodes that talk are %s\n", own.Site, onOff[s.Durable != nil], onOff[s.Fleet != nil])
 	}
 	clients, executors := c.Descriptors()
 	fmt.Printf("%s is sound: %d tracks, at most %d connections from clients and %d to executors\n",
--- a/cmd/birchstair/ops.go
+++ b/cmd/birchstair/ops.go
@@ -24,11 +24,13 @@
 	SetUp    executorCmd `cmd:"" help:"Put an executor back. It counts as started now."`
 	DrainOn  orderCmd    `cmd:"" help:"Send the node's clients away."`
 	DrainOff orderCmd    `cmd:"" help:"Let clients come again."`
+	Fleet    fleetCmd    `cmd:"" help:"Print what the node knows of its fleet: neighbours with the age of their figures, drains, the cut line, words dropped."`
 }
 
 type (
 	orderCmd    struct{}
 	varsCmd     struct{}
+	fleetCmd    struct{}
 	executorCmd struct {
 		ID string `arg:"" help:"The executor's id in the list."`
 	}
@@ -48,8 +50,13 @@
 	return nil
 }
 
-func (varsCmd) Run(own *opsCmd) error {
-	lines, err := own.call(node.ReadFigures, "")
+func (varsCmd) Run(own *opsCmd) error { return own.print(node.ReadFigures) }
+
+func (fleetCmd) Run(own *opsCmd) error { return own.print(node.ReadFleet) }
+
+// print prints the lines that a call brings.
+func (c *opsCmd) print(order node.Order) error {
+	lines, err := c.call(order, "")
 	for _, line := range lines {
 		fmt.Println(line)
 	}
--- a/cmd/birchstair/serve.go
+++ b/cmd/birchstair/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -16,7 +17,9 @@
 	"birchstair/internal/config"
 	"birchstair/internal/durable"
 	"birchstair/internal/executors"
+	"birchstair/internal/fleet"
 	"birchstair/internal/leases"
+	"birchstair/internal/members"
 	"birchstair/internal/node"
 	"birchstair/internal/service"
 	"birchstair/internal/site"
@@ -60,6 +63,8 @@
 	fromClients, toExecutors := c.Descriptors()
 	fromFewer, toFewer := c.HalfDescriptors()
 	p := c.Settings.Policy
+	p.MayTell = c.Settings.Peers && own.Fleet != nil // else nobody carries words
+	c.Settings.Policy = p
 	var lasting *durable.Durable
 	if own.Durable != nil {
 		if lasting, err = openDurable(own.Durable, c, log); err != nil {
@@ -70,6 +75,11 @@
 		p.MayCopy = false // a lease is one executor's
 		c.Settings.Policy = p
 	}
+	talks, err := fleetOf(own.Fleet, c, start)
+	if err != nil {
+		listener.Close()
+		return err
+	}
 	more := make(chan node.Event)
 	go func() {
 		for range again {
@@ -79,7 +89,7 @@
 	log.Info().Str("listen", c.Listen).Int("known", len(c.known)).Int("clients", fromClients).
 		Int("executors", toExecutors).Msg("the node is up")
 	return service.Run(ctx, service.Setup{Settings: c.Settings, ClientConns: clients.Budget{Whole: fromClients, Half: fromFewer}, Known: c.known, Discovery: c.Discovery,
-		Start: start, Module: policy.New(p), Listener: listener, Door: door, Heirs: c.Shared, Elder: elder, Share: share, Durable: lasting, Executors: executors.TCP(c.Settings.DialLimit), Log: log,
+		Start: start, Module: policy.New(p), Listener: listener, Door: door, Heirs: c.Shared, Elder: elder, Share: share, Durable: lasting, Fleet: talks, Executors: executors.TCP(c.Settings.DialLimit), Log: log,
 		Limits: node.Limits{Quantum: p.Quantum, IdleUse: c.Settings.IdleLimit * 4 / 5, DialLimit: c.Settings.DialLimit,
 			Conns: toExecutors, HalfConns: toFewer, ColdSpell: p.FallWindow + coldSlack, Bodies: int(c.Memory / 4), ComeBack: p.MaxComeBack,
 			Work: c.LongestWork(), StopSpell: config.StopSpell, StopLimit: c.StopLimit()}}, more)
@@ -123,6 +133,18 @@
 		Keep: time.Duration(own.Keep), Leases: own.Leases, AskEvery: time.Duration(own.AskEvery)}}, s, c.Settings.Tracks, c.Settings.Policy.Tracks, dial, log), nil
 }
 
+// fleetOf is what the node is told of its fleet; nil without the table.
+func fleetOf(own *site.Fleet, c told, start time.Time) (*service.Fleet, error) {
+	if own == nil {
+		return nil, nil
+	}
+	name := fleet.Name(cmp.Or(own.Name, c.Name))
+	s := fleet.Defaults(name, uint64(start.UnixMilli()), c.Settings.Policy.Seed)
+	s.Every, s.Tell, s.ViewFor, s.DrainFor = time.Duration(own.Every), own.Tell, time.Duration(own.ViewFor), time.Duration(own.DrainFor)
+	o, err := members.Parse(name, policy.NodeID(c.Settings.Policy.Node), own.Listen, own.Advertise, own.Seeds)
+	return &service.Fleet{Settings: s, Options: o}, err
+}
+
 // reread reads the configuration anew, whole: what would not do for a start changes nothing.
 func reread(c *told, own site.Site, read func() (told, error)) node.Reread {
 	t, err := read()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -162,9 +162,9 @@
 	}
 	p := &c.Settings.Policy
 	c.Settings.Probe = Probe{w.Probe.Path, Seconds(orElse(w.Probe.Timeout, defaultProbe))}
-	// The protocol has no call for a probe and no link between nodes: the settings' leave alone makes neither.
+	// The protocol has no call for a probe and no link between nodes: the settings' leave alone makes neither. Words need the operator's file as well.
 	p.MayProbe = p.MayProbe && c.Settings.Probe.Path != ""
-	p.MayTell = false
+	c.Settings.Peers, p.MayTell = p.MayTell, false
 	return c, c.check()
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -17,6 +17,7 @@
 
 	Load   LoadAt
 	Probe  Probe
+	Peers  bool     // nodes may talk with each other
 	Tracks []string // names, by number
 	Zones  []string
 	Kinds  []string
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,482 @@
+// Package fleet decides what a node makes of the other nodes that it talks with: which of their figures still count, where the cut line lies for all of
+// them together, and which executors count as draining because a neighbour's list says so. It does no input or output and reads no clock. What it
+// says goes out as words to neighbours, a bounded number each spell however large the fleet is; nothing waits for an answer.
+//
+// Its words: a neighbour is another node of the fleet, a word what one tells another, a view what this node knows of a neighbour. An age is a span,
+// counted on by who holds the figure.
+package fleet
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"birchstair/policy"
+)
+
+// Name is a node's name in the fleet.
+type Name string
+
+// Settings are what a node is told of its fleet.
+type Settings struct {
+	Self     Name
+	Life     uint64        // differs with each start; a later start's is higher: Unix milliseconds then
+	Seed     uint32        // for chance
+	Epoch    int64         // Unix milliseconds at which this node's spans start, by the clock that it reads the list with
+	Every    time.Duration // between two words to neighbours
+	Tell     int           // neighbours that are told each time
+	ViewFor  time.Duration // a neighbour's figures count until they are so old
+	DrainFor time.Duration // and a drain that it told of
+}
+
+// Defaults are the settings that need no choice.
+func Defaults(self Name, life uint64, seed uint32) Settings {
+	return Settings{Self: self, Life: life, Seed: seed, Epoch: int64(life), Every: 250 * time.Millisecond, Tell: 3, ViewFor: 4 * time.Second, DrainFor: 10 * time.Second}
+}
+
+const (
+	smoothing  = 1500 * time.Millisecond // over which figures are averaged
+	stood      = 3                       // spells without a turn after which what waited unread is old
+	mostDrains = 24                      // in a word
+	keptDrains = 4096                    // in mind
+	clip       = 8                       // times the median of what neighbours tell that one of them may count for
+	clipFrom   = 3                       // neighbours from which on a median says something
+	begin      = 0.03                    // part of the work lost for want of tokens from which on a line is drawn
+	headroom   = 0.25                    // work over what is done that is taken as long as none is lost
+	spare      = 0.05                    // part lost at which no more is taken than is done
+	patience   = 0.4                     // part of its slack that work may wait in overload
+	least      = 0.8                     // of what is done: taken at the least
+)
+
+// Word is what one node tells another. All in it the teller saw itself, but for drains, whose age grows on the way.
+type Word struct {
+	From    Name
+	Life    uint64
+	Seq     uint64
+	Figures Figures
+	Drains  []Drain
+}
+
+// Figures are rates of one node, in seconds of work on a standard core a second, averaged.
+type Figures struct {
+	Offered map[int]float64 // by rung
+	Done    float64
+	Lost    float64
+	Waiting float64 // work that waits against its slack, not a rate
+}
+
+// Drain says that an executor drains or is gone, as some node's own list said Age ago, of the start that the list calls Born.
+type Drain struct {
+	Executor policy.ExecutorID
+	Born     int64 // 0: long ago
+	Age      time.Duration
+}
+
+// To is a word and whom it goes to.
+type To struct {
+	Name Name
+	Word Word
+}
+
+// view is what is known of a neighbour.
+type view struct {
+	life, seq uint64
+	at        time.Duration // when its figures were told
+	figures   Figures
+}
+
+// drain is what this node holds true of an executor that drains.
+type drain struct {
+	born int64         // the start that it is about
+	seen time.Duration // when a node's own list last said so
+	own  bool          // this node's list says so
+	gone bool          // or said so last, before it named the executor no more
+}
+
+// Fleet is what a node knows of its fleet.
+type Fleet struct {
+	s        Settings
+	next     time.Duration // when the next words are due
+	last     time.Duration // when this node had its last turn here
+	deaf     time.Duration // until then what comes may have waited unread
+	seq      uint64
+	count    uint32
+	alive    []Name // neighbours that the edge holds for alive, in order
+	turn     int
+	views    map[Name]*view
+	drains   map[policy.ExecutorID]*drain
+	back     map[policy.ExecutorID]time.Duration // when this node's own list took a drain back
+	turnD    int
+	figures  Figures
+	since    time.Duration // over which they are averaged so far
+	capacity float64       // of all executors, as this node sees them
+	line     policy.CutLine
+	drawn    bool // a line is drawn
+	dropped  map[string]int
+	words    int // told
+	heard    int
+}
+
+// New makes the state of a node that knows no neighbour yet.
+func New(s Settings) *Fleet {
+	return &Fleet{s: s, next: s.Every, views: map[Name]*view{}, drains: map[policy.ExecutorID]*drain{}, back: map[policy.ExecutorID]time.Duration{}, dropped: map[string]int{},
+		figures: Figures{Offered: map[int]float64{}}}
+}
+
+// chance is a number from 0 to 1 drawn from the seed and a counter.
+func (f *Fleet) chance() float64 {
+	var b [8]byte
+	f.count++
+	binary.LittleEndian.PutUint32(b[:4], f.s.Seed)
+	binary.LittleEndian.PutUint32(b[4:], f.count)
+	return float64(crc32.ChecksumIEEE(b[:])) / math.MaxUint32
+}
+
+// Next is when Tick is due.
+func (f *Fleet) Next() time.Duration { return f.next }
+
+// Alive tells which neighbours the edge holds for alive from now on.
+func (f *Fleet) Alive(names []Name) {
+	f.alive = slices.DeleteFunc(slices.Sorted(slices.Values(names)), func(n Name) bool { return n == f.s.Self })
+	f.alive = slices.Compact(f.alive)
+}
+
+// ---- Words ----
+
+// Tick is due every spell: it takes what the module saw since the last one, and gives the words to be told and the cut line.
+func (f *Fleet) Tick(now time.Duration, t policy.Tally) ([]To, policy.CutLine) {
+	span := now - f.last
+	if span > stood*f.s.Every {
+		f.deaf = now + f.s.Every
+	}
+	f.last, f.next = now, now+f.s.Every
+	f.average(t, span)
+	f.forget(now)
+	f.draw(now)
+	var out []To
+	for range min(f.s.Tell, len(f.alive)) {
+		out = append(out, To{f.pick(), f.word(now)})
+	}
+	f.words += len(out)
+	return out, f.line
+}
+
+// pick is the next neighbour to be told: each in turn, in an order that is drawn anew each round.
+func (f *Fleet) pick() Name {
+	if f.turn == 0 {
+		for i := len(f.alive) - 1; i > 0; i-- {
+			j := min(int(f.chance()*float64(i+1)), i)
+			f.alive[i], f.alive[j] = f.alive[j], f.alive[i]
+		}
+	}
+	n := f.alive[f.turn%len(f.alive)]
+	f.turn = (f.turn + 1) % len(f.alive)
+	return n
+}
+
+// word is what a neighbour is told now: this node's own figures, and as many drains as there is room for, in turn.
+func (f *Fleet) word(now time.Duration) Word {
+	f.seq++
+	w := Word{From: f.s.Self, Life: f.s.Life, Seq: f.seq, Figures: Figures{Offered: maps.Clone(f.figures.Offered), Done: f.figures.Done, Lost: f.figures.Lost, Waiting: f.figures.Waiting}}
+	ids := slices.Sorted(maps.Keys(f.drains))
+	for range min(len(ids), mostDrains) {
+		f.turnD = (f.turnD + 1) % len(ids)
+		id := ids[f.turnD]
+		d := f.drains[id]
+		w.Drains = append(w.Drains, Drain{Executor: id, Born: d.born, Age: now - d.seen})
+	}
+	return w
+}
+
+// Heard takes a neighbour's word in, and gives the executors of which it says something new. What it can't use it drops and counts: a name that is this
+// node's own or unknown, an earlier life, an older word, figures that make no sense.
+func (f *Fleet) Heard(now time.Duration, w Word) (changed []policy.ExecutorID) {
+	if why := f.unfit(now, w); why != "" {
+		f.dropped[why]++
+		return nil
+	}
+	v := f.views[w.From]
+	if v == nil {
+		v = &view{}
+		f.views[w.From] = v
+	}
+	*v = view{life: w.Life, seq: w.Seq, at: now, figures: w.Figures}
+	f.heard++
+	for _, d := range w.Drains {
+		if f.told(now, d) {
+			changed = append(changed, d.Executor)
+		}
+	}
+	return changed
+}
+
+func (f *Fleet) unfit(now time.Duration, w Word) string {
+	v := f.views[w.From]
+	switch {
+	case w.From == f.s.Self:
+		return "in this node's own name"
+	case now < f.deaf || now-f.last > stood*f.s.Every:
+		// Guards against a node that was stopped and wakes: what waited unread meanwhile would count as fresh.
+		return "unread for long"
+	case !slices.Contains(f.alive, w.From):
+		return "of a node that is not in the fleet"
+	case v != nil && w.Life < v.life:
+		return "of an earlier life"
+	case v != nil && w.Life == v.life && w.Seq <= v.seq:
+		return "older than one before"
+	case !w.Figures.sound():
+		return "with figures that make no sense"
+	}
+	return ""
+}
+
+func (g Figures) sound() bool {
+	ok := func(x float64) bool { return x >= 0 && x <= mostRate } // not for what is no number, either
+	for rung, x := range g.Offered {
+		if rung < 0 || rung >= policy.Rungs || !ok(x) {
+			return false
+		}
+	}
+	return ok(g.Done) && ok(g.Lost) && ok(g.Waiting)
+}
+
+// mostRate is more work a second than any node could be offered.
+const mostRate = 1e7
+
+// ---- Drains ----
+
+// born names the start of an executor as the list does, alike at all nodes whatever their clocks say; 0 for long ago.
+func (f *Fleet) born(started time.Duration, longAgo bool) int64 {
+	if longAgo {
+		return 0
+	}
+	return f.s.Epoch + started.Milliseconds()
+}
+
+// Sighted tells what this node's own list says of an executor.
+func (f *Fleet) Sighted(now time.Duration, id policy.ExecutorID, started time.Duration, longAgo bool, state policy.State) {
+	d, born := f.drains[id], f.born(started, longAgo)
+	switch {
+	case state != policy.Up:
+		if state == policy.Gone && d != nil {
+			born = max(born, d.born) // one that is gone may be named without its start
+		}
+		delete(f.back, id)
+		f.keep(id, &drain{born: born, seen: now, own: true, gone: state == policy.Gone})
+	case d == nil:
+	case d.own:
+		delete(f.drains, id)
+		f.back[id] = now // what others saw of that drain before now is older than this
+	case born > d.born:
+		delete(f.drains, id)
+	}
+}
+
+// told takes in hearsay of a drain, and says whether it is new. Hearsay never grows young: it counts until it is DrainFor old, from the last time that some
+// node's own list said so.
+func (f *Fleet) told(now time.Duration, h Drain) bool {
+	if h.Age < 0 || h.Age > f.s.DrainFor || h.Born < 0 || h.Executor == "" || len(h.Executor) > longestID {
+		return false
+	}
+	d, seen := f.drains[h.Executor], now-h.Age
+	if at, ok := f.back[h.Executor]; ok && seen <= at {
+		return false
+	}
+	switch {
+	case d != nil && (d.own || h.Born < d.born):
+		return false
+	case d != nil && h.Born == d.born:
+		d.seen = max(d.seen, seen)
+		return false
+	}
+	f.keep(h.Executor, &drain{born: h.Born, seen: seen})
+	return true
+}
+
+// longestID is the most bytes that an executor's id has.
+const longestID = 128
+
+func (f *Fleet) keep(id policy.ExecutorID, d *drain) {
+	if f.drains[id] == nil && len(f.drains) >= keptDrains {
+		oldest := policy.ExecutorID("")
+		for o, other := range f.drains {
+			if old := f.drains[oldest]; old == nil || other.seen < old.seen || other.seen == old.seen && o < oldest {
+				oldest = o
+			}
+		}
+		delete(f.drains, oldest)
+	}
+	f.drains[id] = d
+}
+
+// Drains says whether an executor, on that start, counts as draining because a neighbour told so.
+func (f *Fleet) Drains(now time.Duration, id policy.ExecutorID, started time.Duration, longAgo bool) bool {
+	d := f.drains[id]
+	return d != nil && !d.own && now-d.seen <= f.s.DrainFor && f.born(started, longAgo) <= d.born
+}
+
+// Old gives the executors whose drain, as neighbours told of it, has grown too old to count, and forgets them. What this node's own list says is true as long
+// as the list follows: then it is seen anew, but for what is gone from it.
+func (f *Fleet) Old(now time.Duration, follows bool) (ids []policy.ExecutorID) {
+	for id, d := range f.drains {
+		switch {
+		case d.own && !d.gone && follows:
+			d.seen = now
+		case now-d.seen > f.s.DrainFor && (!d.own || d.gone):
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		delete(f.drains, id)
+	}
+	maps.DeleteFunc(f.back, func(_ policy.ExecutorID, at time.Duration) bool { return now-at > f.s.DrainFor })
+	return ids
+}
+
+// forget drops the views of neighbours that are neither alive nor fresh.
+func (f *Fleet) forget(now time.Duration) {
+	maps.DeleteFunc(f.views, func(n Name, v *view) bool { return now-v.at > 10*f.s.ViewFor })
+}
+
+// ---- Figures and the cut line ----
+
+// average takes a tally into the running rates.
+func (f *Fleet) average(t policy.Tally, span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	// Right after the start there is less to average over: a mean that began at nothing would take all for lost.
+	f.since += span
+	old := math.Exp(-float64(span)/float64(smoothing)) * (1 - math.Exp(-float64(f.since-span)/float64(smoothing))) / (1 - math.Exp(-float64(f.since)/float64(smoothing)))
+	mix := func(was, sum float64) float64 { return was*old + sum/span.Seconds()*(1-old) }
+	f.figures.Done, f.figures.Lost = mix(f.figures.Done, t.Done), mix(f.figures.Lost, t.Lost)
+	f.figures.Waiting, f.capacity = t.Waiting, t.Capacity
+	for rung, sum := range t.Offered {
+		x := mix(f.figures.Offered[rung], sum)
+		if x < 1e-6 {
+			delete(f.figures.Offered, rung)
+		} else {
+			f.figures.Offered[rung] = x
+		}
+	}
+}
+
+func (g Figures) total() float64 {
+	sum := 0.0
+	for rung := range policy.Rungs { // in order: sums of floats hang on it
+		sum += g.Offered[rung]
+	}
+	return sum
+}
+
+// size is how much a node says of itself.
+func (g Figures) size() float64 { return g.total() + g.Done + g.Lost }
+
+// whole are the figures of the whole fleet: this node's own, and those of the neighbours that it has fresh ones of, taken for all that live. What one neighbour
+// tells counts for clip times the median at most: a node that tells nonsense moves the line within that.
+func (f *Fleet) whole(now time.Duration) Figures {
+	var fresh []Figures
+	var totals []float64
+	names := slices.Sorted(maps.Keys(f.views))
+	for _, n := range names {
+		if v := f.views[n]; now-v.at <= f.s.ViewFor {
+			fresh = append(fresh, v.figures)
+			totals = append(totals, v.figures.size())
+		}
+	}
+	sum := Figures{Offered: map[int]float64{}}
+	add := func(g Figures, times float64) {
+		for rung, x := range g.Offered {
+			sum.Offered[rung] += times * x
+		}
+		sum.Done += times * g.Done
+		sum.Lost += times * g.Lost
+		sum.Waiting += times * g.Waiting
+	}
+	add(f.figures, 1)
+	if len(fresh) == 0 {
+		return sum
+	}
+	each := max(1, float64(len(f.alive))/float64(len(fresh)))
+	most := math.MaxFloat64
+	if len(fresh) >= clipFrom {
+		sorted := slices.Sorted(slices.Values(totals))
+		most = clip * max(sorted[len(sorted)/2], f.figures.size())
+	}
+	for i, g := range fresh {
+		add(g, each*min(1, cmp.Or(most, 1e-9)/max(totals[i], 1e-9)))
+	}
+	return sum
+}
+
+// draw reckons the cut line: what the fleet gets done in its quoted times, and some more the less of it is lost for want of tokens, is given to what earns most
+// for its work. It hangs on figures that nodes saw, never on a line of before, so that nodes with the same views draw the same one, and
+// nobody takes its own echo for news. It is drawn from begin on and stays until all that is offered is within what may be taken.
+func (f *Fleet) draw(now time.Duration) {
+	f.line = policy.CutLine{}
+	w := f.whole(now)
+	part := 0.0
+	if w.Done+w.Lost > 0 {
+		part = w.Lost / (w.Done + w.Lost)
+	}
+	full := max(part/spare, w.Waiting/max(w.Done, 1e-9)/patience)
+	// While little waits, what is idle is given out as well: guards against a fleet that keeps itself down by a line that was right for a trouble that has passed.
+	may := w.Done*max(least, 1+headroom*(1-full)) + max(0, f.capacity-w.Done)*max(0, 1-full)
+	if w.total() <= may {
+		f.drawn = false
+		return
+	}
+	if f.drawn = f.drawn || part > begin; !f.drawn {
+		return
+	}
+	for rung := policy.Rungs - 1; rung >= 0; rung-- {
+		x := w.Offered[rung]
+		if x > may {
+			f.line = policy.CutLine{Rung: rung, Part: max(0, may/x)}
+			return
+		}
+		may -= x
+	}
+}
+
+// ---- To see it ----
+
+// Dropped notes a word that could not even be read.
+func (f *Fleet) Dropped(why string) { f.dropped[why]++ }
+
+// Lines say what this node knows of its fleet, one thing a line.
+func (f *Fleet) Lines(now time.Duration) []string {
+	out := []string{fmt.Sprintf("node=%s alive=%d told=%d heard=%d", f.s.Self, len(f.alive)+1, f.words, f.heard)}
+	for _, n := range slices.Sorted(slices.Values(f.alive)) {
+		if v := f.views[n]; v != nil {
+			out = append(out, fmt.Sprintf("neighbour=%s age_ms=%d offered=%.2f done=%.2f lost=%.2f", n, (now-v.at).Milliseconds(), v.figures.total(), v.figures.Done, v.figures.Lost))
+		} else {
+			out = append(out, fmt.Sprintf("neighbour=%s age_ms=never", n))
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.drains)) {
+		d := f.drains[id]
+		by := "a neighbour"
+		if d.own {
+			by = "own list"
+		}
+		out = append(out, fmt.Sprintf("drains=%s age_ms=%d by=%q", id, (now-d.seen).Milliseconds(), by))
+	}
+	w := f.whole(now)
+	out = append(out, fmt.Sprintf("fleet offered=%.2f done=%.2f lost=%.2f", w.total(), w.Done, w.Lost))
+	if f.line != (policy.CutLine{}) {
+		out = append(out, fmt.Sprintf("cut_line rung=%d earnings_for_work=%.3g part=%.3f", f.line.Rung, math.Exp2(float64(f.line.Rung-policy.Rungs/2)/2), f.line.Part))
+	} else {
+		out = append(out, "cut_line none")
+	}
+	for _, why := range slices.Sorted(maps.Keys(f.dropped)) {
+		out = append(out, fmt.Sprintf("dropped=%d words %s", f.dropped[why], why))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/members/codec.go
@@ -0,0 +1,138 @@
+package members
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"birchstair/internal/fleet"
+	"birchstair/internal/node"
+	"birchstair/policy"
+)
+
+// What nodes say to each other, as CBOR; the words go no further than this file.
+
+// version goes up when what is said changes its meaning. Fields that one side does not know are passed over.
+const version = 1
+
+// mostBytes is the longest word: it goes in one datagram.
+const mostBytes = 1300
+
+type wordText struct {
+	Version uint8           `cbor:"0,keyasint"`
+	From    string          `cbor:"1,keyasint"`
+	Life    uint64          `cbor:"2,keyasint"`
+	Seq     uint64          `cbor:"3,keyasint"`
+	Offered map[int]float32 `cbor:"4,keyasint,omitempty"`
+	Done    float32         `cbor:"5,keyasint,omitempty"`
+	Lost    float32         `cbor:"6,keyasint,omitempty"`
+	Drains  []drainText     `cbor:"7,keyasint,omitempty"`
+	Waiting float32         `cbor:"8,keyasint,omitempty"`
+}
+
+type drainText struct {
+	_        struct{} `cbor:",toarray"`
+	Executor string
+	Born     int64 // Unix milliseconds, as the list has it; 0 for long ago
+	AgeMs    int64
+}
+
+var (
+	writes = must(cbor.CoreDetEncOptions().EncMode())
+	reads  = must(cbor.DecOptions{MaxArrayElements: 64, MaxMapPairs: 128, MaxNestedLevels: 4, DupMapKey: cbor.DupMapKeyEnforcedAPF,
+		IndefLength: cbor.IndefLengthForbidden}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err) // of options written here: it can't be
+	}
+	return v
+}
+
+// encode writes a word; drains that find no room are left out, the next word has them.
+func encode(w fleet.Word) ([]byte, error) {
+	text := wordText{Version: version, From: string(w.From), Life: w.Life, Seq: w.Seq, Done: float32(w.Figures.Done), Lost: float32(w.Figures.Lost), Waiting: float32(w.Figures.Waiting)}
+	if len(w.Figures.Offered) > 0 {
+		text.Offered = map[int]float32{}
+		for rung, x := range w.Figures.Offered {
+			text.Offered[rung] = float32(x)
+		}
+	}
+	for _, d := range w.Drains {
+		text.Drains = append(text.Drains, drainText{Executor: string(d.Executor), Born: d.Born, AgeMs: (d.Age + time.Millisecond - 1).Milliseconds()})
+	}
+	for {
+		b, err := writes.Marshal(text)
+		switch {
+		case err != nil:
+			return nil, err
+		case len(b) <= mostBytes:
+			return b, nil
+		case len(text.Drains) == 0:
+			return nil, fmt.Errorf("a word of %d bytes, over %d", len(b), mostBytes)
+		}
+		text.Drains = text.Drains[:len(text.Drains)/2]
+	}
+}
+
+// decode reads a word. What its figures and ages may be, the decider checks.
+func decode(b []byte) (w fleet.Word, err error) {
+	var text wordText
+	if len(b) > mostBytes {
+		return w, fmt.Errorf("longer than a word may be")
+	}
+	if err := reads.Unmarshal(b, &text); err != nil {
+		return w, fmt.Errorf("that make no sense")
+	}
+	if text.Version == 0 {
+		return w, fmt.Errorf("without a version")
+	}
+	if text.Version > version {
+		return w, fmt.Errorf("of a newer version")
+	}
+	w = fleet.Word{From: fleet.Name(text.From), Life: text.Life, Seq: text.Seq,
+		Figures: fleet.Figures{Offered: map[int]float64{}, Done: float64(text.Done), Lost: float64(text.Lost), Waiting: float64(text.Waiting)}}
+	for rung, x := range text.Offered {
+		w.Figures.Offered[rung] = float64(x)
+	}
+	for _, d := range text.Drains {
+		if d.AgeMs < 0 || d.AgeMs > math.MaxInt64/int64(time.Millisecond) {
+			return w, fmt.Errorf("with an age that makes no sense")
+		}
+		w.Drains = append(w.Drains, fleet.Drain{Executor: policy.ExecutorID(d.Executor), Born: d.Born, Age: time.Duration(d.AgeMs) * time.Millisecond})
+	}
+	return w, nil
+}
+
+// placeText is a word about an executor's places. Unlike the other it is an array.
+type placeText struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint8
+	From    int
+	Word    uint8
+	Sum     uint32
+}
+
+// isPlace says whether what came is a word about places: an array, where the other is a map.
+func isPlace(b []byte) bool { return len(b) > 0 && b[0]>>5 == 4 }
+
+func encodePlace(from policy.NodeID, p node.TellPlace) ([]byte, error) {
+	return writes.Marshal(placeText{Version: version, From: int(from), Word: uint8(p.Word), Sum: uint32(p.Sum)})
+}
+
+func decodePlace(b []byte) (node.HearsPlace, error) {
+	var text placeText
+	if err := reads.Unmarshal(b, &text); err != nil {
+		return node.HearsPlace{}, fmt.Errorf("that make no sense")
+	}
+	switch {
+	case text.Version != version:
+		return node.HearsPlace{}, fmt.Errorf("of another version")
+	case text.From < 0 || policy.Word(text.Word) < policy.Want || policy.Word(text.Word) > policy.BackLate:
+		return node.HearsPlace{}, fmt.Errorf("that make no sense")
+	}
+	return node.HearsPlace{From: policy.NodeID(text.From), Word: policy.Word(text.Word), Sum: policy.Sum(text.Sum)}, nil
+}
--- /dev/null
+++ b/internal/members/codec_test.go
@@ -0,0 +1,92 @@
+package members
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"birchstair/internal/fleet"
+	"birchstair/internal/node"
+	"birchstair/policy"
+)
+
+// What is written is read as it was, in one datagram; drains that find no room are left out, ages never grow younger.
+func TestWords(t *testing.T) {
+	w := fleet.Word{From: "n7", Life: 12, Seq: 3, Figures: fleet.Figures{Offered: map[int]float64{38: 1.5, 34: 0.25}, Done: 2, Lost: 0.5, Waiting: 0.125},
+		Drains: []fleet.Drain{{Executor: "e1", Born: 1764600000123, Age: 1500*time.Millisecond + time.Microsecond}}}
+	b, err := encode(w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Drains[0].Age < w.Drains[0].Age || got.Drains[0].Age > w.Drains[0].Age+time.Millisecond {
+		t.Errorf("an age of %v came as %v", w.Drains[0].Age, got.Drains[0].Age)
+	}
+	got.Drains[0].Age = w.Drains[0].Age
+	if !reflect.DeepEqual(got, w) {
+		t.Errorf("%+v came as %+v", w, got)
+	}
+	for i := range 100 {
+		w.Drains = append(w.Drains, fleet.Drain{Executor: policy.ExecutorID(fmt.Sprintf("%0100d", i))})
+	}
+	if b, err = encode(w); err != nil || len(b) > mostBytes {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+	p := node.TellPlace{To: 3, Word: policy.Lend, Sum: 0xfffffff0}
+	if b, err = encodePlace(5, p); err != nil || !isPlace(b) {
+		t.Fatal(b, err)
+	}
+	if got, err := decodePlace(b); err != nil || got != (node.HearsPlace{From: 5, Word: policy.Lend, Sum: 0xfffffff0}) {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+// Whatever comes, nothing breaks, and what is read is sound once the decider has looked at it.
+func FuzzWord(f *testing.F) {
+	for _, w := range []fleet.Word{{}, {From: "a", Life: 1, Seq: 1, Figures: fleet.Figures{Offered: map[int]float64{63: math.MaxFloat32, -1: math.Inf(1)}, Done: math.NaN()},
+		Drains: []fleet.Drain{{Executor: "e", Age: time.Hour}}}} {
+		b, err := encode(w)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	b, _ := encodePlace(1, node.TellPlace{Word: policy.Want})
+	f.Add(b)
+	f.Add([]byte{0xa1, 0x00, 0x02})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if isPlace(b) {
+			if p, err := decodePlace(b); err == nil && p.From < 0 {
+				t.Errorf("%+v", p)
+			}
+			return
+		}
+		w, err := decode(b)
+		if err != nil {
+			return
+		}
+		s := fleet.New(fleet.Defaults("me", 1, 1))
+		s.Alive([]fleet.Name{w.From})
+		s.Heard(time.Millisecond, w)
+		told, _ := s.Tick(250*time.Millisecond, policy.Tally{})
+		for _, to := range told {
+			for rung, x := range to.Word.Figures.Offered {
+				if math.IsNaN(x) || math.IsInf(x, 0) {
+					t.Errorf("rung %d: %v", rung, x)
+				}
+			}
+			again, err := encode(to.Word)
+			if err != nil {
+				t.Error(err)
+			} else if got, err := decode(again); err != nil || !maps.Equal(got.Figures.Offered, to.Word.Figures.Offered) {
+				t.Errorf("%+v, %v", got, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,289 @@
+// Package members is the edge to the other nodes of a fleet: who is in it and alive, and small words between them that may get lost. Membership is
+// memberlist's, by gossip with suspicion; it has goroutines and chance of its own, so nothing here decides: events go to the reducer, its effects come
+// back. members.go holds the fleet, transport.go the sockets, codec.go the words.
+package members
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/rs/zerolog"
+
+	"birchstair/internal/fleet"
+	"birchstair/internal/node"
+	"birchstair/policy"
+)
+
+// Options say where a node listens for its neighbours, and where the first ones are found.
+type Options struct {
+	Name      fleet.Name
+	Number    policy.NodeID // by which nodes name each other where they lend places
+	Listen    netip.AddrPort
+	Advertise netip.AddrPort // where neighbours reach it
+	Seeds     []netip.AddrPort
+}
+
+// Members is a node's place in its fleet. Run owns it.
+type Members struct {
+	o    Options
+	tell func(node.Event)
+	log  zerolog.Logger
+	out  chan any // fleet.To and node.TellPlace
+
+	mu    sync.Mutex
+	nodes map[string]*memberlist.Node // those alive, by their names and by what they say of their numbers
+	told  chan struct{}               // that alive has changed
+}
+
+const (
+	waiting    = 64                     // words that may wait to go out; more are dropped
+	againSpell = time.Second            // between two tries to bind, and to join who is missing
+	probeSpell = 500 * time.Millisecond // a neighbour is asked for a sign of life so often
+	probeLimit = 200 * time.Millisecond
+	goodBye    = 200 * time.Millisecond // the longest that a planned end waits for its word to go round
+)
+
+// New makes a node's place; tell takes its events.
+func New(o Options, tell func(node.Event), log zerolog.Logger) *Members {
+	return &Members{o: o, tell: tell, log: log, out: make(chan any, waiting), nodes: map[string]*memberlist.Node{}, told: make(chan struct{}, 1)}
+}
+
+// Tell says a word to a neighbour, or drops it where too many wait.
+func (m *Members) Tell(to fleet.To) { m.queue(to) }
+
+// TellPlace says a word about an executor's places to the neighbour of that number.
+func (m *Members) TellPlace(to node.TellPlace) { m.queue(to) }
+
+func (m *Members) queue(to any) {
+	select {
+	case m.out <- to:
+	default:
+	}
+}
+
+// Run keeps the node in its fleet until the context ends. A process that takes over from another one of the same node waits for its address.
+func (m *Members) Run(ctx context.Context) {
+	var list *memberlist.Memberlist
+	for said := ""; list == nil; {
+		var err error
+		if list, err = m.create(); err == nil {
+			break
+		}
+		if err.Error() != said {
+			said = err.Error()
+			m.log.Warn().Str("because", said).Msg("not in the fleet yet")
+		}
+		if !rest(ctx, againSpell) {
+			return
+		}
+	}
+	m.log.Info().Str("listen", m.o.Listen.String()).Msg("in the fleet; what nodes say to each other is neither encrypted nor signed")
+	var wait sync.WaitGroup
+	wait.Go(func() { m.join(ctx, list) })
+	wait.Go(func() { m.changes(ctx) })
+	m.say(ctx, list)
+	list.Leave(goodBye)
+	list.Shutdown()
+	wait.Wait()
+}
+
+// rest waits, and says whether the context goes on.
+func rest(ctx context.Context, span time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(span):
+		return true
+	}
+}
+
+func (m *Members) create() (*memberlist.Memberlist, error) {
+	t, err := newTransport(m.o.Listen)
+	if err != nil {
+		return nil, err
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport, c.LogOutput, c.Logger = string(m.o.Name), t, nil, t.logger(m.log)
+	c.BindAddr, c.BindPort = m.o.Listen.Addr().String(), int(m.o.Listen.Port())
+	c.AdvertiseAddr, c.AdvertisePort = m.o.Advertise.Addr().String(), int(m.o.Advertise.Port())
+	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult, c.SuspicionMaxTimeoutMult = probeSpell, probeLimit, 3, 2
+	c.TCPTimeout, c.PushPullInterval, c.DeadNodeReclaimTime = 2*time.Second, 10*time.Second, time.Millisecond
+	c.EnableCompression = false
+	c.Delegate, c.Events, c.Conflict = m, m, m
+	list, err := memberlist.Create(c)
+	if err != nil {
+		t.Shutdown()
+	}
+	return list, err
+}
+
+// join goes to seeds that are not alive, again and again: after a link was cut for long both sides have given each other up.
+func (m *Members) join(ctx context.Context, list *memberlist.Memberlist) {
+	for {
+		known := map[string]bool{}
+		for _, n := range list.Members() {
+			known[n.Address()] = true
+		}
+		for _, seed := range m.o.Seeds {
+			if ctx.Err() == nil && seed != m.o.Advertise && seed != m.o.Listen && !known[seed.String()] {
+				list.Join([]string{seed.String()})
+			}
+		}
+		if !rest(ctx, againSpell) {
+			return
+		}
+	}
+}
+
+// say sends what is to be told.
+func (m *Members) say(ctx context.Context, list *memberlist.Memberlist) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case to := <-m.out:
+			var n *memberlist.Node
+			var b []byte
+			var err error
+			switch to := to.(type) {
+			case fleet.To:
+				n = m.at(string(to.Name))
+				b, err = encode(to.Word)
+			case node.TellPlace:
+				n = m.at(meta(to.To))
+				b, err = encodePlace(m.o.Number, to)
+			}
+			if err != nil {
+				m.log.Error().Err(err).Msg("a word that can't be written")
+			} else if n != nil {
+				list.SendBestEffort(n, b)
+			}
+		}
+	}
+}
+
+// meta is a node's number as its neighbours are told it.
+func meta(number policy.NodeID) string { return fmt.Sprint("#", number) }
+
+// at is the neighbour of a name, or of what it says of its number; nil where none is alive.
+func (m *Members) at(key string) *memberlist.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.nodes[key]
+}
+
+// changes tells the reducer who is alive. Its queue may be full, and memberlist must not wait for it.
+func (m *Members) changes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.told:
+		}
+		m.mu.Lock()
+		var names []fleet.Name
+		for key, n := range m.nodes {
+			if key == n.Name {
+				names = append(names, fleet.Name(n.Name))
+			}
+		}
+		m.mu.Unlock()
+		slices.Sort(names)
+		m.tell(node.Neighbours{Alive: names})
+	}
+}
+
+func (m *Members) set(n *memberlist.Node, alive bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, key := range [...]string{n.Name, string(n.Meta)} {
+		if alive {
+			m.nodes[key] = n
+		} else if o := m.nodes[key]; o != nil && o.Name == n.Name {
+			delete(m.nodes, key)
+		}
+	}
+	select {
+	case m.told <- struct{}{}:
+	default:
+	}
+}
+
+// NotifyJoin is memberlist's call when a node comes.
+func (m *Members) NotifyJoin(n *memberlist.Node) { m.set(n, true) }
+
+// NotifyLeave is its call when one goes.
+func (m *Members) NotifyLeave(n *memberlist.Node) { m.set(n, false) }
+
+// NotifyUpdate is its call when one tells something else of itself, which no node does.
+func (m *Members) NotifyUpdate(*memberlist.Node) {}
+
+// NotifyConflict is its call when two nodes bear one name.
+func (m *Members) NotifyConflict(here, other *memberlist.Node) {
+	m.log.Error().Str("name", here.Name).Str("at", here.Address()).Str("and_at", other.Address()).Msg("two nodes of the fleet bear one name: the second is not taken in")
+	m.tell(node.Garbled{Why: "of a second node of the same name"})
+}
+
+// NotifyMsg is its call when a word has come.
+func (m *Members) NotifyMsg(b []byte) {
+	if isPlace(b) {
+		p, err := decodePlace(b)
+		if err != nil {
+			m.tell(node.Garbled{Why: err.Error()})
+			return
+		}
+		m.tell(p)
+		return
+	}
+	w, err := decode(b)
+	if err != nil {
+		m.tell(node.Garbled{Why: err.Error()})
+		return
+	}
+	m.tell(node.Hears{Word: w})
+}
+
+// NodeMeta is its call for what neighbours are told of this node: its number.
+func (m *Members) NodeMeta(int) []byte { return []byte(meta(m.o.Number)) }
+
+// GetBroadcasts, LocalState and MergeRemoteState are calls for what memberlist could carry besides; nothing is given to it.
+
+func (m *Members) GetBroadcasts(int, int) [][]byte { return nil }
+
+func (m *Members) LocalState(bool) []byte { return nil }
+
+func (m *Members) MergeRemoteState([]byte, bool) {}
+
+// Parse reads the addresses of an operator's file, which has been checked.
+func Parse(name fleet.Name, number policy.NodeID, listen, advertise string, seeds []string) (o Options, err error) {
+	o = Options{Name: name, Number: number}
+	if o.Listen, err = netip.ParseAddrPort(listen); err != nil {
+		return o, fmt.Errorf("fleet.listen: %w", err)
+	}
+	o.Advertise = o.Listen
+	if advertise != "" {
+		if o.Advertise, err = netip.ParseAddrPort(advertise); err != nil {
+			return o, fmt.Errorf("fleet.advertise: %w", err)
+		}
+	}
+	for _, text := range seeds {
+		seed, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return o, fmt.Errorf("fleet.seeds: %w", err)
+		}
+		o.Seeds = append(o.Seeds, seed)
+	}
+	return o, nil
+}
+
+// worthALine says whether a line of memberlist's log is one for operators: its warnings and errors, not each lost packet.
+func worthALine(line string) bool {
+	return (strings.Contains(line, "[WARN]") || strings.Contains(line, "[ERR]")) && !strings.Contains(line, "Failed to send") && !strings.Contains(line, "Push/Pull with") &&
+		!strings.Contains(line, "fallback") && !strings.Contains(line, "Failed fallback") && !strings.Contains(line, "Was able to connect")
+}
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -40,6 +40,7 @@
 	heard   bool           // something of its executor came for that allocation
 	restsAt time.Duration
 	wroteAt time.Duration
+	askedAt time.Duration // when it was dialled
 }
 
 func (n *Node) closeConn(c *conn) {
@@ -117,7 +118,7 @@
 		return nil
 	}
 	n.lastConn++
-	c := &conn{id: n.lastConn, to: e}
+	c := &conn{id: n.lastConn, to: e, askedAt: n.now}
 	n.conns[c.id] = c
 	n.say(Dial{c.id, e.addr})
 	return c
@@ -162,13 +163,14 @@
 }
 
 // dialled puts a connection that has come up to its use. Its executor may drain or be gone by now, or the client
-// may have left: nothing new goes out then.
+// may have left: nothing new goes out then. Nor does a further allocation of a tagged one that was decided on longer ago than dialling may take, which is all
+// that a dedup window was lessened by: guards against a process that stood still meanwhile, and would repeat outside the window.
 func (n *Node) dialled(c *conn) {
 	switch {
 	case c == nil || c.state != dialling:
 	case c.job == nil:
 		n.rest(c)
-	case !c.to.up || c.job.answered:
+	case !c.to.up || c.job.answered || c.number > 0 && c.job.Tag != "" && n.now-c.askedAt > n.limits.DialLimit:
 		j := n.unlink(c)
 		n.rest(c)
 		n.over(j, c.number, policy.NotSent)
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"birchstair/internal/fleet"
 	"birchstair/policy"
 )
 
@@ -151,6 +152,18 @@
 		Link   LinkID
 		Detail string
 	}
+	// Neighbours: the nodes of the fleet that are held for alive.
+	Neighbours struct{ Alive []fleet.Name }
+	// Hears: a neighbour's word.
+	Hears struct{ Word fleet.Word }
+	// HearsPlace: a neighbour's word about an executor's places.
+	HearsPlace struct {
+		From policy.NodeID
+		Word policy.Word
+		Sum  policy.Sum
+	}
+	// Garbled: what came from a neighbour could not be read.
+	Garbled struct{ Why string }
 	// Woke: the timer that was asked for.
 	Woke struct{}
 )
@@ -174,6 +187,10 @@
 func (Joined) event()      {}
 func (Heard) event()       {}
 func (Parted) event()      {}
+func (Neighbours) event()  {}
+func (Hears) event()       {}
+func (HearsPlace) event()  {}
+func (Garbled) event()     {}
 
 // Effect is what the reducer asks for: one of the types below.
 type Effect interface{ effect() }
@@ -218,6 +235,7 @@
 		Caller  CallerID
 		No      string
 		Figures *Figures
+		Lines   []string // or what there is to see, a thing a line
 	}
 	// Pass says something to another process of this node.
 	Pass struct {
@@ -230,6 +248,14 @@
 	Take struct{ Yes bool }
 	// Share halves what this process may use of the node's limits, or gives it all back.
 	Share struct{ Half bool }
+	// TellNeighbour says a word to a neighbour, which may get lost.
+	TellNeighbour struct{ fleet.To }
+	// TellPlace says a word about an executor's places to a neighbour; it may get lost.
+	TellPlace struct {
+		To   policy.NodeID
+		Word policy.Word
+		Sum  policy.Sum
+	}
 	// CloseFront lets the clients go that have their answers, and takes nothing more.
 	CloseFront struct{}
 	// Wake asks for one Woke event then; a later Wake takes its place.
@@ -244,22 +270,24 @@
 	Exit struct{}
 )
 
-func (Answer) effect()     {}
-func (Dial) effect()       {}
-func (Write) effect()      {}
-func (Close) effect()      {}
-func (Probe) effect()      {}
-func (Watch) effect()      {}
-func (Follow) effect()     {}
-func (Ready) effect()      {}
-func (Retune) effect()     {}
-func (CloseFront) effect() {}
-func (Wake) effect()       {}
-func (Log) effect()        {}
-func (Exit) effect()       {}
-func (SendAway) effect()   {}
-func (Reply) effect()      {}
-func (Pass) effect()       {}
-func (Part) effect()       {}
-func (Take) effect()       {}
-func (Share) effect()      {}
+func (Answer) effect()        {}
+func (Dial) effect()          {}
+func (Write) effect()         {}
+func (Close) effect()         {}
+func (Probe) effect()         {}
+func (Watch) effect()         {}
+func (Follow) effect()        {}
+func (Ready) effect()         {}
+func (Retune) effect()        {}
+func (CloseFront) effect()    {}
+func (Wake) effect()          {}
+func (Log) effect()           {}
+func (Exit) effect()          {}
+func (SendAway) effect()      {}
+func (Reply) effect()         {}
+func (Pass) effect()          {}
+func (Part) effect()          {}
+func (Take) effect()          {}
+func (Share) effect()         {}
+func (TellNeighbour) effect() {}
+func (TellPlace) effect()     {}
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -22,6 +22,7 @@
 	PutBack
 	DrainOn // clients are sent away
 	DrainOff
+	ReadFleet // what it knows of the nodes that it talks with
 )
 
 // Figures are what a node has done since its start, and what it holds.
@@ -67,6 +68,10 @@
 		f.Tracks = slices.Clone(f.Tracks) // the caller reads them while this goes on
 		f.InFlight, f.Known, f.Avoided = len(n.due), len(n.executors), n.brain.Avoided(n.now)
 		r.Figures = &f
+	case ReadFleet:
+		if r.No = "this node talks with no others: its [fleet] table is not there"; n.fleet != nil {
+			r.No, r.Lines = "", n.fleet.Lines(n.now)
+		}
 	default:
 		if r.No = n.carry(ev.Order, ev.Executor); r.No == "" {
 			n.pass(nobody, Word{Kind: Relay, Order: ev.Order, Executor: ev.Executor}, &r)
@@ -132,9 +137,10 @@
 	n.brain.Listed(n.now, policy.Changes, []policy.Entry{in})
 }
 
-// merged is an entry of the list with what operators want put over it.
+// merged is an entry of the list with what operators want, and what neighbours tell of drains, put over it.
 func (n *Node) merged(in policy.Entry) policy.Entry {
-	if n.outs[in.Executor] && in.State == policy.Up {
+	told := n.fleet != nil && n.fleet.Drains(n.now, in.Executor, in.Started, in.LongAgo)
+	if (n.outs[in.Executor] || told) && in.State == policy.Up {
 		in.State = policy.Draining
 	}
 	if at, ok := n.backs[in.Executor]; ok && (in.LongAgo || in.Started < at) {
--- a/internal/node/listed.go
+++ b/internal/node/listed.go
@@ -39,6 +39,9 @@
 	n.lists++
 	entries := make([]policy.Entry, len(ev.Executors))
 	for i, in := range ev.Executors {
+		if ev.Kind != policy.WarmCopy {
+			n.sighted(in.Entry)
+		}
 		entries[i] = n.merged(in.Entry)
 		n.listedOne(in, entries[i])
 	}
@@ -78,6 +81,8 @@
 func (n *Node) goneUnlisted() {
 	for _, e := range n.inOrder() {
 		if e.listed != n.lists {
+			e.entry.State = policy.Gone
+			n.sighted(e.entry)
 			n.gone(e)
 		}
 	}
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"birchstair/internal/fleet"
 	"birchstair/policy"
 )
 
@@ -55,6 +56,9 @@
 	Retuned(now time.Duration, tracks []policy.Change)
 	Knows(now time.Duration) policy.Knowledge
 	Learn(now time.Duration, k policy.Knowledge)
+	Heard(now time.Duration, from policy.NodeID, word policy.Word, sum policy.Sum)
+	Tally(now time.Duration) policy.Tally
+	Cut(policy.CutLine)
 }
 
 // Node is the state of one node.
@@ -78,6 +82,7 @@
 	backs     map[policy.ExecutorID]time.Duration // when they put one back
 	figures   Figures
 	halved    bool
+	fleet     *fleet.Fleet // nil where this node talks with no others
 	pair
 	booked   []int                     // by a track's number, where its figures stand
 	tracks   []Numbered                // the current ones
@@ -126,6 +131,7 @@
 	n.take(ev)
 	n.fallDue()
 	n.pairDue()
+	n.fleetDue()
 	n.doDue()
 	n.leave()
 	return n.out
@@ -190,6 +196,8 @@
 		n.heard(ev.Link, ev.Word)
 	case Parted:
 		n.parted(ev.Link, ev.Detail)
+	case Neighbours, Hears, HearsPlace, Garbled:
+		n.ofFleet(ev)
 	case Woke:
 		n.armed = -1
 	}
@@ -306,12 +314,19 @@
 			}
 		case policy.Probe:
 			n.probe(due.Executor)
+		case policy.Tell:
+			if n.fleet != nil { // else nobody carries it
+				n.say(TellPlace{To: due.Node, Word: due.Word, Sum: due.Sum})
+			}
 		case policy.Subscribe:
 			n.say(Watch{})
 		case policy.Note:
 			n.say(Log{Text: due.Text})
 		case policy.Sleep:
 			at := min(due.At, n.nextPairDue())
+			if n.fleet != nil {
+				at = min(at, n.fleet.Next())
+			}
 			if len(n.due) > 0 {
 				at = min(at, n.due[0].dueAt)
 			}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"birchstair/internal/fleet"
 	"birchstair/policy"
 )
 
@@ -43,6 +44,12 @@
 	Take(bool)
 }
 
+// Fleet says words to neighbours.
+type Fleet interface {
+	Tell(fleet.To)
+	TellPlace(TellPlace)
+}
+
 // Edges are the packages by peer that carry effects out.
 type Edges struct {
 	Clients   Clients
@@ -50,6 +57,7 @@
 	List      List
 	Operators Operators       // nil where there is no door
 	Others    Others          // nil where no other process of the node can join
+	Fleet     Fleet           // nil where this node talks with no others
 	Memory    func(half bool) // told what this process may use of it; nil where Others is
 }
 
@@ -151,6 +159,10 @@
 			case Share:
 				to.Clients.Halve(e.Half)
 				to.Memory(e.Half)
+			case TellNeighbour:
+				to.Fleet.Tell(e.To)
+			case TellPlace:
+				to.Fleet.TellPlace(e)
 			case CloseFront:
 				to.Clients.Close()
 			case Wake:
--- /dev/null
+++ b/internal/node/talk.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"fmt"
+
+	"birchstair/internal/fleet"
+	"birchstair/policy"
+)
+
+// Talk makes this node one of a fleet. It is called before the first step, or never: then nothing of this file acts.
+func (n *Node) Talk(s fleet.Settings) { n.fleet = fleet.New(s) }
+
+// ofFleet takes in what comes of neighbours.
+func (n *Node) ofFleet(ev Event) {
+	if n.fleet == nil {
+		return
+	}
+	switch ev := ev.(type) {
+	case Neighbours:
+		n.fleet.Alive(ev.Alive)
+		n.say(Log{Text: fmt.Sprintf("nodes of the fleet alive: %d", len(ev.Alive))})
+	case Hears:
+		for _, id := range n.fleet.Heard(n.now, ev.Word) {
+			n.say(Log{Text: "counts as draining: " + string(ev.Word.From) + " told so", Executor: id})
+			n.showAgain(id)
+		}
+	case HearsPlace:
+		n.brain.Heard(n.now, ev.From, ev.Word, ev.Sum)
+	case Garbled:
+		n.fleet.Dropped(ev.Why)
+	}
+}
+
+// fleetDue does what is due between nodes that talk.
+func (n *Node) fleetDue() {
+	if n.fleet == nil || n.now < n.fleet.Next() {
+		return
+	}
+	for _, id := range n.fleet.Old(n.now, n.live && !n.listLost) {
+		n.say(Log{Text: "no longer counts as draining by what neighbours told", Executor: id})
+		n.showAgain(id)
+	}
+	words, line := n.fleet.Tick(n.now, n.brain.Tally(n.now))
+	n.brain.Cut(line)
+	for _, w := range words {
+		n.say(TellNeighbour{w})
+	}
+}
+
+// showAgain shows the module an executor of which neighbours have told something new.
+func (n *Node) showAgain(id policy.ExecutorID) {
+	if e := n.executors[id]; e != nil {
+		n.showModule(e)
+		if !e.up {
+			n.closeResting(e)
+		}
+	}
+}
+
+// sighted tells neighbours what this node's own list says.
+func (n *Node) sighted(in policy.Entry) {
+	if n.fleet != nil {
+		n.fleet.Sighted(n.now, in.Executor, in.Started, in.LongAgo, in.State)
+	}
+}
--- a/internal/operators/call.go
+++ b/internal/operators/call.go
@@ -55,7 +55,7 @@
 	if reason, no := strings.CutPrefix(lines[0], "fail"); no {
 		return nil, fmt.Errorf("the node says no: %s", strings.TrimSpace(reason))
 	}
-	if order == node.ReadFigures {
+	if order == node.ReadFigures || order == node.ReadFleet {
 		end := slices.Index(lines, "eof")
 		if end < 0 {
 			return nil, errors.New("the figures have no end: the answer was cut off")
--- a/internal/operators/codec.go
+++ b/internal/operators/codec.go
@@ -19,7 +19,7 @@
 )
 
 var orders = []string{node.Check: "check", node.ReadFigures: "vars", node.TakeOut: "set-down", node.PutBack: "set-up",
-	node.DrainOn: "drain-on", node.DrainOff: "drain-off"}
+	node.DrainOn: "drain-on", node.DrainOff: "drain-off", node.ReadFleet: "fleet"}
 
 // Named is the order of a name; -1 where no call is named so.
 func Named(name string) node.Order { return node.Order(slices.Index(orders, name)) }
@@ -56,6 +56,8 @@
 	switch {
 	case r.No != "":
 		return no(r.No)
+	case r.Lines != nil:
+		return []byte(strings.Join(r.Lines, "\n") + "\neof\n")
 	case r.Figures == nil:
 		return []byte("ok\n")
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,7 +13,9 @@
 	"birchstair/internal/config"
 	"birchstair/internal/durable"
 	"birchstair/internal/executors"
+	"birchstair/internal/fleet"
 	"birchstair/internal/list"
+	"birchstair/internal/members"
 	"birchstair/internal/node"
 	"birchstair/internal/operators"
 	"birchstair/internal/succession"
@@ -41,9 +43,16 @@
 	Elder net.Conn        // the link to the process that this one takes over from, or nil
 	Share func(half bool) // told what the process may use of the node's memory
 
+	Fleet   *Fleet           // nil where the node talks with no others
 	Durable *durable.Durable // nil where durable batch jobs are off; it ends with the node
 }
 
+// Fleet is what a node is told of the nodes that it talks with.
+type Fleet struct {
+	fleet.Settings
+	members.Options
+}
+
 // Tracks are the settings' tracks with their names; those beyond the names are the twins for durable batch jobs.
 func Tracks(s config.Settings) (all []node.Track) {
 	for i, t := range s.Policy.Tracks {
@@ -64,6 +73,9 @@
 	loop := node.NewLoop(s.Start)
 	loop.Tap = s.Tap
 	core := node.New(s.Module, s.Limits, Tracks(s.Settings))
+	if s.Fleet != nil {
+		core.Talk(s.Fleet.Settings)
+	}
 	front := clients.New(core.Tracks()[:len(s.Settings.Tracks)], s.ClientConns, loop.Tell)
 	pool := executors.New(s.Executors, s.Settings.TellsLoad(), executors.Probing{Path: s.Settings.Probe.Path,
 		Limit: s.Settings.Probe.Limit, Told: s.Settings.Told()}, loop.Tell)
@@ -77,6 +89,20 @@
 		edges.Others, edges.Memory = others, s.Share
 		others.Start(s.Elder)
 	}
+	if s.Fleet != nil {
+		others := members.New(s.Fleet.Options, loop.Tell, s.Log)
+		edges.Fleet = others
+		among, out := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			others.Run(among)
+		}()
+		defer func() {
+			out()
+			<-ended
+		}()
+	}
 	var fromClients node.Clients = front
 	var toExecutors node.Executors = pool
 	if s.Durable != nil {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -5,15 +5,36 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"time"
 
+	"birchstair/internal/fleet"
 	"birchstair/internal/tomlfile"
 )
 
 // Site is the operator's file.
 type Site struct {
 	Durable *Durable `toml:"durable"`
+	Fleet   *Fleet   `toml:"fleet"`
+}
+
+// Fleet makes this node one of several that talk.
+type Fleet struct {
+	Name           string        `toml:"name"`            // in the fleet; the configuration's name where it is left out
+	Listen         string        `toml:"listen"`          // address and port, TCP and UDP, for neighbours
+	Advertise      string        `toml:"advertise"`       // where neighbours reach it; the same where it is left out
+	Seeds          []string      `toml:"seeds"`           // addresses of some nodes of the fleet, its own may be among them
+	TrustedNetwork bool          `toml:"trusted-network"` // words are neither encrypted nor signed: others than loopback addresses need this
+	Every          tomlfile.Span `toml:"every"`           // between two words to neighbours
+	Tell           int           `toml:"tell"`            // neighbours that are told each time
+	ViewFor        tomlfile.Span `toml:"view-for"`        // a neighbour's figures count until they are so old
+	DrainFor       tomlfile.Span `toml:"drain-for"`       // and a drain that it told of
+}
+
+func fleetDefaults() Fleet {
+	d := fleet.Defaults("", 0, 0)
+	return Fleet{Every: tomlfile.Span(d.Every), Tell: d.Tell, ViewFor: tomlfile.Span(d.ViewFor), DrainFor: tomlfile.Span(d.DrainFor)}
 }
 
 // Durable turns durable batch jobs on.
@@ -65,6 +86,10 @@
 		d := durableDefaults()
 		s.Durable = &d
 	}
+	if s.Fleet != nil {
+		f := fleetDefaults()
+		s.Fleet = &f
+	}
 	if err := tomlfile.Decode(name, text, &s); err != nil {
 		return Site{}, err
 	}
@@ -82,6 +107,9 @@
 )
 
 func (s *Site) check() (tomlfile.Place, error) {
+	if at, err := s.checkFleet(); err != nil {
+		return at, err
+	}
 	d := s.Durable
 	if d == nil {
 		return tomlfile.Place{}, nil
@@ -105,3 +133,53 @@
 	}
 	return tomlfile.Place{}, nil
 }
+
+const (
+	leastEvery  = 20 * time.Millisecond
+	mostTell    = 16
+	longestName = 64 // bytes
+)
+
+func (s *Site) checkFleet() (tomlfile.Place, error) {
+	f := s.Fleet
+	if f == nil {
+		return tomlfile.Place{}, nil
+	}
+	at := func(key string) tomlfile.Place { return tomlfile.Place{Table: "fleet", Index: -1, Key: key} }
+	if f.Listen == "" {
+		return at("listen"), errors.New("missing: the address and port where neighbours reach this node")
+	}
+	for _, a := range append([]struct{ key, addr string }{{"listen", f.Listen}, {"advertise", f.Advertise}}, keyed("seeds", f.Seeds)...) {
+		if a.addr == "" && a.key == "advertise" {
+			continue
+		}
+		p, err := netip.ParseAddrPort(a.addr)
+		switch {
+		case err != nil || p.Port() == 0:
+			return at(a.key), fmt.Errorf("%q is not an address and port", a.addr)
+		case !p.Addr().IsLoopback() && !f.TrustedNetwork:
+			return at(a.key), fmt.Errorf("%q is no loopback address: words are neither encrypted nor signed, so others need trusted-network = true", a.addr)
+		}
+	}
+	switch {
+	case len(f.Name) > longestName:
+		return at("name"), fmt.Errorf("over %d bytes", longestName)
+	case time.Duration(f.Every) < leastEvery:
+		return at("every"), fmt.Errorf("under %v", leastEvery)
+	case f.Tell < 1 || f.Tell > mostTell:
+		return at("tell"), fmt.Errorf("not from 1 to %d", mostTell)
+	case f.ViewFor < 4*f.Every:
+		return at("view-for"), errors.New("under four times every: a word or two that get lost would leave no figures")
+	case f.DrainFor < f.ViewFor:
+		return at("drain-for"), errors.New("under view-for")
+	}
+	return tomlfile.Place{}, nil
+}
+
+// keyed gives each of a list's values the list's key.
+func keyed(key string, values []string) (all []struct{ key, addr string }) {
+	for _, v := range values {
+		all = append(all, struct{ key, addr string }{key, v})
+	}
+	return all
+}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -31,11 +31,26 @@
 		"[durable]\ndir = \"/d\"\nask-every = \"1ms\"",
 		"[durable]\ndir = \"/d\"\nouter-limit = \"-1s\"",
 		"[durable\ndir = \"/d\"",
+		"[fleet]",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"",
+		"[fleet]\nlisten = \"127.0.0.1\"",
+		"[fleet]\nlisten = \"127.0.0.1:0\"",
+		"[fleet]\nlisten = \"10.0.0.4:7946\"",
+		"[fleet]\nlisten = \"10.0.0.4:7946\"\ntrusted-network = true",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\nseeds = [\"127.0.0.2:7946\", \"there\"]",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\nseeds = [\"10.0.0.2:7946\"]",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\nadvertise = \"192.168.1.1:1\"",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\nevery = 250",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\nevery = \"1ms\"",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\ntell = 0",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\nview-for = \"500ms\"",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\ndrain-for = \"1s\"",
+		"[fleet]\nlisten = \"127.0.0.1:7946\"\nseed = []",
 	} {
 		s, err := Parse("own.toml", []byte(text))
 		verdict := fmt.Sprint(err)
 		if err == nil {
-			verdict = fmt.Sprintf("fine, durable %v", s.Durable != nil)
+			verdict = fmt.Sprintf("fine, durable %v, fleet %v", s.Durable != nil, s.Fleet != nil)
 		}
 		fmt.Fprintf(&out, "%s\n    -> %s\n", strings.ReplaceAll(text, "\n", "\n  "), verdict)
 	}
