--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -62,7 +62,13 @@
 	}
 }
 
+// ofTalk are the kinds that only worlds of reducers alone can play: the network's nodes talk with nobody.
+var ofTalk = []standin.Kind{standin.NodesApart, standin.NodeLies, standin.NodeStopped, standin.WordsLost, standin.ListCut}
+
 func (w *World) begin(f standin.Fault) {
+	if w.wired != nil && slices.Contains(ofTalk, f.Kind) {
+		return
+	}
 	switch f.Kind {
 	case standin.Slow, standin.Stalls, standin.Neighbour, standin.Errors, standin.Mute:
 		for _, x := range w.touched(f) {
@@ -132,6 +138,24 @@
 			n.down++
 			n.stop()
 		}
+	case standin.NodeStopped:
+		for _, n := range w.touchedNodes(f) {
+			n.halt(f)
+		}
+	case standin.NodeLies:
+		for _, n := range w.touchedNodes(f) {
+			n.lies = 1
+		}
+	case standin.NodesApart:
+		for _, n := range w.touchedNodes(f) {
+			n.apart = true
+		}
+	case standin.ListCut:
+		for _, n := range w.touchedNodes(f) {
+			n.noList = true
+		}
+	case standin.WordsLost:
+		w.wordsLost = f.Size
 	case standin.Burst:
 		for _, c := range w.clients {
 			c.Burst = f.Size
@@ -149,6 +173,9 @@
 const heavyPart = 0.02
 
 func (w *World) end(f standin.Fault) {
+	if w.wired != nil && slices.Contains(ofTalk, f.Kind) {
+		return
+	}
 	switch f.Kind {
 	case standin.Slow, standin.Stalls, standin.Neighbour, standin.Errors, standin.Mute:
 		for _, x := range w.touched(f) {
@@ -205,6 +232,23 @@
 		for _, n := range w.touchedNodes(f) {
 			n.back()
 		}
+	case standin.NodeLies:
+		for _, n := range w.touchedNodes(f) {
+			n.lies = 0
+		}
+	case standin.NodesApart:
+		for _, n := range w.touchedNodes(f) {
+			n.apart = false
+		}
+	case standin.ListCut:
+		for _, n := range w.touchedNodes(f) {
+			n.noList = false
+			if n.up {
+				n.news()
+			}
+		}
+	case standin.WordsLost:
+		w.wordsLost = 0
 	case standin.Burst:
 		for _, c := range w.clients {
 			c.Burst = 0
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -36,6 +36,7 @@
 	Bad          int `json:"bad"`        // bad clients that came
 	Panics       int `json:"panics"`     // of the module, kept to one batch job
 	Steps        int `json:"steps"`
+	Words        int `json:"words"` // that nodes told each other
 
 	seconds []second
 	body    []byte
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -77,6 +77,11 @@
 	PerWork      bool     `toml:"earnings-per-work"`
 	NodeConns    int      `toml:"node-conns"`
 	NodeBodies   int      `toml:"node-bodies"`
+	Talk         bool     `toml:"talk,omitempty"`          // nodes talk with each other
+	Keepers      bool     `toml:"keepers,omitempty"`       // and lend each other executors' places
+	WordsLost    float64  `toml:"words-lost,omitempty"`    // the part of their words that gets lost
+	WordsDoubled float64  `toml:"words-doubled,omitempty"` // and that comes twice
+	WordsLate    Span     `toml:"words-late,omitempty"`    // and the most that one is late, each by a chance of its own
 }
 
 // Load are the clients.
@@ -147,6 +152,13 @@
 	}
 }
 
+// Base is what a scenario leaves out, tracks included.
+func Base() Scenario {
+	s := base()
+	s.Tracks = baseTracks()
+	return s
+}
+
 // Read reads a scenario; file is its name in messages. What it leaves out is as in the base.
 func Read(file string, text []byte) (Scenario, error) {
 	s := base()
@@ -215,6 +227,8 @@
 		{f.ReportEvery <= 0, "fleet", "report-every", "over 0"},
 		{f.Allocations < 1, "fleet", "allocations", "at least 1"},
 		{f.NodeConns < 1, "fleet", "node-conns", "at least 1"},
+		{f.WordsLost < 0 || f.WordsLost > 1, "fleet", "words-lost", "a part, from 0 to 1"},
+		{f.WordsDoubled < 0 || f.WordsDoubled > 1, "fleet", "words-doubled", "a part, from 0 to 1"},
 		{l.Of < 0 || l.Of > 50, "load", "of", "from 0 to 50"},
 		{l.Of == 0 && l.Loops == 0, "load", "of", "over 0, or loops over 0: nobody would hand anything in"},
 		{l.Loops < 0, "load", "loops", "not under 0"},
@@ -304,8 +318,8 @@
 	return nil
 }
 
-// tracks are the tracks as clients, module and rules take them.
-func (s *Scenario) tracks() (own []standin.Track, module []policy.Track) {
+// Takes are the tracks as clients, module and rules take them.
+func (s *Scenario) Takes() (own []standin.Track, module []policy.Track) {
 	for _, t := range s.Tracks {
 		p := policy.Track{Repeat: repeats[t.Repeat], Group: groups[t.Group], GroupWindow: time.Duration(t.Window),
 			Quoted: time.Duration(t.Quoted), Stretch: t.Stretch, OuterLimit: time.Duration(t.Outer), Earnings: t.Earnings,
@@ -316,3 +330,13 @@
 	}
 	return own, module
 }
+
+// Spec is how the scenario's executor of that number is built.
+func (s *Scenario) Spec(id string, number int, speed float64) standin.ExecutorSpec {
+	f := &s.Fleet
+	return standin.ExecutorSpec{ID: policy.ExecutorID(id), Zone: policy.ZoneID(number % len(f.Zones)),
+		Cell: policy.CellID(number / f.CellOf), Cores: f.Cores, Speed: speed, Places: f.Places, Queue: f.Queue, ByPriority: f.ByPriority,
+		StopsWork: f.StopsWork, ColdShare: f.ColdShare, WarmWithin: time.Duration(f.WarmWithin), FallMultiple: f.FallMultiple,
+		FallWindow: time.Duration(f.FallWindow), TellsStart: f.TellsStart, TellsEvery: time.Duration(f.TellsEvery), Reports: f.Reports,
+		ReportEvery: time.Duration(f.ReportEvery), ReportNoise: 0.1, Conns: f.Conns, ConnCost: time.Duration(f.ConnCost)}
+}
--- /dev/null
+++ b/internal/lab/talk.go
@@ -0,0 +1,177 @@
+package lab
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"birchstair/internal/fleet"
+	"birchstair/internal/node"
+	"birchstair/internal/rules"
+	"birchstair/internal/standin"
+	"birchstair/policy"
+)
+
+// Nodes that talk: a model of what carries their words. Membership comes as memberlist brings it, late and by each node's own ways; words get lost,
+// doubled and late as the scenario says, and not through a cut.
+
+const (
+	memberSpell = 500 * time.Millisecond  // a node looks so often who is alive
+	deadAfter   = 2500 * time.Millisecond // and holds for dead who could not be reached for so long
+)
+
+// talk makes a node that has just started one of the fleet.
+func (n *sim) talk() {
+	s := fleet.Defaults(fleet.Name(n.name), uint64(n.started.Milliseconds())<<8+uint64(n.run), uint32(mix(n.w.seed+uint64(n.id))))
+	s.Epoch = n.started.Milliseconds()
+	n.core.Talk(s)
+	n.reached, n.alive = map[rules.NodeID]time.Duration{}, nil
+	n.later(time.Duration(n.w.talks.Int64N(int64(memberSpell))), n.look)
+}
+
+// look finds out who is alive.
+func (n *sim) look() {
+	var alive []fleet.Name
+	for _, o := range n.w.nodes {
+		if o == n {
+			continue
+		}
+		if o.up && !o.stopped && o.apart == n.apart && n.w.connected(n.zone, o.zone) {
+			n.reached[o.id] = n.w.now
+		}
+		if at, ok := n.reached[o.id]; ok && n.w.now-at < deadAfter {
+			alive = append(alive, fleet.Name(o.name))
+		}
+	}
+	if !slices.Equal(alive, n.alive) {
+		n.alive = alive
+		n.tell(node.Neighbours{Alive: slices.Clone(alive)})
+	}
+	n.later(memberSpell, n.look)
+}
+
+// connected says whether words go both ways between two zones.
+func (w *World) connected(a, b policy.ZoneID) bool {
+	if a == b {
+		return true
+	}
+	for _, z := range [...]policy.ZoneID{a, b} {
+		if w.cuts[z].in > w.now || w.cuts[z].out > w.now {
+			return false
+		}
+	}
+	return true
+}
+
+// say sends a word on its way.
+func (n *sim) say(to fleet.To) {
+	i := slices.IndexFunc(n.w.nodes, func(o *sim) bool { return o.name == string(to.Name) })
+	if i >= 0 {
+		n.carryWord(n.w.nodes[i], node.Hears{Word: n.lie(to.Word)})
+	}
+}
+
+// sayPlace sends a word about an executor's places on its way.
+func (n *sim) sayPlace(to node.TellPlace) {
+	if int(to.To) < len(n.w.nodes) {
+		n.carryWord(n.w.nodes[to.To], node.HearsPlace{From: policy.NodeID(n.id), Word: to.Word, Sum: to.Sum})
+	}
+}
+
+// carryWord is what becomes of a word on its way.
+func (n *sim) carryWord(o *sim, ev node.Event) {
+	w, f := n.w, &n.w.s.Fleet
+	w.result.Words++
+	if n.apart != o.apart || n.zone != o.zone && (w.cuts[n.zone].out > w.now || w.cuts[o.zone].in > w.now) {
+		return
+	}
+	for range 1 + one(w.talks.Float64() < f.WordsDoubled) {
+		if w.talks.Float64() < max(f.WordsLost, w.wordsLost) {
+			continue
+		}
+		late := time.Duration(0)
+		if f.WordsLate > 0 {
+			late = time.Duration(w.talks.Int64N(int64(f.WordsLate)))
+		}
+		near := time.Duration(f.Near)
+		if n.zone != o.zone {
+			near = time.Duration(f.Far)
+		}
+		run := o.run
+		w.after(near+late, func() {
+			if o.up && o.run == run {
+				o.tell(ev)
+			}
+		})
+	}
+}
+
+func one(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+// lie makes nonsense of what a node tells, while it lies: each word another kind of it.
+func (n *sim) lie(w fleet.Word) fleet.Word {
+	if n.lies == 0 {
+		return w
+	}
+	n.lies++
+	g := fleet.Figures{Offered: map[int]float64{}, Done: w.Figures.Done, Lost: w.Figures.Lost, Waiting: w.Figures.Waiting}
+	for rung, x := range w.Figures.Offered {
+		g.Offered[rung] = x
+	}
+	switch n.lies % 4 {
+	case 0: // ten times the truth
+		for rung := range g.Offered {
+			g.Offered[rung] *= 10
+		}
+		g.Done *= 10
+	case 1:
+		g.Done = -1
+	case 2: // all is lost
+		g.Lost += 10 * g.Done
+	case 3:
+		w.From = fleet.Name(n.w.nodes[(int(n.id)+1)%len(n.w.nodes)].name) // another's name
+	}
+	w.Figures = g
+	return w
+}
+
+// counts books the drains that a node counts as told by a neighbour: rule 3 binds for them as for the list's.
+func (n *sim) counts(ev node.Event, effects []node.Effect) {
+	if _, ok := ev.(node.Hears); !ok {
+		return
+	}
+	for _, e := range effects {
+		l, ok := e.(node.Log)
+		if !ok || !strings.HasPrefix(l.Text, "counts as draining") {
+			continue
+		}
+		if known, ok := n.known[l.Executor]; ok && known.State == policy.Up {
+			known.State = policy.Draining
+			n.told(known)
+		}
+	}
+}
+
+// halt stops a node's process for a while, as SIGSTOP does: what comes meanwhile waits unread.
+func (n *sim) halt(f standin.Fault) {
+	if !n.up || n.stopped {
+		return
+	}
+	n.stopped = true
+	n.w.see(rules.Seen{What: rules.StoodStill, Node: n.id})
+	n.later(f.For, func() {
+		n.stopped = false
+		n.w.see(rules.Seen{What: rules.WentOn, Node: n.id})
+		waiting := n.unread
+		n.unread = nil
+		for _, ev := range waiting {
+			n.tell(ev)
+		}
+		n.news()
+	})
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -59,6 +59,7 @@
 	s         Settings
 	now       time.Duration
 	jobs      map[jobKey]*job
+	still     map[NodeID]bool // nodes whose processes stand still
 	works     map[WorkID][]run
 	nodes     map[NodeID]map[policy.ExecutorID]told
 	executors map[policy.ExecutorID]*executor
@@ -83,6 +84,7 @@
 	limit    time.Duration
 	gaveUp   time.Duration
 	given    bool // the module has given up
+	excused  bool // its node stood still while it was in hand: no time binds
 	answered bool
 	left     bool
 	sent     []sent
@@ -133,7 +135,7 @@
 
 // New makes a checker that has seen nothing.
 func New(s Settings) *Checker {
-	return &Checker{s: s, jobs: map[jobKey]*job{}, works: map[WorkID][]run{},
+	return &Checker{s: s, jobs: map[jobKey]*job{}, still: map[NodeID]bool{}, works: map[WorkID][]run{},
 		nodes: map[NodeID]map[policy.ExecutorID]told{}, executors: map[policy.ExecutorID]*executor{},
 		reported: map[string]bool{}}
 }
@@ -158,12 +160,18 @@
 	key := jobKey{s.Node, s.Job}
 	switch s.What {
 	case NodeStarted, NodeKilled:
+		delete(c.still, s.Node)
 		delete(c.nodes, s.Node)
 		for k := range c.jobs {
 			if k.node == s.Node {
 				delete(c.jobs, k)
 			}
 		}
+	case StoodStill, WentOn:
+		c.still[s.Node] = s.What == StoodStill
+		for k, j := range c.jobs {
+			j.excused = j.excused || k.node == s.Node
+		}
 	case Told:
 		c.told(s)
 	case Taken:
@@ -200,7 +208,7 @@
 		d := heap.Pop(&c.due).(due)
 		j := c.jobs[d.key]
 		switch {
-		case j == nil || j.answered || j.left:
+		case j == nil || j.answered || j.left || j.excused:
 		case d.limit == 0 && j.given:
 			c.breaks(AtOnce, d.at, d.key, j.work, "", "%s was given up on at %.3fs and has no answer %v later", d.key.id,
 				j.gaveUp.Seconds(), c.s.Prompt)
@@ -240,19 +248,20 @@
 		c.jobs[key] = j
 	}
 	j.work, j.track, j.limit, j.answered, j.left, j.given = s.Work, s.Track, s.Limit, false, false, false
+	j.excused = c.still[s.Node]
 	c.at(s.Limit+c.s.Slack, key, s.Limit)
 }
 
 // drop forgets a batch job of which nothing is open any more.
 func (c *Checker) drop(key jobKey, j *job) {
-	if (j.answered || j.left) && !slices.ContainsFunc(j.sent, func(a sent) bool { return !a.over }) {
+	if (j.answered || j.left) && !j.excused && !slices.ContainsFunc(j.sent, func(a sent) bool { return !a.over }) {
 		delete(c.jobs, key)
 	}
 }
 
 func (c *Checker) sent(key jobKey, s Seen) {
 	j := c.jobs[key]
-	if j == nil || j.answered || j.left {
+	if j == nil || (j.answered || j.left) && !j.excused {
 		c.breaks(OneAnswer, s.At, key, s.Work, s.Executor, "%s was sent to %s after its end", s.Job, s.Executor)
 		return
 	}
@@ -321,7 +330,7 @@
 	case s.Final == Handled && len(c.works[j.work]) == 0:
 		c.breaks(OneAnswer, s.At, key, j.work, "", "%s was answered as handled, and never ran", s.Job)
 	}
-	if j.given && s.At > j.gaveUp+c.s.Prompt {
+	if j.given && !j.excused && s.At > j.gaveUp+c.s.Prompt {
 		c.breaks(AtOnce, s.At, key, j.work, "", "%s was given up on %v before its answer", s.Job, s.At-j.gaveUp)
 	}
 	j.answered = true
--- a/internal/rules/seen.go
+++ b/internal/rules/seen.go
@@ -39,10 +39,12 @@
 	Reached                 // an allocation of Node has reached Executor: Cost against the Capacity it has now
 	Ran                     // Executor has begun on Work, for Job of Node
 	Fell                    // Executor has fallen over
+	StoodStill              // Node's process stands still, and owes what it has in hand no more by its time
+	WentOn                  // and goes on
 )
 
 var whats = [...]string{"note", "node started", "node killed", "told", "taken", "given up", "left", "first byte",
-	"last byte", "over", "answered", "started", "reached", "ran", "fell"}
+	"last byte", "over", "answered", "started", "reached", "ran", "fell", "stood still", "went on"}
 
 func (w What) String() string { return whats[w] }
 
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -36,6 +36,11 @@
 	NodeKilled  Kind = "node-killed"  // nodes are killed, and start again after it
 	SentAway    Kind = "sent-away"    // operators send nodes' clients away, until it is over
 	NodeRestart Kind = "node-restart" // nodes are told to stop, and start again after it
+	NodeStopped Kind = "node-stopped" // nodes' processes stand still, and then read all that came meanwhile
+	NodeLies    Kind = "node-lies"    // nodes tell their neighbours nonsense
+	NodesApart  Kind = "nodes-apart"  // no words pass between nodes and those that it is not on
+	WordsLost   Kind = "words-lost"   // the part Size of words between nodes gets lost
+	ListCut     Kind = "list-cut"     // nodes hear nothing from discovery
 	Burst       Kind = "burst"        // Size times the usual traffic
 	HeavyTail   Kind = "heavy-tail"   // one batch job in 50 costs Size times the usual
 	ClockOff    Kind = "clock-off"    // executors that start meanwhile say that they did Size seconds later than true
@@ -69,7 +74,9 @@
 	ClientReset: {OnAll, 0.01, 1, "a part"},
 	ListLate:    {OnAll, 0.01, 3600, "seconds"}, ListLost: {on: OnAll},
 	NodeKilled: {on: OnNodes}, NodeRestart: {on: OnNodes}, SentAway: {on: OnNodes},
-	Burst: {OnAll, 1, 100, "times the usual"}, HeavyTail: {OnAll, 1, 1000, "times the usual"},
+	NodeStopped: {on: OnNodes}, NodeLies: {on: OnNodes}, NodesApart: {on: OnNodes}, ListCut: {on: OnNodes},
+	WordsLost: {OnAll, 0.01, 1, "a part"},
+	Burst:     {OnAll, 1, 100, "times the usual"}, HeavyTail: {OnAll, 1, 1000, "times the usual"},
 	ClockOff: {OnAll, -3600, 3600, "seconds"},
 }
 
