birchlab fleet: real processes on loopback with links between them that can be cut

Need: a rig for the fleet issues. Change: internal/rig plays the lab's scenarios with processes of the program, stand-in executors on sockets (the lab's model), discovery by each node's own way, and links between nodes for TCP and UDP; rules checked from both ends. Tests: of three nodes one hears of a drain while another is cut off, all count as told (without words allocations still go there, so the check can fail); 8 drawn fleets of 5; views at the door.

--- /dev/null
+++ b/cmd/birchlab/fleet.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"birchstair/internal/lab"
+	"birchstair/internal/rig"
+)
+
+// fleetCmd plays scenarios with real processes.
+type fleetCmd struct {
+	Run  fleetRunCmd  `cmd:"" help:"Play a scenario with real processes of the program on loopback. The exit status is 1 where something was wrong."`
+	Hunt fleetHuntCmd `cmd:"" help:"Play fleets and faults drawn from seeds with real processes, and keep what was wrong."`
+}
+
+type fleetOptions struct {
+	Binary string `type:"existingfile" default:"bin/birchstair" help:"The node."`
+	Keep   string `type:"path" placeholder:"DIR" help:"Keep logs, configurations and the timeline of each run there; else only of runs where something was wrong, in a temporary folder."`
+}
+
+type fleetRunCmd struct {
+	fleetOptions
+	Scenario string `arg:"" help:"A file, or the name of a kept scenario."`
+	Seed     uint64 `default:"1" help:"What load and chance are drawn from."`
+	Runs     int    `default:"1" help:"How many runs, one after another, each with the next seed."`
+	Against  bool   `help:"Play each seed once more without the [fleet] table, in turn, and print both."`
+	JSON     string `name:"json" type:"path" placeholder:"FILE" help:"Write the results there, a line each."`
+}
+
+type fleetHuntCmd struct {
+	fleetOptions
+	Seeds    seeds `default:"1..20" help:"The seeds to draw from: A..B."`
+	Nodes    int   `default:"6" help:"Processes in each fleet, 3 to 60."`
+	Parallel int   `default:"2" help:"Runs at a time."`
+}
+
+func (c *fleetRunCmd) Run() error {
+	s, err := load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	if err := rig.Fits(s); err != nil {
+		return fmt.Errorf("%s: %w", c.Scenario, err)
+	}
+	wrong := 0
+	for i := range c.Runs {
+		talks := []bool{s.Fleet.Talk}
+		if c.Against {
+			talks = []bool{true, false}
+		}
+		for _, talk := range talks {
+			one := s
+			one.Fleet.Talk = talk
+			r, dir, err := c.play(one, c.Seed+uint64(i))
+			if err != nil {
+				return err
+			}
+			printFleet(one, r, dir)
+			wrong += len(r.Wrong)
+			if c.JSON != "" {
+				if err := appendLine(c.JSON, struct {
+					Talk bool
+					rig.Result
+				}{talk, r}); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	if wrong > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func appendLine(path string, v any) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.Write(append(text, '\n'))
+	return err
+}
+
+// play plays one run, and drops its folder where nothing was wrong and nobody wants it.
+func (c *fleetOptions) play(s lab.Scenario, seed uint64) (rig.Result, string, error) {
+	binary, err := filepath.Abs(c.Binary)
+	if err != nil {
+		return rig.Result{}, "", err
+	}
+	dir := filepath.Join(c.Keep, fmt.Sprintf("%s-%d-talk-%t", s.Name, seed, s.Fleet.Talk))
+	if c.Keep == "" {
+		dir, err = os.MkdirTemp("", "birchlab-fleet-")
+	} else {
+		err = os.MkdirAll(dir, 0o755)
+	}
+	if err != nil {
+		return rig.Result{}, "", err
+	}
+	r, err := rig.Play(s, rig.Options{Binary: binary, Dir: dir, Seed: seed})
+	if err == nil && len(r.Wrong) == 0 && c.Keep == "" {
+		os.RemoveAll(dir)
+	}
+	return r, dir, err
+}
+
+func printFleet(s lab.Scenario, r rig.Result, dir string) {
+	fmt.Printf("%s, seed %d, %d nodes, talk %t: earned %.3f, of the best that could be had %.3f; work sent over work finished %.2f; %d works, tries %v, allocations %d\n",
+		s.Name, r.Seed, s.Fleet.Nodes, s.Fleet.Talk, r.Earned/max(r.Asked, 1e-9), r.Earned/max(r.Best, 1e-9), r.Work/max(r.Finished, 1e-9), r.Works, r.Tries, r.Allocations)
+	if r.Late > 0 {
+		fmt.Printf("  %d allocations to executors that drain, from nodes that nobody told\n", r.Late)
+	}
+	for _, w := range r.Wrong {
+		fmt.Printf("  WRONG: %s (see %s)\n", w, dir)
+	}
+}
+
+func (c *fleetHuntCmd) Run() error {
+	if c.Nodes < 3 || c.Nodes > 60 {
+		return fmt.Errorf("--nodes %d: from 3 to 60", c.Nodes)
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	free := make(chan struct{}, max(1, c.Parallel))
+	runs, wrong := 0, 0
+	var failed error
+	for seed := c.Seeds.first; seed <= c.Seeds.last; seed++ {
+		free <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-free }()
+			s := rig.Draw(seed, c.Nodes)
+			r, dir, err := c.play(s, seed)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = err
+				return
+			}
+			runs++
+			wrong += len(r.Wrong)
+			printFleet(s, r, dir)
+			if len(r.Wrong) > 0 {
+				if text, err := s.Text(); err == nil {
+					os.WriteFile(filepath.Join(dir, "scenario.toml"), text, 0o644)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	fmt.Printf("%d runs, %d things wrong\n", runs, wrong)
+	if failed != nil {
+		return failed
+	}
+	if wrong > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/cmd/birchlab/main.go
+++ b/cmd/birchlab/main.go
@@ -16,6 +16,7 @@
 	Hunt   huntCmd   `cmd:"" help:"Play worlds and faults drawn from seeds, and keep what breaks a rule or does worst."`
 	Shrink shrinkCmd `cmd:"" help:"Find the fewest faults and the shortest stretch that still break the same rule."`
 	Kill   killCmd   `cmd:"" help:"Kill real nodes with durable batch jobs, on loopback, and count what became of each."`
+	Fleet  fleetCmd  `cmd:"" help:"Play fleets of real processes with faults between them, on loopback."`
 	Trace  traceCmd  `cmd:"" help:"Print a trace as people read it."`
 }
 
--- /dev/null
+++ b/internal/rig/faults.go
@@ -0,0 +1,236 @@
+package rig
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+	"time"
+
+	"birchstair/internal/lab"
+	"birchstair/internal/rules"
+	"birchstair/internal/standin"
+	"birchstair/policy"
+)
+
+// played are the kinds of fault that the rig can do.
+var played = []standin.Kind{standin.Slow, standin.Errors, standin.Mute, standin.Crash, standin.DrainOff, standin.ListLate, standin.ListLost, standin.ListCut,
+	standin.NodeKilled, standin.NodeRestart, standin.NodeStopped, standin.NodesApart, standin.WordsLost, standin.Burst, standin.HeavyTail}
+
+// Fits says what of a scenario the rig can't play.
+func Fits(s lab.Scenario) error {
+	for i, f := range s.Faults {
+		if !slices.Contains(played, f.Kind) {
+			return fmt.Errorf("fault[%d].kind: %q is not played with real processes, only %v", i, f.Kind, played)
+		}
+	}
+	switch {
+	case s.Fleet.Nodes > 60:
+		return fmt.Errorf("fleet.nodes: %d is over 60 real processes", s.Fleet.Nodes)
+	case s.Fleet.Nodes*s.Fleet.Executors > 6000:
+		return fmt.Errorf("fleet.executors: over 6000 ways from %d nodes to %d executors", s.Fleet.Nodes, s.Fleet.Executors)
+	case s.Load.Of == 0 || s.Load.Loops > 0:
+		return fmt.Errorf("load.of: real processes are played with an open load, without loops")
+	}
+	return nil
+}
+
+// script puts a fault on the clock.
+func (r *Rig) script(f lab.Fault) {
+	r.after(warmUp+time.Duration(f.At), func() {
+		r.note("FAULT: %s for %v, %.3g, at %v", f.Kind, time.Duration(f.For), f.Size, f.Where)
+		r.begin(f)
+		if f.For > 0 {
+			r.after(time.Duration(f.For), func() {
+				r.note("FAULT over: %s at %v", f.Kind, f.Where)
+				r.endFault(f)
+			})
+		}
+	})
+}
+
+func (r *Rig) touches(f lab.Fault, name string, zone policy.ZoneID) bool {
+	return len(f.Where) == 0 || slices.Contains(f.Where, name) || slices.Contains(f.Where, r.s.Fleet.Zones[zone])
+}
+
+func (r *Rig) onExecutors(f lab.Fault, what func(*executor)) {
+	for _, x := range r.executors {
+		if r.touches(f, string(x.ID), x.Zone) {
+			what(x)
+		}
+	}
+}
+
+func (r *Rig) onNodes(f lab.Fault, what func(*proc)) {
+	for _, p := range r.nodes {
+		if r.touches(f, p.name, p.zone) {
+			what(p)
+		}
+	}
+}
+
+func (r *Rig) begin(f lab.Fault) {
+	switch f.Kind {
+	case standin.Slow, standin.Errors, standin.Mute:
+		r.onExecutors(f, func(x *executor) {
+			x.faults = append(x.faults, f)
+			x.suffer()
+		})
+	case standin.Crash:
+		r.onExecutors(f, func(x *executor) {
+			if x.downs++; x.Up {
+				x.crash()
+				r.change(x.entry(policy.Gone))
+			}
+		})
+	case standin.DrainOff:
+		r.onExecutors(f, func(x *executor) { r.drain(x, f) })
+	case standin.ListLate:
+		r.discovery.Late(time.Duration(f.Size * 1e9))
+	case standin.ListLost:
+		r.discovery.Silence(true)
+	case standin.ListCut:
+		r.onNodes(f, func(p *proc) { p.deaf = true })
+	case standin.NodeKilled:
+		r.onNodes(f, func(p *proc) {
+			if p.downs++; p.up {
+				p.lose()
+				p.cmd.Process.Kill()
+			}
+		})
+	case standin.NodeRestart:
+		r.onNodes(f, func(p *proc) {
+			p.downs++
+			p.leaving = r.now()
+			p.signal(syscall.SIGTERM)
+		})
+	case standin.NodeStopped:
+		r.onNodes(f, func(p *proc) {
+			p.signal(syscall.SIGSTOP)
+			p.stopped = true
+			r.see(rules.Seen{What: rules.StoodStill, Node: p.id})
+			r.voidAt(p)
+		})
+	case standin.NodesApart:
+		r.onNodes(f, func(p *proc) { p.apart = true })
+	case standin.WordsLost:
+		r.wordsLost = f.Size
+	case standin.Burst:
+		for _, c := range r.clients {
+			c.Burst = f.Size
+		}
+	case standin.HeavyTail:
+		for _, c := range r.clients {
+			c.Tail = standin.Tail{Part: 0.02, Times: f.Size}
+		}
+	}
+}
+
+func (r *Rig) endFault(f lab.Fault) {
+	switch f.Kind {
+	case standin.Slow, standin.Errors, standin.Mute:
+		r.onExecutors(f, func(x *executor) {
+			x.faults = slices.DeleteFunc(x.faults, func(o lab.Fault) bool { return o.Kind == f.Kind && o.At == f.At && o.Size == f.Size })
+			x.suffer()
+		})
+	case standin.Crash:
+		r.onExecutors(f, func(x *executor) { x.back() })
+	case standin.ListLate:
+		r.discovery.Late(0)
+		r.changed()
+	case standin.ListLost:
+		r.discovery.Silence(false)
+		r.changed()
+	case standin.ListCut:
+		r.onNodes(f, func(p *proc) { p.deaf = false })
+		r.changed()
+	case standin.NodeKilled, standin.NodeRestart:
+		r.onNodes(f, func(p *proc) { p.back() })
+	case standin.NodeStopped:
+		r.onNodes(f, func(p *proc) {
+			p.stopped, p.stoppedA = false, r.now()+2*slack
+			r.see(rules.Seen{What: rules.WentOn, Node: p.id})
+			r.voidAt(p)
+			p.signal(syscall.SIGCONT)
+		})
+	case standin.NodesApart:
+		r.onNodes(f, func(p *proc) { p.apart = false })
+	case standin.WordsLost:
+		r.wordsLost = r.s.Fleet.WordsLost
+	case standin.Burst:
+		for _, c := range r.clients {
+			c.Burst = 0
+		}
+	case standin.HeavyTail:
+		for _, c := range r.clients {
+			c.Tail = standin.Tail{}
+		}
+	}
+}
+
+// voidAt: what a node that stands still has in hand is late by no doing of its own.
+func (r *Rig) voidAt(p *proc) {
+	for _, t := range r.tries {
+		if t.p == p {
+			t.void = true
+		}
+	}
+}
+
+// wasStopped says whether a node stands still or did just now.
+func (p *proc) wasStopped() bool { return p.stopped || p.r.now() < p.stoppedA }
+
+func (x *executor) suffer() {
+	t := standin.Trouble{}
+	for _, f := range x.faults {
+		switch f.Kind {
+		case standin.Slow:
+			t.Slow = max(1, t.Slow) * f.Size
+		case standin.Errors:
+			t.Errors = max(t.Errors, f.Size)
+		case standin.Mute:
+			t.Mute = true
+		}
+	}
+	x.does(x.Suffer(x.r.now(), t))
+}
+
+// back ends one fault that keeps an executor down.
+func (x *executor) back() {
+	if x.downs--; x.downs <= 0 {
+		x.downs = 0
+		x.restart()
+	}
+}
+
+// back ends one fault that keeps a node down.
+func (p *proc) back() {
+	if p.downs--; p.downs > 0 {
+		return
+	}
+	p.downs = 0
+	if p.up { // it is still on its way out
+		p.downs = 1
+		p.r.after(100*time.Millisecond, p.back)
+		return
+	}
+	if err := p.begin(); err != nil {
+		p.r.wrong("node %s does not start again: %v", p.name, err)
+	}
+}
+
+// drain: the list says so first; later the executor takes nothing new, ends, and starts again cold when the fault is over.
+func (r *Rig) drain(x *executor, f lab.Fault) {
+	if !x.Up || x.downs > 0 {
+		return
+	}
+	x.downs++
+	lives := x.lives
+	r.change(x.entry(policy.Draining))
+	r.after(time.Duration(f.For)*3/4, func() {
+		if x.Up && x.lives == lives {
+			x.crash()
+			r.change(x.entry(policy.Gone))
+		}
+	})
+	r.after(time.Duration(f.For), x.back)
+}
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,320 @@
+// Package rig plays a scenario of the lab with real processes: nodes of the program on loopback, each with ports, a directory and files of its own, and in
+// this process the stand-ins for executors, discovery and clients. All that goes between nodes passes links that can be cut, and the stand-ins can fall
+// silent for some nodes alone. The rules are checked from both ends, by what clients got and what executors ran, over all processes. Draws and scripts
+// repeat by their seed, the processes' own timing does not: what a run says are invariants and counts.
+//
+// rig.go holds a run and its end, proc.go the processes, link.go what lies between nodes, ends.go executors and discovery, front.go the clients, faults.go
+// the script.
+package rig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"birchstair/internal/lab"
+	"birchstair/internal/rules"
+	"birchstair/internal/standin"
+	"birchstair/policy"
+)
+
+// Options say how a scenario is played.
+type Options struct {
+	Binary string // birchstair
+	Dir    string // of its own, empty: logs, configurations and the timeline go there
+	Seed   uint64
+}
+
+// Result is what came of a run. Counts beyond Wrong are no verdict.
+type Result struct {
+	Seed        uint64
+	Asked       float64 // earnings
+	Earned      float64 // of them, answered in the quoted time
+	Best        float64 // of them, what the capacity that was there could have earned at the most, dearest work first
+	Works       int
+	Tries       map[string]int // by how they ended
+	Allocations int            // that reached an executor
+	Work        float64        // seconds of work that reached executors
+	Finished    float64        // and that they got done
+	Late        int            // allocations to an executor that drains from nodes whose own list does not say so, long after another node was told
+	Views       [][]string     // what each node said of its fleet at the end
+	Wrong       []string
+}
+
+// Rig is a run.
+type Rig struct {
+	s     lab.Scenario
+	o     Options
+	start time.Time
+
+	mu        sync.Mutex // guards all below; nothing that blocks is done under it
+	over      bool
+	closing   bool
+	rand      *rand.Rand
+	tracks    []standin.Track
+	module    []policy.Track
+	checker   *rules.Checker
+	result    Result
+	nodes     []*proc
+	executors []*executor
+	byID      map[policy.ExecutorID]*executor
+	discovery *standin.Discovery
+	news      chan struct{} // closed when discovery may have something new
+	tries     map[policy.JobID]*try
+	forgotten map[policy.JobID]time.Duration // when a try ended
+	clients   []*clients
+	memories  map[string]*standin.Memory
+	firstTold map[policy.ExecutorID]time.Duration // when any node was first told that it drains
+	conns     standin.ConnID
+	timeline  *os.File
+	earnable  []offer
+	capacity  float64 // what could be done, in seconds of work, so far
+	capAt     time.Duration
+	held      net.Listener // the run's addresses are its own
+	timers    []*time.Timer
+	waits     sync.WaitGroup // clients' tries, and what serves connections
+
+	wordsLost   float64
+	wordsDouble float64
+	wordsLate   time.Duration
+}
+
+// offer is work that was asked for, and what it earns.
+type offer struct{ work, earns float64 }
+
+const (
+	slack     = time.Second            // on a busy machine an answer may be so late
+	drainSlow = 3 * time.Second        // within it every node of a fleet whose links are whole knows of a drain
+	warmUp    = 500 * time.Millisecond // after all nodes are ready
+	readyIn   = 20 * time.Second
+	lastWait  = 2 * time.Second // for answers beyond the last outer limit
+)
+
+// Play plays a run. An error means that it could not be played.
+func Play(s lab.Scenario, o Options) (Result, error) {
+	r := &Rig{s: s, o: o, start: time.Now(), rand: rand.New(rand.NewPCG(o.Seed, 9)), byID: map[policy.ExecutorID]*executor{},
+		discovery: standin.NewDiscovery(time.Duration(s.Fleet.ListLag)), news: make(chan struct{}), tries: map[policy.JobID]*try{}, forgotten: map[policy.JobID]time.Duration{},
+		memories: map[string]*standin.Memory{}, firstTold: map[policy.ExecutorID]time.Duration{}, result: Result{Seed: o.Seed, Tries: map[string]int{}}}
+	r.tracks, r.module = s.Takes()
+	r.checker = rules.New(rules.Settings{Tracks: r.module, Slack: slack, Grace: time.Duration(s.Fleet.DrainGrace) + slack, Prompt: time.Hour,
+		WarmWithin: time.Duration(s.Fleet.WarmWithin), FallMultiple: s.Fleet.FallMultiple, FallWindow: time.Duration(s.Fleet.FallWindow), Copies: s.Fleet.Copies})
+	var err error
+	if r.timeline, err = os.Create(filepath.Join(o.Dir, "timeline.txt")); err != nil {
+		return Result{}, err
+	}
+	defer r.timeline.Close()
+	defer r.end()
+	if err := r.setUp(); err != nil {
+		return Result{}, err
+	}
+	if err := r.awaitReady(); err != nil {
+		return Result{}, err
+	}
+	r.run()
+	return r.finish(), nil
+}
+
+func (r *Rig) now() time.Duration { return time.Since(r.start) }
+
+// note writes a line of the timeline. It is called with r.mu held.
+func (r *Rig) note(format string, args ...any) {
+	fmt.Fprintf(r.timeline, "%10.3fs "+format+"\n", append([]any{r.now().Seconds()}, args...)...)
+}
+
+func (r *Rig) wrong(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.note("WRONG: %s", text)
+	r.result.Wrong = append(r.result.Wrong, text)
+}
+
+// see hands a thing seen to the rules. It is called with r.mu held.
+func (r *Rig) see(s rules.Seen) {
+	s.At = r.now()
+	for _, b := range r.checker.See(s) {
+		r.wrong("%s", b.String())
+	}
+}
+
+// after does something later, with r.mu held, unless the run is over.
+func (r *Rig) after(span time.Duration, what func()) {
+	r.timers = append(r.timers, time.AfterFunc(span, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.over {
+			what()
+		}
+	}))
+}
+
+func (r *Rig) setUp() error {
+	f := &r.s.Fleet
+	speeds := rand.New(rand.NewPCG(r.o.Seed, 10))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range f.Executors {
+		x := r.newExecutor(fmt.Sprint("e", i), i, f.Speed*(1+f.Spread*(2*speeds.Float64()-1)))
+		r.discovery.Change(-time.Hour+time.Duration(i), x.entry(policy.Up))
+	}
+	slot, held, err := claim()
+	if err != nil {
+		return fmt.Errorf("no free loopback addresses for a fleet: %w", err)
+	}
+	r.held = held
+	for i := range f.Nodes {
+		p, err := r.newProc(i, slot)
+		if err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, p)
+	}
+	for _, p := range r.nodes {
+		if err := p.writeFiles(); err != nil {
+			return err
+		}
+		if err := p.begin(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitReady waits until all nodes say that they are ready, and, where they talk, know each other.
+func (r *Rig) awaitReady() error {
+	for _, p := range r.nodes {
+		until := time.Now().Add(readyIn)
+		for !p.isReady() || r.s.Fleet.Talk && !p.knowsAll(len(r.nodes)) {
+			if time.Now().After(until) {
+				return fmt.Errorf("node %s is not ready after %v; its log and the timeline are in %s", p.name, readyIn, r.o.Dir)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// run plays the load and the script.
+func (r *Rig) run() {
+	r.mu.Lock()
+	r.note("all nodes are ready")
+	r.wordsLost, r.wordsDouble, r.wordsLate = r.s.Fleet.WordsLost, r.s.Fleet.WordsDoubled, time.Duration(r.s.Fleet.WordsLate)
+	length := time.Duration(r.s.Length)
+	r.after(warmUp, func() { r.buildClients(r.now() + length) })
+	for _, f := range r.s.Faults {
+		r.script(f)
+	}
+	r.sampleCapacity()
+	longest := time.Duration(0)
+	for _, t := range r.module {
+		longest = max(longest, t.OuterLimit)
+	}
+	r.mu.Unlock()
+	time.Sleep(warmUp + length)
+	for until := time.Now().Add(longest + lastWait); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		r.mu.Lock()
+		open := len(r.tries)
+		r.mu.Unlock()
+		if open == 0 {
+			break
+		}
+	}
+}
+
+// sampleCapacity adds up what executors could have done.
+func (r *Rig) sampleCapacity() {
+	now := r.now()
+	if r.capAt > 0 {
+		sum := 0.0
+		for _, x := range r.executors {
+			if x.Up && !x.Drains && !x.Mute() {
+				slow := max(1, x.Trouble().Slow)
+				sum += x.Capacity(now) / slow
+			}
+		}
+		r.capacity += sum * (now - r.capAt).Seconds()
+	}
+	r.capAt = now
+	r.after(100*time.Millisecond, r.sampleCapacity)
+}
+
+// finish ends the processes and says what came of the run.
+func (r *Rig) finish() Result {
+	for _, p := range r.nodes {
+		r.result.Views = append(r.result.Views, p.view())
+	}
+	r.mu.Lock()
+	r.closing = true // who would come again stays away: the nodes end now
+	for _, t := range r.tries {
+		t.void = true
+	}
+	r.mu.Unlock()
+	for _, p := range r.nodes {
+		if err := p.stopWell(); err != nil {
+			r.mu.Lock()
+			r.wrong("node %s: a planned end: %v", p.name, err)
+			r.mu.Unlock()
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.checker.Pass(r.now())
+	for _, b := range r.checker.Broken() {
+		if text := b.String(); !slices.Contains(r.result.Wrong, text) {
+			r.wrong("%s", text)
+		}
+	}
+	r.result.Best = r.best()
+	return r.result
+}
+
+// best is what the capacity that was there could have earned at the most: the work that earns most for its cost first, all capacity used.
+func (r *Rig) best() float64 {
+	slices.SortFunc(r.earnable, func(a, b offer) int {
+		switch x, y := a.earns/a.work, b.earns/b.work; {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	left, sum := r.capacity, 0.0
+	for _, o := range r.earnable {
+		if o.work > left {
+			return sum + o.earns*left/o.work
+		}
+		left -= o.work
+		sum += o.earns
+	}
+	return sum
+}
+
+// end ends all that is left, by its id.
+func (r *Rig) end() {
+	r.mu.Lock()
+	r.over = true
+	for _, t := range r.timers {
+		t.Stop()
+	}
+	close(r.news)
+	r.news = make(chan struct{})
+	closers := []func(){}
+	for _, p := range r.nodes {
+		closers = append(closers, p.kill, p.close)
+	}
+	for _, x := range r.executors {
+		closers = append(closers, x.close)
+	}
+	r.mu.Unlock()
+	for _, c := range closers {
+		c()
+	}
+	if r.held != nil {
+		r.held.Close()
+	}
+	r.waits.Wait()
+}
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,98 @@
+package rig
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"birchstair/internal/lab"
+	"birchstair/lab/scenarios"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "birchstair-rig-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "birchstair")
+	if out, err := exec.Command("go", "build", "-o", binary, "birchstair/cmd/birchstair").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func play(t *testing.T, s lab.Scenario, seed uint64) Result {
+	t.Helper()
+	if err := Fits(s); err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	r, err := Play(s, Options{Binary: binary, Dir: dir, Seed: seed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range r.Wrong {
+		t.Errorf("%s, seed %d: %s", s.Name, seed, w)
+	}
+	if t.Failed() {
+		text, _ := os.ReadFile(filepath.Join(dir, "timeline.txt"))
+		t.Logf("%s", text[max(0, len(text)-20000):])
+	}
+	return r
+}
+
+func kept(t *testing.T, name string) lab.Scenario {
+	t.Helper()
+	s, err := lab.LoadFrom(scenarios.Files, name+".toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// One of three nodes hears of a drain, the others hear nothing from discovery, and one is cut off from it until later: all count as told. Without words
+// they send on, which shows that the check can fail.
+func TestDrainToldByNeighbours(t *testing.T) {
+	t.Parallel()
+	s := kept(t, "fleet-one-hears-of-drain")
+	if r := play(t, s, 1); r.Late > 0 {
+		t.Errorf("%d allocations went to an executor of whose drain a neighbour had told", r.Late)
+	}
+	s.Fleet.Talk = false
+	if r := play(t, s, 1); r.Late == 0 {
+		t.Error("without words nothing was sent to the executor that drains: this test shows nothing")
+	}
+}
+
+// Fleets and faults drawn from seeds keep the rules.
+func TestDrawnFleets(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			s := Draw(seed, 5)
+			s.Length = lab.Span(6 * time.Second)
+			play(t, s, seed)
+		})
+	}
+}
+
+// Each node names the others, how old what they told is, and says so at its door.
+func TestViews(t *testing.T) {
+	t.Parallel()
+	s := lab.Base()
+	s.Name, s.Length, s.Fleet.Nodes, s.Fleet.Executors, s.Fleet.Talk, s.Fleet.WeightsEvery = "views", lab.Span(2*time.Second), 4, 4, true, 0
+	r := play(t, s, 3)
+	for i, view := range r.Views {
+		text := strings.Join(view, "\n")
+		if strings.Count(text, "neighbour=") != 3 || strings.Contains(text, "age_ms=never") || !strings.Contains(text, "alive=4") {
+			t.Errorf("node %d says:\n%s", i, text)
+		}
+	}
+}
