--- a/cmd/birchlab/run.go
+++ b/cmd/birchlab/run.go
@@ -52,6 +52,7 @@
 type runCmd struct {
 	Scenario string `arg:"" help:"A file, or the name of a kept scenario."`
 	Seed     uint64 `help:"What chance is drawn from; the scenario's own seed, or 1, if it is left out."`
+	Against  bool   `help:"Play it once more with nodes that talk, or do not: whichever the scenario does not say."`
 	Trace    string `type:"path" placeholder:"FILE" help:"Write all that is seen there, a line of JSON each."`
 	JSON     string `name:"json" type:"path" placeholder:"FILE" help:"Write the result there."`
 }
@@ -74,6 +75,17 @@
 	r := lab.New(s, seedOf(s, c.Seed), o).Play()
 	r.Print(os.Stdout)
 	fmt.Printf("  %d steps in %v\n", r.Steps, time.Since(began).Round(time.Millisecond))
+	if c.Against {
+		other := s
+		other.Fleet.Talk = !s.Fleet.Talk
+		o := lab.New(other, seedOf(s, c.Seed), lab.Options{}).Play()
+		with, without := r, o
+		if other.Fleet.Talk {
+			with, without = o, r
+		}
+		fmt.Printf("  talking %.3f, each alone %.3f, at the most %.3f; allocations %d and %d; rules broken %d and %d\n",
+			with.Earned, without.Earned, with.Best, with.Allocations, without.Allocations, len(with.Broken), len(without.Broken))
+	}
 	if c.JSON != "" {
 		text, err := json.MarshalIndent(r, "", "  ")
 		if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,11 +45,16 @@
 	mostDrains = 24                      // in a word
 	keptDrains = 4096                    // in mind
 	clip       = 8                       // times the median of what neighbours tell that one of them may count for
-	clipFrom   = 3                       // neighbours from which on a median says something
+	clipFrom   = 3                       // neighbours from which on a median says something; below that a node goes by what it sees itself
+	witnesses  = 0.25                    // part of the nodes known that must see losses themselves before a line is drawn; two at least
 	begin      = 0.03                    // part of the work lost for want of tokens from which on a line is drawn
 	headroom   = 0.25                    // work over what is done that is taken as long as none is lost
 	spare      = 0.05                    // part lost at which no more is taken than is done
 	patience   = 0.4                     // part of its slack that work may wait in overload
+	sure       = 0.8                     // of what executors can do is always taken
+	trace      = 0.02                    // of what is offered: less of dearer work does not count
+	crowded    = 0.75                    // of what executors can do must get done before a line is drawn
+	idle       = 0.6                     // and while it stays
 	least      = 0.8                     // of what is done: taken at the least
 )
 
@@ -64,10 +69,11 @@
 
 // Figures are rates of one node, in seconds of work on a standard core a second, averaged.
 type Figures struct {
-	Offered map[int]float64 // by rung
-	Done    float64
-	Lost    float64
-	Waiting float64 // work that waits against its slack, not a rate
+	Offered  map[int]float64 // by rung
+	Admitted float64
+	Done     float64
+	Lost     float64
+	Waiting  float64 // work that waits against its slack, not a rate
 }
 
 // Drain says that an executor drains or is gone, as some node's own list said Age ago, of the start that the list calls Born.
@@ -152,7 +158,11 @@
 func (f *Fleet) Tick(now time.Duration, t policy.Tally) ([]To, policy.CutLine) {
 	span := now - f.last
 	if span > stood*f.s.Every {
-		f.deaf = now + f.s.Every
+		// This node stood still: what waits unread is old, and so are its own figures.
+		f.deaf, f.drawn, f.since = now+f.s.Every, false, 0
+		clear(f.figures.Offered)
+		f.figures = Figures{Offered: f.figures.Offered}
+		t = policy.Tally{Capacity: t.Capacity}
 	}
 	f.last, f.next = now, now+f.s.Every
 	f.average(t, span)
@@ -182,7 +192,7 @@
 // word is what a neighbour is told now: this node's own figures, and as many drains as there is room for, in turn.
 func (f *Fleet) word(now time.Duration) Word {
 	f.seq++
-	w := Word{From: f.s.Self, Life: f.s.Life, Seq: f.seq, Figures: Figures{Offered: maps.Clone(f.figures.Offered), Done: f.figures.Done, Lost: f.figures.Lost, Waiting: f.figures.Waiting}}
+	w := Word{From: f.s.Self, Life: f.s.Life, Seq: f.seq, Figures: Figures{Offered: maps.Clone(f.figures.Offered), Admitted: f.figures.Admitted, Done: f.figures.Done, Lost: f.figures.Lost, Waiting: f.figures.Waiting}}
 	ids := slices.Sorted(maps.Keys(f.drains))
 	for range min(len(ids), mostDrains) {
 		f.turnD = (f.turnD + 1) % len(ids)
@@ -242,7 +252,7 @@
 			return false
 		}
 	}
-	return ok(g.Done) && ok(g.Lost) && ok(g.Waiting)
+	return ok(g.Admitted) && ok(g.Done) && ok(g.Lost) && ok(g.Waiting)
 }
 
 // mostRate is more work a second than any node could be offered.
@@ -355,7 +365,7 @@
 	f.since += span
 	old := math.Exp(-float64(span)/float64(smoothing)) * (1 - math.Exp(-float64(f.since-span)/float64(smoothing))) / (1 - math.Exp(-float64(f.since)/float64(smoothing)))
 	mix := func(was, sum float64) float64 { return was*old + sum/span.Seconds()*(1-old) }
-	f.figures.Done, f.figures.Lost = mix(f.figures.Done, t.Done), mix(f.figures.Lost, t.Lost)
+	f.figures.Admitted, f.figures.Done, f.figures.Lost = mix(f.figures.Admitted, t.Admitted), mix(f.figures.Done, t.Done), mix(f.figures.Lost, t.Lost)
 	f.figures.Waiting, f.capacity = t.Waiting, t.Capacity
 	for rung, sum := range t.Offered {
 		x := mix(f.figures.Offered[rung], sum)
@@ -395,6 +405,7 @@
 		for rung, x := range g.Offered {
 			sum.Offered[rung] += times * x
 		}
+		sum.Admitted += times * g.Admitted
 		sum.Done += times * g.Done
 		sum.Lost += times * g.Lost
 		sum.Waiting += times * g.Waiting
@@ -404,10 +415,10 @@
 		return sum
 	}
 	each := max(1, float64(len(f.alive))/float64(len(fresh)))
-	most := math.MaxFloat64
+	most := clip * f.figures.size()
 	if len(fresh) >= clipFrom {
 		sorted := slices.Sorted(slices.Values(totals))
-		most = clip * max(sorted[len(sorted)/2], f.figures.size())
+		most = max(most, clip*sorted[len(sorted)/2])
 	}
 	for i, g := range fresh {
 		add(g, each*min(1, cmp.Or(most, 1e-9)/max(totals[i], 1e-9)))
@@ -427,22 +438,51 @@
 	}
 	full := max(part/spare, w.Waiting/max(w.Done, 1e-9)/patience)
 	// While little waits, what is idle is given out as well: guards against a fleet that keeps itself down by a line that was right for a trouble that has passed.
-	may := w.Done*max(least, 1+headroom*(1-full)) + max(0, f.capacity-w.Done)*max(0, 1-full)
-	if w.total() <= may {
-		f.drawn = false
-		return
-	}
-	if f.drawn = f.drawn || part > begin; !f.drawn {
+	// What is taken is the measure as long as it is not too much; then what gets done is. What is taken and ends otherwise must not drag the line down.
+	base := w.Done + max(0, w.Admitted-w.Done)*min(1, max(0, 2-full))
+	may := base*max(least, 1+headroom*(1-full)) + max(0, f.capacity-w.Done)*max(0, 1-full)
+	// What executors are known to do is not cut into, or hardly: what is cut can't show that it could be done.
+	may = max(may, sure*f.capacity)
+	// Less gets done than executors could do: what is lost is lost to something else than want of capacity, which cutting does not mend. Guards against a line
+	// that keeps what it hangs on down, since what is cut can't show that it could be done.
+	busy := 0.0
+	if f.capacity > 0 {
+		busy = w.Done / f.capacity
+	}
+	f.drawn = w.total() > may && (f.drawn && busy > idle && full > 0.25 || part > begin && busy > crowded && f.witnessed(now))
+	if !f.drawn {
 		return
 	}
+	whole, dearer := w.total(), 0.0
 	for rung := policy.Rungs - 1; rung >= 0; rung-- {
 		x := w.Offered[rung]
 		if x > may {
-			f.line = policy.CutLine{Rung: rung, Part: max(0, may/x)}
+			if dearer+x < (1-trace)*whole || dearer > trace*whole {
+				f.line = policy.CutLine{Rung: rung, Part: max(0, may/x)}
+			} // else all earn alike: which of them to turn away the module knows better, by what can still be in time
 			return
 		}
 		may -= x
+		dearer += x
+	}
+}
+
+// witnessed says whether enough nodes see losses themselves. Guards against one that tells of losses that nobody else has.
+func (f *Fleet) witnessed(now time.Duration) bool {
+	see, of := 0, 1
+	count := func(g Figures) {
+		if g.Lost > begin*(g.Done+g.Lost) {
+			see++
+		}
+	}
+	count(f.figures)
+	for _, v := range f.views {
+		if now-v.at <= f.s.ViewFor {
+			of++
+			count(v.figures)
+		}
 	}
+	return see >= min(of, 2) && float64(see) >= witnesses*float64(of)
 }
 
 // ---- To see it ----
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -1,8 +1,10 @@
 package lab
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,6 +18,7 @@
 	Seed     uint64         `json:"seed"`
 	Length   Span           `json:"length"`
 	Earned   float64        `json:"earned"` // part of the earnings asked for that was answered in the quoted time
+	Best     float64        `json:"best"`   // the most of it that could have been, by what nodes and executors were there; 0 where it is not reckoned
 	Worst    float64        `json:"worst"`  // the same over the worst 10 s
 	WorstAt  Span           `json:"worst_at"`
 	Tracks   []TrackResult  `json:"tracks"`
@@ -38,10 +41,20 @@
 	Steps        int `json:"steps"`
 	Words        int `json:"words"` // that nodes told each other
 
-	seconds []second
-	body    []byte
+	seconds  []second
+	offers   []offer
+	capacity []float64 // work that could be done in each bin
+	body     []byte
 }
 
+// offer is work that was wanted, from when until when it earned.
+type offer struct {
+	came, until time.Duration
+	work, earns float64
+}
+
+const bin = 250 * time.Millisecond
+
 // TrackResult is a track's part of it.
 type TrackResult struct {
 	Name       string  `json:"name"`
@@ -77,6 +90,52 @@
 	t.Works++
 	t.asked += work.Earns
 	r.second(work.Came).asked += work.Earns
+	r.offers = append(r.offers, offer{work.Came, work.Quoted, work.Cost, work.Earns})
+}
+
+// sample books what could be done in the bin that begins now: by executors that take and answer, that some node which lives can reach.
+func (r *Result) sample(w *World) {
+	can := 0.0
+	for _, x := range w.executors {
+		t := x.Trouble()
+		if !x.Up || x.gone || x.Drains || t.Mute || !w.reachable(x) {
+			continue
+		}
+		part := (1 - t.Errors) * (1 - t.Neighbour/2) / max(1, t.Slow)
+		if t.StallEvery > 0 {
+			part *= 1 - t.StallFor.Seconds()/t.StallEvery.Seconds()
+		}
+		can += x.Capacity(w.now) * part
+	}
+	r.capacity = append(r.capacity, can*bin.Seconds())
+}
+
+// reachable says whether a node lives that may send to an executor: there is a way, and operators have not taken it out there.
+func (w *World) reachable(x *executor) bool {
+	for _, n := range w.nodes {
+		_, out := n.outs[x.ID]
+		if n.up && !n.stopped && !out && w.connected(n.zone, x.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// best is the most that could have been earned: what earns most for its work first, each in the first bins of its time that have room left.
+func (r *Result) best() float64 {
+	left := slices.Clone(r.capacity)
+	slices.SortStableFunc(r.offers, func(a, b offer) int { return cmp.Compare(b.earns/b.work, a.earns/a.work) })
+	sum := 0.0
+	for _, o := range r.offers {
+		work := o.work
+		for i := int(o.came / bin); i <= int(o.until/bin) && i < len(left) && work > 0; i++ {
+			x := min(work, left[i])
+			left[i] -= x
+			work -= x
+		}
+		sum += o.earns * (1 - work/o.work)
+	}
+	return sum
 }
 
 // ended books the end of a try.
@@ -120,6 +179,10 @@
 		earned += t.earned
 	}
 	r.Earned, r.Worst = part(earned, asked), 2
+	if len(r.capacity) > 0 {
+		r.Best = part(r.best(), asked)
+	}
+	r.offers, r.capacity = nil, nil
 	for i := 0; i+min(worstSeconds, len(r.seconds)) <= len(r.seconds); i++ {
 		a, e := 0.0, 0.0
 		for _, s := range r.seconds[i:min(i+worstSeconds, len(r.seconds))] {
@@ -160,6 +223,9 @@
 func (r *Result) Print(to io.Writer) {
 	fmt.Fprintf(to, "%s, seed %d, %v\n", r.Scenario, r.Seed, time.Duration(r.Length))
 	fmt.Fprintf(to, "  earned in the quoted time  %.3f, in the worst 10 s %.3f (from %v)\n", r.Earned, r.Worst, time.Duration(r.WorstAt))
+	if r.Best > 0 {
+		fmt.Fprintf(to, "  at the most %.3f could have been, by what nodes and executors were there\n", r.Best)
+	}
 	fmt.Fprintf(to, "  %-10s %7s %7s %7s %8s %8s %7s %7s %6s\n", "track", "earned", "works", "tries", "handled", "pushed", "broken", "no node", "lost")
 	for _, t := range r.Tracks {
 		fmt.Fprintf(to, "  %-10s %7.3f %7d %7d %8d %8d %7d %7d %6d\n", t.Name, t.Earned, t.Works, t.Tries, t.Handled, t.PushedBack, t.BrokenOff, t.Unreached, t.Lost)
@@ -168,6 +234,9 @@
 		r.Allocations, part(float64(r.Allocations), float64(r.tries())), r.Crossings, r.Dials, r.NoConnection, r.StartsWaited)
 	fmt.Fprintf(to, "  most held by a node %d; %d clients left; %d executors fell over; %d tagged ran again too late to be dropped\n",
 		r.MostHeld, r.Left, r.Fell, r.LateTwice)
+	if r.Words > 0 {
+		fmt.Fprintf(to, "  %d words between nodes\n", r.Words)
+	}
 	if r.Copies+r.Probes > 0 {
 		fmt.Fprintf(to, "  %d copies; %d probes\n", r.Copies, r.Probes)
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -200,6 +200,11 @@
 		if it.at == w.now {
 			w.ties++
 		}
+		// Not by an item of its own: what falls on one instant goes by the count of items.
+		for at := time.Duration(len(w.result.capacity)) * bin; at <= it.at && at < end; at += bin {
+			w.now = at
+			w.result.sample(w)
+		}
 		w.now = it.at
 		w.steps++
 		it.what()
--- a/internal/members/codec.go
+++ b/internal/members/codec.go
@@ -21,15 +21,16 @@
 const mostBytes = 1300
 
 type wordText struct {
-	Version uint8           `cbor:"0,keyasint"`
-	From    string          `cbor:"1,keyasint"`
-	Life    uint64          `cbor:"2,keyasint"`
-	Seq     uint64          `cbor:"3,keyasint"`
-	Offered map[int]float32 `cbor:"4,keyasint,omitempty"`
-	Done    float32         `cbor:"5,keyasint,omitempty"`
-	Lost    float32         `cbor:"6,keyasint,omitempty"`
-	Drains  []drainText     `cbor:"7,keyasint,omitempty"`
-	Waiting float32         `cbor:"8,keyasint,omitempty"`
+	Version  uint8           `cbor:"0,keyasint"`
+	From     string          `cbor:"1,keyasint"`
+	Life     uint64          `cbor:"2,keyasint"`
+	Seq      uint64          `cbor:"3,keyasint"`
+	Offered  map[int]float32 `cbor:"4,keyasint,omitempty"`
+	Done     float32         `cbor:"5,keyasint,omitempty"`
+	Lost     float32         `cbor:"6,keyasint,omitempty"`
+	Drains   []drainText     `cbor:"7,keyasint,omitempty"`
+	Waiting  float32         `cbor:"8,keyasint,omitempty"`
+	Admitted float32         `cbor:"9,keyasint,omitempty"`
 }
 
 type drainText struct {
@@ -54,7 +55,7 @@
 
 // encode writes a word; drains that find no room are left out, the next word has them.
 func encode(w fleet.Word) ([]byte, error) {
-	text := wordText{Version: version, From: string(w.From), Life: w.Life, Seq: w.Seq, Done: float32(w.Figures.Done), Lost: float32(w.Figures.Lost), Waiting: float32(w.Figures.Waiting)}
+	text := wordText{Version: version, From: string(w.From), Life: w.Life, Seq: w.Seq, Done: float32(w.Figures.Done), Lost: float32(w.Figures.Lost), Waiting: float32(w.Figures.Waiting), Admitted: float32(w.Figures.Admitted)}
 	if len(w.Figures.Offered) > 0 {
 		text.Offered = map[int]float32{}
 		for rung, x := range w.Figures.Offered {
@@ -94,7 +95,7 @@
 		return w, fmt.Errorf("of a newer version")
 	}
 	w = fleet.Word{From: fleet.Name(text.From), Life: text.Life, Seq: text.Seq,
-		Figures: fleet.Figures{Offered: map[int]float64{}, Done: float64(text.Done), Lost: float64(text.Lost), Waiting: float64(text.Waiting)}}
+		Figures: fleet.Figures{Offered: map[int]float64{}, Done: float64(text.Done), Lost: float64(text.Lost), Waiting: float64(text.Waiting), Admitted: float64(text.Admitted)}}
 	for rung, x := range text.Offered {
 		w.Figures.Offered[rung] = float64(x)
 	}
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -128,10 +128,10 @@
 		}
 		out = n.out
 	}()
+	n.fleetDue() // first: what came while this node stood still is not to be judged by what was before
 	n.take(ev)
 	n.fallDue()
 	n.pairDue()
-	n.fleetDue()
 	n.doDue()
 	n.leave()
 	return n.out
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -315,6 +315,9 @@
 
 func (c *Checker) answered(key jobKey, s Seen) {
 	j := c.jobs[key]
+	if j != nil && j.answered && j.excused {
+		return // its id came several times while the node stood still, and each is answered
+	}
 	if j == nil || j.answered {
 		c.breaks(OneAnswer, s.At, key, s.Work, "", "%s was answered a second time, or was never taken", s.Job)
 		return
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -458,8 +458,8 @@
 // below says whether j earns less for its work than the cut line: what the fleet has no capacity for.
 // Guards against low earners taken here while dearer ones find no token elsewhere.
 func (d *Dispatcher) below(j *job) bool {
-	rung := d.offered(j)
-	return rung < d.line.Rung || rung == d.line.Rung && (j.tight || d.chance() >= d.line.Part)
+	rung, line := d.offered(j), d.line
+	return !d.admitted(j, line.Rung == 0 || rung > line.Rung || rung == line.Rung && !j.tight && d.chance() < line.Part)
 }
 
 // giveUp answers at once. A pushback says that nothing happened or that trying again is harmless: rule 2.
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -318,10 +318,10 @@
 		t.Waiting += j.pressing()
 	}
 	for _, e := range d.ranked {
-		if k := d.kinds[e.kind]; e.up && !e.mute && e.held <= now {
+		if k := d.kinds[e.kind]; e.up {
 			part := 1.0
 			if now < e.coldUntil {
-				part = d.coldShare
+				part = d.coldShare + (1-d.coldShare)*min(1, max(0, float64(now-e.started)/float64(d.warmWithin)))
 			}
 			t.Capacity += part * float64(k.parallel) * (e.works + 1) / max(e.runs+k.pace, 1e-9)
 		}
@@ -355,6 +355,14 @@
 	return rung
 }
 
+// admitted books a batch job that is not below the cut line, and gives that on.
+func (d *Dispatcher) admitted(j *job, yes bool) bool {
+	if yes && !j.tight {
+		d.tally.Admitted += j.work.Seconds()
+	}
+	return yes
+}
+
 // slack is what j's quoted time leaves beyond its work, counted from its first try.
 func (j *job) slack() time.Duration {
 	return min(j.track.quoted+times(j.work, j.track.stretch), j.track.outerLimit) - j.work
--- a/policy/types.go
+++ b/policy/types.go
@@ -181,6 +181,7 @@
 // Tally is what a node saw since it was asked last, in seconds of work on a standard core.
 type Tally struct {
 	Offered  [Rungs]float64 // of batch jobs that came, by what they earn for their work
+	Admitted float64        // of them, those not below the cut line
 	Done     float64        // handled
 	Lost     float64        // given up on after they had waited for a token
 	Waiting  float64        // of those that are held in time now, or have not started where they were sent, against their slack
