--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -157,15 +157,14 @@
 // Tick is due every spell: it takes what the module saw since the last one, and gives the words to be told and the cut line.
 func (f *Fleet) Tick(now time.Duration, t policy.Tally) ([]To, policy.CutLine) {
 	span := now - f.last
+	f.last, f.next = now, now+f.s.Every
 	if span > stood*f.s.Every {
 		// This node stood still: what waits unread is old, and so are its own figures.
 		f.deaf, f.drawn, f.since = now+f.s.Every, false, 0
-		clear(f.figures.Offered)
-		f.figures = Figures{Offered: f.figures.Offered}
-		t = policy.Tally{Capacity: t.Capacity}
+		f.figures = Figures{Offered: map[int]float64{}}
+	} else {
+		f.average(t, span)
 	}
-	f.last, f.next = now, now+f.s.Every
-	f.average(t, span)
 	f.forget(now)
 	f.draw(now)
 	var out []To
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -380,7 +380,7 @@
 	d.jobs[in.Job] = j
 	d.hold(j, now)
 	d.at(now, j, nil)
-	d.freed, d.wants = true, true
+	d.wants = true // it has its own look; of those held none can go that could not before
 }
 
 // Closing tells that this node ends: all in hand must be over by then, and what can't be gets its answer at
