--- a/cmd/birchlab/run.go
+++ b/cmd/birchlab/run.go
@@ -8,7 +8,9 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -53,6 +55,7 @@
 	Scenario string `arg:"" help:"A file, or the name of a kept scenario."`
 	Seed     uint64 `help:"What chance is drawn from; the scenario's own seed, or 1, if it is left out."`
 	Against  bool   `help:"Play it once more with nodes that talk, or do not: whichever the scenario does not say."`
+	Runs     int    `help:"Play it with so many seeds, from that one on, talking and each alone, and print means, and how soon service was back after the faults."`
 	Trace    string `type:"path" placeholder:"FILE" help:"Write all that is seen there, a line of JSON each."`
 	JSON     string `name:"json" type:"path" placeholder:"FILE" help:"Write the result there."`
 }
@@ -62,6 +65,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Runs > 0 {
+		return c.many(s)
+	}
 	o := lab.Options{}
 	if c.Trace != "" {
 		trace, finish, err := writeTrace(c.Trace)
@@ -120,3 +126,49 @@
 			return errors.Join(failed, w.Flush(), f.Close())
 		}, nil
 }
+
+// near is how close to before service has to be to count as back.
+const near = 0.02
+
+// many plays a scenario with many seeds, with nodes that talk and with each alone.
+func (c *runCmd) many(s lab.Scenario) error {
+	broken := 0
+	for _, talk := range []bool{true, false} {
+		s.Fleet.Talk = talk
+		results := make([]lab.Result, c.Runs)
+		var wait sync.WaitGroup
+		free := make(chan struct{}, runtime.GOMAXPROCS(0))
+		for i := range results {
+			free <- struct{}{}
+			wait.Go(func() {
+				defer func() { <-free }()
+				results[i] = lab.New(s, seedOf(s, c.Seed)+uint64(i), lab.Options{}).Play()
+			})
+		}
+		wait.Wait()
+		earned, best, allocations, back, within := 0.0, 0.0, 0, 0, 0
+		longest := time.Duration(0)
+		for i := range results {
+			r := &results[i]
+			earned += r.Earned
+			best += r.Best
+			allocations += r.Allocations
+			broken += len(r.Broken)
+			if span, ok := r.Recovery(s.Faults, near); ok {
+				back++
+				longest = max(longest, span)
+				if span <= 5*time.Second {
+					within++
+				}
+			}
+		}
+		n := float64(c.Runs)
+		fmt.Printf("%s, %d seeds, talk %t: earned %.3f of at the most %.3f on average, %.0f allocations; back within %.2f of before: %d, in 5 s %d, the longest %v\n",
+			s.Name, c.Runs, talk, earned/n, best/n, float64(allocations)/n, near, back, within, longest)
+	}
+	if broken > 0 {
+		fmt.Printf("%d rules broken\n", broken)
+		return errBroken
+	}
+	return nil
+}
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"birchstair/internal/lab"
 	"birchstair/internal/rules"
 	"birchstair/internal/standin"
 	"birchstair/internal/standin/platform"
@@ -68,7 +69,7 @@
 	work := c.New(r.now(), -1)
 	r.result.Works++
 	r.result.Asked += work.Earns
-	r.earnable = append(r.earnable, offer{work.Cost, work.Earns})
+	r.offers = append(r.offers, lab.Offer{Came: work.Came, Until: work.Quoted, Work: work.Cost, Earns: work.Earns})
 	c.handIn(work)
 	r.after(c.Gap(), c.arrive)
 }
