--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -206,11 +206,16 @@
 	delete(r.tries, t.job)
 	r.forgotten[t.job] = r.now()
 	r.result.Tries[[...]string{"handled", "pushed back", "broken off", "unreached", "lost"}[how]]++
+	whole := how == standin.EndHandled || how == standin.EndPushedBack
 	switch {
-	case how == standin.EndUnreached || t.void && how != standin.EndHandled && how != standin.EndPushedBack:
+	case how == standin.EndUnreached || t.void:
+		// Its node was killed or stood still meanwhile: nothing is owed. An answer that came all the same is looked at.
 		if t.p != nil {
 			r.see(rules.Seen{What: rules.Left, Node: t.p.id, Job: t.job})
 		}
+		if whole {
+			r.check(t, how, f)
+		}
 	case how == standin.EndLost:
 		r.wrong("%s: node %s ended its connection with no whole answer", t.job, t.p.name)
 	case f.Status == 0:
