--- /dev/null
+++ b/internal/lab/talk_test.go
@@ -0,0 +1,54 @@
+package lab
+
+import (
+	"testing"
+	"time"
+)
+
+// Under overload nodes that talk earn more by fewer allocations, and keep the rules, also where words get lost, a node lies and one stands still; below
+// capacity talking changes nothing.
+func TestOverloadOfTheFleet(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		nodes int
+		of    float64
+		more  float64 // earned over each alone, at the least
+		part  float64 // of its allocations, at the most
+		with  func(*Scenario)
+	}{
+		{"twice", 3, 2, 0.05, 0.8, nil},
+		{"four times", 12, 4, 0, 0.5, nil},
+		{"one and a half", 6, 1.5, 0.03, 0.8, nil},
+		{"under", 6, 0.8, -0.01, 1.05, nil},
+		{"words lost", 6, 2, 0.03, 0.8, func(s *Scenario) {
+			s.Fleet.WordsLost, s.Fleet.WordsDoubled, s.Fleet.WordsLate = 0.3, 0.2, Span(500*time.Millisecond)
+		}},
+		{"a liar and one that stands still", 6, 2, 0, 0.9, func(s *Scenario) {
+			s.Faults = []Fault{{Kind: "node-lies", At: Span(2 * time.Second), For: Span(20 * time.Second), Where: []string{"n1"}},
+				{Kind: "node-stopped", At: Span(8 * time.Second), For: Span(5 * time.Second), Where: []string{"n2"}}}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := Base()
+			s.Name, s.Length = c.name, Span(25*time.Second)
+			s.Fleet.Nodes, s.Fleet.Executors = c.nodes, 36
+			s.Load.Of, s.Load.Retries, s.Load.RetryWait = c.of, 3, Span(50*time.Millisecond)
+			if c.with != nil {
+				c.with(&s)
+			}
+			alone := New(s, 7, Options{}).Play()
+			s.Fleet.Talk = true
+			talking := New(s, 7, Options{}).Play()
+			for _, b := range append(alone.Broken, talking.Broken...) {
+				t.Error(b)
+			}
+			if talking.Earned < alone.Earned+c.more {
+				t.Errorf("talking earned %.3f, each alone %.3f", talking.Earned, alone.Earned)
+			}
+			if float64(talking.Allocations) > c.part*float64(alone.Allocations) {
+				t.Errorf("talking took %d allocations, each alone %d", talking.Allocations, alone.Allocations)
+			}
+		})
+	}
+}
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"birchstair/internal/fleet"
 	"birchstair/internal/kept"
 	"birchstair/policy"
 )
@@ -26,6 +28,8 @@
 //	2s out a                     an operator takes an executor out; back a, check, figures, drain, undrain
 //	2s joined 0                  another process, 0 the older one; heard 0 state out=a listed=b, heard 1 yes, parted 1
 //	2s probed a answered         what came of a probe; or silent
+//	2s alive n1                  the neighbours that live; word n1 3 a: its third word, by its list a drains
+//	3s still up 1                the process stood still until then: no timer came first
 //	9s wait                      let time pass until then
 type player struct {
 	t     *testing.T
@@ -54,6 +58,8 @@
 			s.MayCopy = true
 		case "late":
 			s.Tracks[0].LateEarnings = 0.5
+		case "tagged":
+			s.Tracks[0].Repeat, s.Tracks[0].GroupWindow = policy.Tagged, 2*time.Second
 		case "probes":
 			s.MayProbe = true
 		case "broken":
@@ -65,8 +71,12 @@
 
 func fresh(words []string) *Node {
 	brain, limits := settings(words)
-	return New(brain, limits, []Track{{"page", policy.Track{Quoted: 300 * time.Millisecond, Stretch: 2, OuterLimit: 5 * time.Second,
+	n := New(brain, limits, []Track{{"page", policy.Track{Quoted: 300 * time.Millisecond, Stretch: 2, OuterLimit: 5 * time.Second,
 		Earnings: 1, Kind: policy.AnyKind}}})
+	if slices.Contains(words, "talk") {
+		n.Talk(fleet.Defaults("me", 0, 1))
+	}
+	return n
 }
 
 func (p *player) conn(text string) ConnID {
@@ -108,6 +118,15 @@
 		return Listed{Kind: policy.Changes, Executors: p.executors(now, words[1:])}
 	case "copy":
 		return Listed{Kind: policy.WarmCopy, Executors: p.executors(now, words[1:])}
+	case "alive":
+		var names []fleet.Name
+		for _, w := range words[1:] {
+			names = append(names, fleet.Name(w))
+		}
+		return Neighbours{names}
+	case "word": // of a neighbour, its number, and the executor that drains there
+		seq, _ := strconv.Atoi(words[2])
+		return Hears{fleet.Word{From: fleet.Name(words[1]), Life: 1, Seq: uint64(seq), Drains: []fleet.Drain{{Executor: policy.ExecutorID(words[3])}}}}
 	case "lost":
 		return Listed{Kind: policy.Lost, Detail: "no answer"}
 	case "job":
@@ -116,6 +135,8 @@
 			switch key, value, _ := strings.Cut(w, "="); key {
 			case "work":
 				j.Work = kept.Span(p.t, value)
+			case "tag":
+				j.Tag = value
 			case "budget":
 				j.Budget = kept.Span(p.t, value)
 			case "body":
@@ -250,6 +271,11 @@
 			line = fmt.Sprintf("probe %s at %s", e.Executor, e.Addr)
 		case Watch:
 			line = "watch"
+		case TellNeighbour:
+			if len(e.Word.Drains) == 0 {
+				continue
+			}
+			line = fmt.Sprintf("tell %s that %s drains, %v old", e.Name, e.Word.Drains[0].Executor, e.Word.Drains[0].Age)
 		case Follow:
 			line = "follow " + e.Addr
 		case Ready:
@@ -323,7 +349,11 @@
 				p.lines = append(p.lines, line)
 			default:
 				now := kept.Span(p.t, words[0])
-				for p.armed > 0 && p.armed < now {
+				still := words[1] == "still"
+				if still {
+					words = words[1:]
+				}
+				for p.armed > 0 && p.armed < now && !still {
 					at := p.armed
 					p.armed = 0
 					p.step(at, Woke{})
