--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -282,8 +282,9 @@
 	return o, nil
 }
 
-// worthALine says whether a line of memberlist's log is one for operators: its warnings and errors, not each lost packet.
+// worthALine says whether a line of memberlist's log is one for operators: its warnings and errors, not each packet that got lost or came by another way.
 func worthALine(line string) bool {
-	return (strings.Contains(line, "[WARN]") || strings.Contains(line, "[ERR]")) && !strings.Contains(line, "Failed to send") && !strings.Contains(line, "Push/Pull with") &&
-		!strings.Contains(line, "fallback") && !strings.Contains(line, "Failed fallback") && !strings.Contains(line, "Was able to connect")
+	usual := []string{"Failed to send", "Push/Pull with", "fallback", "Was able to connect"}
+	return (strings.Contains(line, "[WARN]") || strings.Contains(line, "[ERR]")) &&
+		!slices.ContainsFunc(usual, func(part string) bool { return strings.Contains(line, part) })
 }
