--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -324,19 +324,20 @@
 }
 
 // Drains says whether an executor, on that start, counts as draining because a neighbour told so.
-func (f *Fleet) Drains(now time.Duration, id policy.ExecutorID, started time.Duration, longAgo bool) bool {
+func (f *Fleet) Drains(id policy.ExecutorID, started time.Duration, longAgo bool) bool {
 	d := f.drains[id]
-	return d != nil && !d.own && now-d.seen <= f.s.DrainFor && f.born(started, longAgo) <= d.born
+	return d != nil && !d.own && f.born(started, longAgo) <= d.born
 }
 
-// Old gives the executors whose drain, as neighbours told of it, has grown too old to count, and forgets them. What this node's own list says is true as long
+// Old gives the executors whose drain, as neighbours told of it, has grown too old to count while the own list follows, and forgets them. What this node's own list says is true as long
 // as the list follows: then it is seen anew, but for what is gone from it.
 func (f *Fleet) Old(now time.Duration, follows bool) (ids []policy.ExecutorID) {
 	for id, d := range f.drains {
 		switch {
 		case d.own && !d.gone && follows:
 			d.seen = now
-		case now-d.seen > f.s.DrainFor && (!d.own || d.gone):
+		case now-d.seen > f.s.DrainFor && (d.gone || !d.own && follows):
+			// Hearsay that the own list, which follows, does not bear out is given up; while it is silent this node stays told.
 			ids = append(ids, id)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -135,7 +135,7 @@
 		p.f.Sighted(now, policy.ExecutorID(words[1]), born, born == 0, state)
 	case "drains":
 		born := kept.Span(p.t, value["born"])
-		out = append(out, fmt.Sprint(p.f.Drains(now, policy.ExecutorID(words[1]), born, born == 0)))
+		out = append(out, fmt.Sprint(p.f.Drains(policy.ExecutorID(words[1]), born, born == 0)))
 	case "old":
 		for _, id := range p.f.Old(now, words[1] == "follows") {
 			out = append(out, fmt.Sprintf("%s is forgotten", id))
--- a/internal/lab/talk.go
+++ b/internal/lab/talk.go
@@ -140,18 +140,24 @@
 	return w
 }
 
-// counts books the drains that a node counts as told by a neighbour: rule 3 binds for them as for the list's.
-func (n *sim) counts(ev node.Event, effects []node.Effect) {
-	if _, ok := ev.(node.Hears); !ok {
-		return
-	}
+// counts books the drains that a node counts as told by a neighbour: rule 3 binds for them as for the list's, until the own list, which follows, has not
+// borne them out for so long that the node gives them up.
+func (n *sim) counts(effects []node.Effect) {
 	for _, e := range effects {
 		l, ok := e.(node.Log)
-		if !ok || !strings.HasPrefix(l.Text, "counts as draining") {
+		if !ok {
+			continue
+		}
+		state, was := policy.Draining, policy.Up
+		switch {
+		case strings.HasPrefix(l.Text, "counts as draining"):
+		case strings.HasPrefix(l.Text, "no longer counts as draining"):
+			state, was = was, state
+		default:
 			continue
 		}
-		if known, ok := n.known[l.Executor]; ok && known.State == policy.Up {
-			known.State = policy.Draining
+		if known, ok := n.known[l.Executor]; ok && known.State == was {
+			known.State = state
 			n.told(known)
 		}
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -415,7 +415,7 @@
 	for _, ev := range events {
 		effects := n.core.Step(n.w.now-n.started, ev)
 		n.ordered(ev, effects)
-		n.counts(ev, effects)
+		n.counts(effects)
 		for _, e := range effects {
 			if n.w.plant.effect == nil {
 				n.carryOut(e)
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -139,7 +139,7 @@
 
 // merged is an entry of the list with what operators want, and what neighbours tell of drains, put over it.
 func (n *Node) merged(in policy.Entry) policy.Entry {
-	told := n.fleet != nil && n.fleet.Drains(n.now, in.Executor, in.Started, in.LongAgo)
+	told := n.fleet != nil && n.fleet.Drains(in.Executor, in.Started, in.LongAgo)
 	if (n.outs[in.Executor] || told) && in.State == policy.Up {
 		in.State = policy.Draining
 	}
--- a/internal/node/talk.go
+++ b/internal/node/talk.go
@@ -21,7 +21,7 @@
 		n.say(Log{Text: fmt.Sprintf("nodes of the fleet alive: %d", len(ev.Alive))})
 	case Hears:
 		for _, id := range n.fleet.Heard(n.now, ev.Word) {
-			if e := n.executors[id]; e != nil && e.up && n.fleet.Drains(n.now, id, e.entry.Started, e.entry.LongAgo) {
+			if e := n.executors[id]; e != nil && e.up && n.fleet.Drains(id, e.entry.Started, e.entry.LongAgo) {
 				n.say(Log{Text: "counts as draining: " + string(ev.Word.From) + " told so", Executor: id})
 				n.showAgain(id)
 			}
