Read once more: one copy of figures, sums once, dead fields of the rig taken out

Figures.Clone serves the word and the lab's liar; draw adds up what is offered once and names the level at which the line is taken back; the rig keeps no fields that nobody reads and ends by the call that is there (changed); service sets the fleet up in one place.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,7 @@
 	sure       = 0.8                     // of what executors can do is always taken
 	trace      = 0.02                    // of what is offered: less of dearer work does not count
 	crowded    = 0.75                    // of what executors can do must get done before a line is drawn
+	eased      = 0.25                    // of full: under it the line is taken back, as nothing is short any more
 	idle       = 0.6                     // and while it stays
 	least      = 0.8                     // of what is done: taken at the least
 )
@@ -191,7 +192,7 @@
 // word is what a neighbour is told now: this node's own figures, and as many drains as there is room for, in turn.
 func (f *Fleet) word(now time.Duration) Word {
 	f.seq++
-	w := Word{From: f.s.Self, Life: f.s.Life, Seq: f.seq, Figures: Figures{Offered: maps.Clone(f.figures.Offered), Admitted: f.figures.Admitted, Done: f.figures.Done, Lost: f.figures.Lost, Waiting: f.figures.Waiting}}
+	w := Word{From: f.s.Self, Life: f.s.Life, Seq: f.seq, Figures: f.figures.Clone()}
 	ids := slices.Sorted(maps.Keys(f.drains))
 	for range min(len(ids), mostDrains) {
 		f.turnD = (f.turnD + 1) % len(ids)
@@ -244,6 +245,12 @@
 	return ""
 }
 
+// Clone is a copy that shares nothing.
+func (g Figures) Clone() Figures {
+	g.Offered = maps.Clone(g.Offered)
+	return g
+}
+
 func (g Figures) sound() bool {
 	ok := func(x float64) bool { return x >= 0 && x <= mostRate } // not for what is no number, either
 	for rung, x := range g.Offered {
@@ -349,7 +356,7 @@
 	return ids
 }
 
-// forget drops the views of neighbours that are neither alive nor fresh.
+// forget drops the views that have long been too old to count.
 func (f *Fleet) forget(now time.Duration) {
 	maps.DeleteFunc(f.views, func(n Name, v *view) bool { return now-v.at > 10*f.s.ViewFor })
 }
@@ -432,7 +439,7 @@
 func (f *Fleet) draw(now time.Duration) {
 	f.line = policy.CutLine{}
 	w := f.whole(now)
-	part := 0.0
+	offered, part := w.total(), 0.0
 	if w.Done+w.Lost > 0 {
 		part = w.Lost / (w.Done + w.Lost)
 	}
@@ -449,15 +456,15 @@
 	if f.capacity > 0 {
 		busy = w.Done / f.capacity
 	}
-	f.drawn = w.total() > may && (f.drawn && busy > idle && full > 0.25 || part > begin && busy > crowded && f.witnessed(now))
+	f.drawn = offered > may && (f.drawn && busy > idle && full > eased || part > begin && busy > crowded && f.witnessed(now))
 	if !f.drawn {
 		return
 	}
-	whole, dearer := w.total(), 0.0
+	dearer := 0.0
 	for rung := policy.Rungs - 1; rung >= 0; rung-- {
 		x := w.Offered[rung]
 		if x > may {
-			if dearer+x < (1-trace)*whole || dearer > trace*whole {
+			if dearer+x < (1-trace)*offered || dearer > trace*offered {
 				f.line = policy.CutLine{Rung: rung, Part: max(0, may/x)}
 			} // else all earn alike: which of them to turn away the module knows better, by what can still be in time
 			return
--- a/internal/lab/talk.go
+++ b/internal/lab/talk.go
@@ -119,10 +119,7 @@
 		return w
 	}
 	n.lies++
-	g := fleet.Figures{Offered: map[int]float64{}, Admitted: w.Figures.Admitted, Done: w.Figures.Done, Lost: w.Figures.Lost, Waiting: w.Figures.Waiting}
-	for rung, x := range w.Figures.Offered {
-		g.Offered[rung] = x
-	}
+	g := w.Figures.Clone()
 	switch n.lies % 4 {
 	case 0: // ten times the truth
 		for rung := range g.Offered {
--- a/internal/rig/ends.go
+++ b/internal/rig/ends.go
@@ -23,7 +23,6 @@
 	downs  int
 	faults []lab.Fault
 	timer  *time.Timer
-	wakeAt time.Duration
 }
 
 // sock is a connection from a node.
@@ -37,7 +36,6 @@
 	x.Executor = standin.NewExecutor(r.s.Spec(id, number, speed), rand.New(rand.NewPCG(r.o.Seed, uint64(1000+number))))
 	x.Started -= time.Hour
 	r.executors = append(r.executors, x)
-	r.byID[x.ID] = x
 	return x
 }
 
@@ -119,7 +117,6 @@
 	}
 	r.result.Allocations++
 	r.result.Work += t.work.Cost
-	t.sent++
 	if known, ok := p.known[x.ID]; ok && known.State == policy.Up {
 		if at, drains := r.firstTold[x.ID]; drains && r.now() > at+time.Duration(r.s.Fleet.DrainGrace)+drainSlow {
 			r.result.Late++
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -30,7 +30,6 @@
 	work *standin.Work
 	job  policy.JobID
 	p    *proc
-	sent int
 	ran  int
 	void bool // its node was killed or stopped: nothing is owed
 }
--- a/internal/rig/proc.go
+++ b/internal/rig/proc.go
@@ -46,7 +46,6 @@
 	stopped  bool
 	stoppedA time.Duration // until when it counts as just stopped
 	deaf     bool          // it hears nothing from discovery
-	version  int           // of the list that it was told last
 	known    map[policy.ExecutorID]rules.Seen
 	apart    bool // its words do not pass
 	pool     []net.Conn
@@ -161,7 +160,7 @@
 		return err
 	}
 	p.run++
-	p.cmd, p.up, p.leaving, p.ended, p.stopped, p.version = cmd, true, 0, make(chan error, 1), false, 0
+	p.cmd, p.up, p.leaving, p.ended, p.stopped = cmd, true, 0, make(chan error, 1), false
 	clear(p.known)
 	p.r.see(rules.Seen{What: rules.NodeStarted, Node: p.id})
 	p.r.note("%s: started, process %d", p.name, cmd.Process.Pid)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -62,7 +62,6 @@
 	result    Result
 	nodes     []*proc
 	executors []*executor
-	byID      map[policy.ExecutorID]*executor
 	discovery *standin.Discovery
 	news      chan struct{} // closed when discovery may have something new
 	tries     map[policy.JobID]*try
@@ -94,7 +93,7 @@
 
 // Play plays a run. An error means that it could not be played.
 func Play(s lab.Scenario, o Options) (Result, error) {
-	r := &Rig{s: s, o: o, start: time.Now(), rand: rand.New(rand.NewPCG(o.Seed, 9)), byID: map[policy.ExecutorID]*executor{},
+	r := &Rig{s: s, o: o, start: time.Now(), rand: rand.New(rand.NewPCG(o.Seed, 9)),
 		discovery: standin.NewDiscovery(time.Duration(s.Fleet.ListLag)), news: make(chan struct{}), tries: map[policy.JobID]*try{}, forgotten: map[policy.JobID]time.Duration{},
 		memories: map[string]*standin.Memory{}, firstTold: map[policy.ExecutorID]time.Duration{}, result: Result{Seed: o.Seed, Tries: map[string]int{}}}
 	r.tracks, r.module = s.Takes()
@@ -272,8 +271,7 @@
 	for _, t := range r.timers {
 		t.Stop()
 	}
-	close(r.news)
-	r.news = make(chan struct{})
+	r.changed()
 	closers := []func(){}
 	for _, p := range r.nodes {
 		closers = append(closers, p.kill, p.close)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -73,9 +73,6 @@
 	loop := node.NewLoop(s.Start)
 	loop.Tap = s.Tap
 	core := node.New(s.Module, s.Limits, Tracks(s.Settings))
-	if s.Fleet != nil {
-		core.Talk(s.Fleet.Settings)
-	}
 	front := clients.New(core.Tracks()[:len(s.Settings.Tracks)], s.ClientConns, loop.Tell)
 	pool := executors.New(s.Executors, s.Settings.TellsLoad(), executors.Probing{Path: s.Settings.Probe.Path,
 		Limit: s.Settings.Probe.Limit, Told: s.Settings.Told()}, loop.Tell)
@@ -90,6 +87,7 @@
 		others.Start(s.Elder)
 	}
 	if s.Fleet != nil {
+		core.Talk(s.Fleet.Settings)
 		others := members.New(s.Fleet.Options, loop.Tell, s.Log)
 		edges.Fleet = others
 		among, out := context.WithCancel(context.Background())
