A budget of moves for the fleet, and no copies or spare tries in its overload

Need: work sent over work finished was 1.4 to 3.7 where nodes talk; most of it moves, and allocations that full executors turn away. Change: nodes tell how much they would move; beyond a tenth of what the fleet gets done moves wait for part of their slack (CutLine.Wait). While a line is drawn there are no second copies, and what never ran and is below it by now gets no further allocation. A token of a full executor rests until a place should be free. Test ports off 127.0.0.1.

--- a/cmd/birchstair/serve_test.go
+++ b/cmd/birchstair/serve_test.go
@@ -49,13 +49,18 @@
 	listen string
 }
 
-func newConfiguration(t *testing.T, discovery string) configuration {
-	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
+// freePort is a port that is free, of an address that no connection goes out from: else another test's may take it meanwhile.
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.88.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := configuration{t, filepath.Join(t.TempDir(), "config.json"), l.Addr().String()}
-	l.Close()
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newConfiguration(t *testing.T, discovery string) configuration {
+	c := configuration{t, filepath.Join(t.TempDir(), "config.json"), freePort(t)}
 	c.rewrite(discovery)
 	return c
 }
--- a/cmd/birchstair/upgrade_test.go
+++ b/cmd/birchstair/upgrade_test.go
@@ -88,9 +88,7 @@
 // start starts a process of the node; a discovery that leads nowhere keeps it from getting ready.
 func (p *platformHere) start(discovery string, broken bool) *process {
 	p.started++
-	door := p.listener()
-	door.Close() // a port that is free
-	pr := &process{door: door.Addr().String(), log: filepath.Join(p.dir, fmt.Sprint("log", p.started)), over: make(chan error, 1)}
+	pr := &process{door: freePort(p.t), log: filepath.Join(p.dir, fmt.Sprint("log", p.started)), over: make(chan error, 1)}
 	tracks := []any{}
 	for _, t := range [...][2]string{{"page", "repeatable"}, {"order", "once"}} {
 		tracks = append(tracks, map[string]any{"name": t[0], "quoted-time-s": 1, "outer-limit-s": 2, "repeat": t[1], "earnings": 1})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,7 @@
 	eased      = 0.25                    // of full: under it the line is taken back, as nothing is short any more
 	idle       = 0.6                     // and while it stays
 	least      = 0.8                     // of what is done: taken at the least
+	moved      = 0.1                    // of what is done may be moved, by the wishes of all
 )
 
 // Word is what one node tells another. All in it the teller saw itself, but for drains, whose age grows on the way.
@@ -74,6 +75,7 @@
 	Admitted float64
 	Done     float64
 	Lost     float64
+	Moves    float64 // that would be moved, had moves no budget
 	Waiting  float64 // work that waits against its slack, not a rate
 }
 
@@ -258,7 +260,7 @@
 			return false
 		}
 	}
-	return ok(g.Admitted) && ok(g.Done) && ok(g.Lost) && ok(g.Waiting)
+	return ok(g.Admitted) && ok(g.Done) && ok(g.Lost) && ok(g.Moves) && ok(g.Waiting)
 }
 
 // mostRate is more work a second than any node could be offered.
@@ -373,6 +375,7 @@
 	old := math.Exp(-float64(span)/float64(smoothing)) * (1 - math.Exp(-float64(f.since-span)/float64(smoothing))) / (1 - math.Exp(-float64(f.since)/float64(smoothing)))
 	mix := func(was, sum float64) float64 { return was*old + sum/span.Seconds()*(1-old) }
 	f.figures.Admitted, f.figures.Done, f.figures.Lost = mix(f.figures.Admitted, t.Admitted), mix(f.figures.Done, t.Done), mix(f.figures.Lost, t.Lost)
+	f.figures.Moves = mix(f.figures.Moves, t.Moves)
 	f.figures.Waiting, f.capacity = t.Waiting, t.Capacity
 	for rung, sum := range t.Offered {
 		x := mix(f.figures.Offered[rung], sum)
@@ -415,6 +418,7 @@
 		sum.Admitted += times * g.Admitted
 		sum.Done += times * g.Done
 		sum.Lost += times * g.Lost
+		sum.Moves += times * g.Moves
 		sum.Waiting += times * g.Waiting
 	}
 	add(f.figures, 1)
@@ -437,8 +441,8 @@
 // for its work. It hangs on figures that nodes saw, never on a line of before, so that nodes with the same views draw the same one, and
 // nobody takes its own echo for news. It is drawn from begin on and stays until all that is offered is within what may be taken.
 func (f *Fleet) draw(now time.Duration) {
-	f.line = policy.CutLine{}
 	w := f.whole(now)
+	f.line = policy.CutLine{Wait: w.wait()}
 	offered, part := w.total(), 0.0
 	if w.Done+w.Lost > 0 {
 		part = w.Lost / (w.Done + w.Lost)
@@ -465,7 +469,7 @@
 		x := w.Offered[rung]
 		if x > may {
 			if dearer+x < (1-trace)*offered || dearer > trace*offered {
-				f.line = policy.CutLine{Rung: rung, Part: max(0, may/x)}
+				f.line.Rung, f.line.Part = rung, max(0, may/x)
 			} // else all earn alike: which of them to turn away the module knows better, by what can still be in time
 			return
 		}
@@ -474,6 +478,15 @@
 	}
 }
 
+// wait is how much of its slack an allocation has to wait before it is moved, so that the fleet moves no more than its budget: none while all wishes are
+// within it. It hangs on wishes, which are booked whether they come true or not, so it does not swing by what it does.
+func (g Figures) wait() float64 {
+	if g.Moves <= moved*g.Done {
+		return 0
+	}
+	return 1 - moved*g.Done/g.Moves
+}
+
 // witnessed says whether enough nodes see losses themselves. Guards against one that tells of losses that nobody else has.
 func (f *Fleet) witnessed(now time.Duration) bool {
 	see, of := 0, 1
@@ -517,7 +530,8 @@
 	}
 	w := f.whole(now)
 	out = append(out, fmt.Sprintf("fleet offered=%.2f done=%.2f lost=%.2f", w.total(), w.Done, w.Lost))
-	if f.line != (policy.CutLine{}) {
+	out = append(out, fmt.Sprintf("moves wished=%.2f wait=%.2f", w.Moves, f.line.Wait))
+	if f.line.Rung > 0 {
 		out = append(out, fmt.Sprintf("cut_line rung=%d earnings_for_work=%.3g part=%.3f", f.line.Rung, math.Exp2(float64(f.line.Rung-policy.Rungs/2)/2), f.line.Part))
 	} else {
 		out = append(out, "cut_line none")
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -82,6 +82,8 @@
 			figures.Done = p.figure(v)
 		case "lost":
 			figures.Lost = p.figure(v)
+		case "moves":
+			figures.Moves = p.figure(v)
 		case "waiting":
 			figures.Waiting = p.figure(v)
 		}
@@ -94,7 +96,7 @@
 		}
 		p.f.Alive(names)
 	case "tick":
-		t := policy.Tally{Admitted: figures.Admitted, Done: figures.Done, Lost: figures.Lost, Waiting: figures.Waiting}
+		t := policy.Tally{Admitted: figures.Admitted, Done: figures.Done, Lost: figures.Lost, Moves: figures.Moves, Waiting: figures.Waiting}
 		for rung, x := range figures.Offered {
 			t.Offered[rung] = x
 		}
@@ -109,7 +111,11 @@
 			}
 			out = append(out, text)
 		}
-		out = append(out, fmt.Sprintf("cut line at rung %d, %.2f of it taken", line.Rung, line.Part))
+		text := fmt.Sprintf("cut line at rung %d, %.2f of it taken", line.Rung, line.Part)
+		if line.Wait > 0 {
+			text += fmt.Sprintf(", moves wait %.2f of their slack", line.Wait)
+		}
+		out = append(out, text)
 	case "word":
 		w := Word{From: Name(words[1]), Life: 1, Seq: 1, Figures: figures}
 		if v := value["life"]; v != "" {
--- a/internal/lab/talk_test.go
+++ b/internal/lab/talk_test.go
@@ -16,7 +16,7 @@
 		part  float64 // of its allocations, at the most
 		with  func(*Scenario)
 	}{
-		{"twice", 3, 2, 0.05, 0.8, nil},
+		{"twice", 3, 2, 0.03, 0.8, nil},
 		{"four times", 12, 4, 0, 0.5, nil},
 		{"one and a half", 6, 1.5, 0.03, 0.8, nil},
 		{"under", 6, 0.8, -0.01, 1.05, nil},
--- a/internal/members/codec.go
+++ b/internal/members/codec.go
@@ -31,6 +31,7 @@
 	Drains   []drainText     `cbor:"7,keyasint,omitempty"`
 	Waiting  float32         `cbor:"8,keyasint,omitempty"`
 	Admitted float32         `cbor:"9,keyasint,omitempty"`
+	Moves    float32         `cbor:"10,keyasint,omitempty"`
 }
 
 type drainText struct {
@@ -55,7 +56,8 @@
 
 // encode writes a word; drains that find no room are left out, the next word has them.
 func encode(w fleet.Word) ([]byte, error) {
-	text := wordText{Version: version, From: string(w.From), Life: w.Life, Seq: w.Seq, Done: float32(w.Figures.Done), Lost: float32(w.Figures.Lost), Waiting: float32(w.Figures.Waiting), Admitted: float32(w.Figures.Admitted)}
+	text := wordText{Version: version, From: string(w.From), Life: w.Life, Seq: w.Seq, Done: float32(w.Figures.Done), Lost: float32(w.Figures.Lost), Waiting: float32(w.Figures.Waiting), Admitted: float32(w.Figures.Admitted),
+		Moves: float32(w.Figures.Moves)}
 	if len(w.Figures.Offered) > 0 {
 		text.Offered = map[int]float32{}
 		for rung, x := range w.Figures.Offered {
@@ -95,7 +97,7 @@
 		return w, fmt.Errorf("of a newer version")
 	}
 	w = fleet.Word{From: fleet.Name(text.From), Life: text.Life, Seq: text.Seq,
-		Figures: fleet.Figures{Offered: map[int]float64{}, Done: float64(text.Done), Lost: float64(text.Lost), Waiting: float64(text.Waiting), Admitted: float64(text.Admitted)}}
+		Figures: fleet.Figures{Offered: map[int]float64{}, Done: float64(text.Done), Lost: float64(text.Lost), Waiting: float64(text.Waiting), Admitted: float64(text.Admitted), Moves: float64(text.Moves)}}
 	for rung, x := range text.Offered {
 		w.Figures.Offered[rung] = float64(x)
 	}
--- a/internal/members/codec_test.go
+++ b/internal/members/codec_test.go
@@ -15,7 +15,7 @@
 
 // What is written is read as it was, in one datagram; drains that find no room are left out, ages never grow younger.
 func TestWords(t *testing.T) {
-	w := fleet.Word{From: "n7", Life: 12, Seq: 3, Figures: fleet.Figures{Offered: map[int]float64{38: 1.5, 34: 0.25}, Admitted: 3, Done: 2, Lost: 0.5, Waiting: 0.125},
+	w := fleet.Word{From: "n7", Life: 12, Seq: 3, Figures: fleet.Figures{Offered: map[int]float64{38: 1.5, 34: 0.25}, Admitted: 3, Done: 2, Lost: 0.5, Waiting: 0.125, Moves: 0.75},
 		Drains: []fleet.Drain{{Executor: "e1", Born: 1764600000123, Age: 1500*time.Millisecond + time.Microsecond}}}
 	b, err := encode(w)
 	if err != nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,6 +57,7 @@
 	fewLate      = 0.1  // part of starts that may be late where a keeper lends one place more
 	mostSilences = 8    // times the usual span at most until a silent executor is probed again
 	restAfter    = 4    // intervals that a keeper leaves a lowered quota
+	remembered   = 0.1  // of what is foretold: a tagged batch job done in less was done before
 	needStep     = 0.05 // by which a try that was too short teaches
 	mostCurt     = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
 	fewCame      = 2.0  // batch jobs of a tenant by which chance may bring it over its part here
@@ -428,6 +429,8 @@
 		return Decision{}
 	}
 	d.hold(j, now)
+	// In the fleet's overload a further allocation of what never ran and is below the line by now is one too many.
+	j.cut = j.cut || j.sent > 0 && j.ran == nil && d.line.Rung > d.rung(j)
 	if j.cut || now >= j.limitAt-d.quantum || j.sent >= j.track.allocations || !d.mayRepeat(j, now) {
 		return d.giveUp(j)
 	}
@@ -621,6 +624,11 @@
 		d.at(max(now, begun+est), nil, e)
 		return
 	}
+	if how == NoRoom { // nor is there a place for this token before one is done there: it would be turned away again and again
+		d.giveBack(e, now, true)
+		d.at(now+est/time.Duration(d.kinds[e.kind].parallel), nil, e)
+		return
+	}
 	d.release(e, now, j.startedLate)
 }
 
@@ -700,6 +708,15 @@
 		return false
 	}
 	to := d.elsewhere(j, now)
+	if to != nil && !j.running && !e.mute && e.held <= now {
+		// Where nodes talk, more moves than their budget wait for some of their slack: most start by themselves.
+		d.wishes(j)
+		from := j.sentAt + times(max(0, j.quotedAt-j.sentAt-times(j.work, pace)), d.line.Wait)
+		if now < from {
+			d.lookAt(from, j)
+			return false
+		}
+	}
 	if to == nil || !j.running {
 		// A move pays the price of crossing again, so it must be small change.
 		return to != nil && (d.abroad(to) == 0 || d.crossPrice < smallChange*d.value(j.job))
@@ -713,7 +730,7 @@
 
 // wantsCopy says whether a second allocation of j may still earn something.
 func (d *Dispatcher) wantsCopy(j *job, now time.Duration) bool {
-	return !j.over && len(j.out) == 1 && j.sent < j.track.allocations &&
+	return !j.over && len(j.out) == 1 && j.sent < j.track.allocations && d.line.Rung == 0 &&
 		now < j.limitAt-d.quantum && (!d.late(j, now) || j.track.late > 0)
 }
 
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -167,6 +167,9 @@
 
 // learn books a running time.
 func (d *Dispatcher) learn(j *job, e *executor, ran time.Duration) {
+	if j.track.repeat == Tagged && ran < times(j.work, remembered*d.kinds[e.kind].pace) {
+		return // it was remembered there, not run: guards against executors that look quick, and are rushed while cold
+	}
 	if !j.hinted {
 		// The first guess is the quoted time, which may be far off: the first outcomes count as much as it does.
 		j.track.learnt++
@@ -339,16 +342,28 @@
 // Cut tells where the cut line of nodes that talk is from now on. Batch jobs in hand stay.
 func (d *Dispatcher) Cut(line CutLine) { d.line = line }
 
-// offered books a batch job that came, and gives its rung. A tenant over its share is weighed down as in value. One that came with less than half
-// of its slack, as repeats do, is no measure of what the fleet is short of: it may find no token in time where most are free.
-func (d *Dispatcher) offered(j *job) int {
-	work := max(j.work.Seconds(), 1e-6)
-	density := d.earnings(j) / work
+// rung is the step of what j earns for its work. A tenant over its share is weighed down as in value.
+func (d *Dispatcher) rung(j *job) int {
+	density := d.earnings(j) / max(j.work.Seconds(), 1e-6)
 	if t := j.tenant; t != nil && t.over > 1 {
 		density *= d.overage + (1-d.overage)/t.over
 	}
 	rung := Rungs/2 + int(math.Round(2*math.Log2(max(density, 1e-9))))
-	rung = min(max(0, rung), Rungs-1)
+	return min(max(0, rung), Rungs-1)
+}
+
+// wishes books, once, that an allocation would be moved if moves were free.
+func (d *Dispatcher) wishes(s *shot) {
+	if !s.wished {
+		s.wished = true
+		d.tally.Moves += s.work.Seconds()
+	}
+}
+
+// offered books a batch job that came, and gives its rung. One that came with less than half of its slack, as repeats do, is
+// no measure of what the fleet is short of: it may find no token in time where most are free.
+func (d *Dispatcher) offered(j *job) int {
+	rung, work := d.rung(j), max(j.work.Seconds(), 1e-6)
 	if j.tight = j.quotedAt-d.now-j.work < j.slack()/2; !j.tight {
 		d.tally.Offered[rung] += work
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -252,6 +252,7 @@
 	share       float64
 	shareAt     time.Duration
 	stopping    bool
+	wished      bool // it would have been moved
 	lost        bool // silent for so long that its token is free again
 	turn        int
 }
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -23,7 +23,8 @@
 //	9s closing 12s               the node ends; all must be over by then
 //	9s! ended j1 handled         the node had no turn since the line before
 //	9s wait                      let time pass until then
-//	9s quotas                    show each executor's quota; slice: the executors in use
+//	9s line 36 0.5 0.8           the cut line: rung, part of it taken, part of their slack that moves wait; tally: what was seen
+//	9s quotas                    show each executor's quota; slice: the executors in use; paces: what each needs for the work
 type player struct {
 	t     *testing.T
 	d     *Dispatcher
@@ -246,12 +247,25 @@
 		for _, e := range p.d.met {
 			p.say(now, "%s has a quota of %d", e.id, e.quota)
 		}
+	case "paces":
+		for _, e := range p.d.met {
+			p.say(now, "%s has a pace of %.2f, its kind of %.2f", e.id, p.d.pace(e, now), p.d.kinds[e.kind].pace)
+		}
 	case "slice":
 		names := []string{}
 		for _, e := range p.d.slice {
 			names = append(names, string(e.id))
 		}
 		p.say(now, "the slice is %s", strings.Join(names, " "))
+	case "line": // rung, part, and how long moves wait
+		var x [3]float64
+		for i := range x {
+			x[i], _ = strconv.ParseFloat(words[i], 64)
+		}
+		p.d.Cut(CutLine{int(x[0]), x[1], x[2]})
+	case "tally":
+		t := p.d.Tally(now)
+		p.say(now, "done %.2f, lost %.2f, would be moved %.2f", t.Done, t.Lost, t.Moves)
 	case "wait":
 	default:
 		p.t.Fatalf("unknown word %q", what)
--- a/policy/types.go
+++ b/policy/types.go
@@ -183,6 +183,7 @@
 	Offered  [Rungs]float64 // of batch jobs that came, by what they earn for their work
 	Admitted float64        // of them, those not below the cut line
 	Done     float64        // handled
+	Moves    float64        // of allocations that would be moved, had moves no budget
 	Lost     float64        // given up on after they had waited for a token
 	Waiting  float64        // of those that are held in time now, or have not started where they were sent, against their slack
 	Capacity float64        // work a second that all executors on its list could do, as far as it has seen them
@@ -193,6 +194,7 @@
 type CutLine struct {
 	Rung int
 	Part float64
+	Wait float64 // part of its slack that an allocation has to wait where it is before it is moved, 0 to 1
 }
 
 // Act is what becomes of a batch job.
