--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,7 +57,7 @@
 	eased      = 0.25                    // of full: under it the line is taken back, as nothing is short any more
 	idle       = 0.6                     // and while it stays
 	least      = 0.8                     // of what is done: taken at the least
-	moved      = 0.1                    // of what is done may be moved, by the wishes of all
+	moved      = 0.1                     // of what is done may be moved, by the wishes of all
 )
 
 // Word is what one node tells another. All in it the teller saw itself, but for drains, whose age grows on the way.
