A token that waits by the budget of moves is no reason to probe its executor

Need: under the budget of moves allocations wait where they are, and each was taken for silence: 391 probes in 20 s at 30 nodes, 123 alone. Change: look asks for the load only after the part of the slack that a move waits.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -678,7 +678,11 @@
 		return false
 	}
 	e := j.on
-	if !e.mute && now-max(e.news, j.sentAt) > times(j.work, d.kinds[e.kind].pace) {
+	quiet := times(j.work, d.kinds[e.kind].pace)
+	if !j.running { // how long it is left there anyway, where moves have a budget
+		quiet = max(quiet, times(j.quotedAt-j.sentAt-j.work, d.line.Wait))
+	}
+	if !e.mute && now-max(e.news, j.sentAt) > quiet {
 		d.askLoad(e, now, d.shortestQuoted)
 	}
 	if j.over {
