The bounds between nodes are checked at each word; five planted defects of the fleet

Need: bounds stated in docs/design/fleet.md were checked by nothing, and no defect of what nodes tell each other was planted. Change: internal/lab/bounds.go checks words told, the age of what counts and that a node tells of itself only what it did, by a rule of its own; planted: its own echo told as news, an old view as fresh, words too often, the whole budget of moves spent by each, a line that never falls.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,25 +39,27 @@
 	return Settings{Self: self, Life: life, Seed: seed, Epoch: int64(life), Every: 250 * time.Millisecond, Tell: 3, ViewFor: 4 * time.Second, DrainFor: 10 * time.Second}
 }
 
+// Smoothing is what figures are averaged over.
+const Smoothing = 1500 * time.Millisecond
+
 const (
-	smoothing  = 1500 * time.Millisecond // over which figures are averaged
-	stood      = 3                       // spells without a turn after which what waited unread is old
-	mostDrains = 24                      // in a word
-	keptDrains = 4096                    // in mind
-	clip       = 8                       // times the median of what neighbours tell that one of them may count for
-	clipFrom   = 3                       // neighbours from which on a median says something; below that a node goes by what it sees itself
-	witnesses  = 0.25                    // part of the nodes known that must see losses themselves before a line is drawn; two at least
-	begin      = 0.03                    // part of the work lost for want of tokens from which on a line is drawn
-	headroom   = 0.25                    // work over what is done that is taken as long as none is lost
-	spare      = 0.05                    // part lost at which no more is taken than is done
-	patience   = 0.4                     // part of its slack that work may wait in overload
-	sure       = 0.8                     // of what executors can do is always taken
-	trace      = 0.02                    // of what is offered: less of dearer work does not count
-	crowded    = 0.75                    // of what executors can do must get done before a line is drawn
-	eased      = 0.25                    // of full: under it the line is taken back, as nothing is short any more
-	idle       = 0.6                     // and while it stays
-	least      = 0.8                     // of what is done: taken at the least
-	moved      = 0.1                     // of what is done may be moved, by the wishes of all
+	stood      = 3    // spells without a turn after which what waited unread is old
+	mostDrains = 24   // in a word
+	keptDrains = 4096 // in mind
+	clip       = 8    // times the median of what neighbours tell that one of them may count for
+	clipFrom   = 3    // neighbours from which on a median says something; below that a node goes by what it sees itself
+	witnesses  = 0.25 // part of the nodes known that must see losses themselves before a line is drawn; two at least
+	begin      = 0.03 // part of the work lost for want of tokens from which on a line is drawn
+	headroom   = 0.25 // work over what is done that is taken as long as none is lost
+	spare      = 0.05 // part lost at which no more is taken than is done
+	patience   = 0.4  // part of its slack that work may wait in overload
+	sure       = 0.8  // of what executors can do is always taken
+	trace      = 0.02 // of what is offered: less of dearer work does not count
+	crowded    = 0.75 // of what executors can do must get done before a line is drawn
+	eased      = 0.25 // of full: under it the line is taken back, as nothing is short any more
+	idle       = 0.6  // and while it stays
+	least      = 0.8  // of what is done: taken at the least
+	moved      = 0.1  // of what is done may be moved, by the wishes of all
 )
 
 // Word is what one node tells another. All in it the teller saw itself, but for drains, whose age grows on the way.
@@ -372,7 +374,7 @@
 	}
 	// Right after the start there is less to average over: a mean that began at nothing would take all for lost.
 	f.since += span
-	old := math.Exp(-float64(span)/float64(smoothing)) * (1 - math.Exp(-float64(f.since-span)/float64(smoothing))) / (1 - math.Exp(-float64(f.since)/float64(smoothing)))
+	old := math.Exp(-float64(span)/float64(Smoothing)) * (1 - math.Exp(-float64(f.since-span)/float64(Smoothing))) / (1 - math.Exp(-float64(f.since)/float64(Smoothing)))
 	mix := func(was, sum float64) float64 { return was*old + sum/span.Seconds()*(1-old) }
 	f.figures.Admitted, f.figures.Done, f.figures.Lost = mix(f.figures.Admitted, t.Admitted), mix(f.figures.Done, t.Done), mix(f.figures.Lost, t.Lost)
 	f.figures.Moves = mix(f.figures.Moves, t.Moves)
@@ -507,6 +509,22 @@
 
 // ---- To see it ----
 
+// Counted is a neighbour's word whose figures count now.
+type Counted struct {
+	From      Name
+	Life, Seq uint64
+}
+
+// Counted gives the words whose figures count now, by neighbour.
+func (f *Fleet) Counted(now time.Duration) (out []Counted) {
+	for _, n := range slices.Sorted(maps.Keys(f.views)) {
+		if v := f.views[n]; now-v.at <= f.s.ViewFor {
+			out = append(out, Counted{n, v.life, v.seq})
+		}
+	}
+	return out
+}
+
 // Dropped notes a word that could not even be read.
 func (f *Fleet) Dropped(why string) { f.dropped[why]++ }
 
--- /dev/null
+++ b/internal/lab/bounds.go
@@ -0,0 +1,100 @@
+package lab
+
+import (
+	"math"
+	"time"
+
+	"birchstair/internal/fleet"
+)
+
+// The bounds of docs/design/fleet.md, checked whenever a node tells a word: how many words it tells, that a figure which counts is no older than is said,
+// and that what it tells of itself is what it did itself.
+
+const (
+	afterStop  = 4 * time.Second
+	slackWords = 1   // more than the formula: a round that has just begun
+	echoTimes  = 2.5 // what a node tells to have done, over what it did: hints are rough
+	echoMore   = 1.0 // and seconds of work a second more
+)
+
+// wordKey names a word as its receivers see it.
+type wordKey struct {
+	from      fleet.Name
+	life, seq uint64
+}
+
+// bounds is what the check keeps in mind.
+type bounds struct {
+	told map[wordKey]time.Duration // when each word was told
+	old  []wordKey                 // in that order
+}
+
+// pace is what a node did lately, averaged as it does itself.
+type pace struct {
+	work  float64
+	at    time.Duration
+	since time.Duration // when it began anew
+	stood time.Duration // when it last stood still, plus afterStop; its figures may begin anew
+	words []time.Duration
+}
+
+func (p *pace) did(now time.Duration, work float64) {
+	p.work = p.work*math.Exp(-float64(now-p.at)/float64(fleet.Smoothing)) + work
+	p.at = now
+}
+
+// rate is in seconds of work a second.
+func (p *pace) rate(now, since time.Duration) float64 {
+	whole := fleet.Smoothing.Seconds() * (1 - math.Exp(-float64(since)/float64(fleet.Smoothing)))
+	return p.work * math.Exp(-float64(now-p.at)/float64(fleet.Smoothing)) / max(whole, 1e-3)
+}
+
+// bounded checks a word that a node tells, before anything becomes of it on its way.
+func (n *sim) bounded(to fleet.To) {
+	w, s := n.w, fleet.Defaults("", 0, 0)
+	n.pace.words = append(n.pace.words, w.now)
+	for w.now-n.pace.words[0] > 4*s.Every {
+		n.pace.words = n.pace.words[1:]
+	}
+	if most := s.Tell * (5 + slackWords); len(n.pace.words) > most {
+		w.over(n, "%s told %d words in %v where %d are the most", n.name, len(n.pace.words), 4*s.Every, most)
+	}
+	if done, did := to.Word.Figures.Done, n.pace.rate(w.now, w.now-n.pace.since); n.w.s.Load.HintNoise >= 0 && n.w.s.Load.HintNoise < 0.3 && w.now >= n.pace.stood && done > echoTimes*did+echoMore {
+		w.over(n, "%s tells that it does %.2f, and did %.2f", n.name, done, did)
+	}
+	longest := s.ViewFor + time.Duration(w.s.Fleet.WordsLate) + max(time.Duration(w.s.Fleet.Near), time.Duration(w.s.Fleet.Far))
+	if w.now < n.pace.stood+s.ViewFor {
+		longest += 3 * s.Every // a shorter stand-still than that shows nowhere
+	}
+	for _, c := range n.core.Fleet().Counted(w.now - n.started) {
+		at, ok := w.bounds.told[wordKey{c.From, c.Life, c.Seq}]
+		if !ok {
+			w.over(n, "%s counts word %d of %s, which was never told", n.name, c.Seq, c.From)
+		} else if w.now-at > longest {
+			w.over(n, "%s counts figures of %s that are %v old where %v is the most", n.name, c.From, w.now-at, longest)
+		}
+	}
+}
+
+// remember books that a word is on its way.
+func (w *World) remember(word fleet.Word) {
+	b := &w.bounds
+	if b.told == nil {
+		b.told = map[wordKey]time.Duration{}
+	}
+	key := wordKey{word.From, word.Life, word.Seq}
+	if _, ok := b.told[key]; !ok {
+		b.old = append(b.old, key)
+	}
+	b.told[key] = w.now // a liar tells some in another's name
+	for len(b.old) > 0 && w.now-b.told[b.old[0]] > time.Minute {
+		delete(b.told, b.old[0])
+		b.old = b.old[1:]
+	}
+}
+
+// over says that a bound does not hold.
+func (w *World) over(n *sim, text string, args ...any) {
+	w.checker.Over(w.now, n.id, text, args...)
+	w.passTime()
+}
--- /dev/null
+++ b/internal/lab/fleet_defects_test.go
@@ -0,0 +1,116 @@
+package lab
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"birchstair/internal/fleet"
+	"birchstair/internal/node"
+	"birchstair/internal/rules"
+	"birchstair/policy"
+)
+
+// stuck is a module whose cut line never falls again.
+type stuck struct {
+	node.Module
+	highest policy.CutLine
+}
+
+func (m *stuck) Cut(l policy.CutLine) {
+	if l.Rung >= m.highest.Rung {
+		m.highest = l
+	}
+	m.Module.Cut(m.highest)
+}
+
+// overTold counts the bounds between nodes that broke, and gives the first.
+func overTold(_, r Result) string {
+	for _, b := range r.Broken {
+		if b.Rule == rules.Bound {
+			return b.Text
+		}
+	}
+	return ""
+}
+
+// Defects of what nodes tell each other are caught: by a bound that is checked at each word, or by what the fleet then earns or sends.
+func TestPlantedDefectsOfTheFleet(t *testing.T) {
+	for _, d := range []struct {
+		name  string
+		world func(*Scenario)
+		plant plant
+		wrong func(sound, r Result) string
+	}{
+		{"a node tells its own echo as news", nil, func() plant {
+			heard := map[rules.NodeID]map[fleet.Name]fleet.Figures{}
+			return plant{
+				event: changed(func(_ *World, n *sim, ev node.Hears) []node.Event {
+					if heard[n.id] == nil {
+						heard[n.id] = map[fleet.Name]fleet.Figures{}
+					}
+					heard[n.id][ev.Word.From] = ev.Word.Figures
+					return []node.Event{ev}
+				}),
+				effect: instead(func(_ *World, n *sim, to node.TellNeighbour) []node.Effect {
+					for _, g := range heard[n.id] {
+						to.Word.Figures.Done += g.Done
+					}
+					return []node.Effect{to}
+				})}
+		}(), overTold},
+		{"an old view counts as fresh", func(s *Scenario) {
+			s.Faults = []Fault{{Kind: "nodes-apart", At: Span(5 * time.Second), For: Span(10 * time.Second), Where: []string{"n0", "n1"}}}
+		}, plant{fleet: func(s *fleet.Settings) { s.ViewFor = time.Hour }}, overTold},
+		{"a node tells more often than it may", nil, plant{fleet: func(s *fleet.Settings) { s.Every /= 2 }}, overTold},
+		{"each node spends the whole budget of moves", func(s *Scenario) { s.Load.Of = 0.8 }, plant{
+			event: changed(func(_ *World, _ *sim, ev node.Hears) []node.Event {
+				ev.Word.Figures.Moves = 0
+				return []node.Event{ev}
+			})}, func(sound, r Result) string {
+			if float64(r.Allocations) > 1.2*float64(sound.Allocations) {
+				return fmt.Sprintf("%d allocations instead of %d", r.Allocations, sound.Allocations)
+			}
+			return ""
+		}},
+		{"a cut line that never falls again", func(s *Scenario) {
+			s.Load.Of = 0.6
+			s.Faults = []Fault{{Kind: "burst", At: Span(3 * time.Second), For: Span(8 * time.Second), Size: 4}}
+		}, plant{module: func(_ *World, _ *sim, m node.Module) node.Module { return &stuck{Module: m} }}, func(_, r Result) string {
+			last := r.seconds[19:24]
+			asked, earned := 0.0, 0.0
+			for _, s := range last {
+				asked, earned = asked+s.asked, earned+s.earned
+			}
+			if earned < 0.9*asked {
+				return fmt.Sprintf("earns %.2f long after the burst", earned/asked)
+			}
+			return ""
+		}},
+	} {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			s := Base()
+			s.Name, s.Length = "fleet", Span(25*time.Second)
+			s.Fleet.Nodes, s.Fleet.Executors, s.Fleet.Talk = 8, 36, true
+			s.Load.Of, s.Load.Retries, s.Load.RetryWait = 1.5, 3, Span(50*time.Millisecond)
+			if d.world != nil {
+				d.world(&s)
+			}
+			sound := New(s, 3, Options{}).Play()
+			if len(sound.Broken) > 0 {
+				t.Fatal("with nothing planted: ", sound.Broken[0])
+			}
+			if text := d.wrong(sound, sound); text != "" {
+				t.Fatal("with nothing planted: ", text)
+			}
+			w := New(s, 3, Options{Most: 1000})
+			w.plant = d.plant
+			text := d.wrong(sound, w.Play())
+			if text == "" {
+				t.Error("not caught")
+			}
+			t.Log(text)
+		})
+	}
+}
--- a/internal/lab/talk.go
+++ b/internal/lab/talk.go
@@ -24,6 +24,10 @@
 func (n *sim) talk() {
 	s := fleet.Defaults(fleet.Name(n.name), uint64(n.started.Milliseconds())<<8+uint64(n.run), uint32(mix(n.w.seed+uint64(n.id))))
 	s.Epoch = n.started.Milliseconds()
+	if n.w.plant.fleet != nil {
+		n.w.plant.fleet(&s)
+	}
+	n.pace = pace{at: n.w.now, since: n.w.now}
 	n.core.Talk(s)
 	n.reached, n.alive = map[rules.NodeID]time.Duration{}, nil
 	n.later(time.Duration(n.w.talks.Int64N(int64(memberSpell))), n.look)
@@ -65,9 +69,12 @@
 
 // say sends a word on its way.
 func (n *sim) say(to fleet.To) {
+	n.bounded(to)
+	to.Word = n.lie(to.Word)
+	n.w.remember(to.Word)
 	i := slices.IndexFunc(n.w.nodes, func(o *sim) bool { return o.name == string(to.Name) })
 	if i >= 0 {
-		n.carryWord(n.w.nodes[i], node.Hears{Word: n.lie(to.Word)})
+		n.carryWord(n.w.nodes[i], node.Hears{Word: to.Word})
 	}
 }
 
@@ -169,6 +176,7 @@
 	n.w.see(rules.Seen{What: rules.StoodStill, Node: n.id})
 	n.later(f.For, func() {
 		n.stopped = false
+		n.pace.stood = n.w.now + afterStop
 		n.w.see(rules.Seen{What: rules.WentOn, Node: n.id})
 		waiting := n.unread
 		n.unread = nil
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -22,6 +22,7 @@
 type World struct {
 	s      Scenario
 	seed   uint64
+	bounds bounds
 	now    time.Duration
 	queue  itemHeap
 	count  uint64
@@ -64,6 +65,7 @@
 	effect func(*World, *sim, node.Effect) []node.Effect
 
 	settings   func(*policy.Settings)
+	fleet      func(*fleet.Settings)
 	standin    func(*standin.Executor)
 	allocation func(*standin.Allocation)
 }
@@ -294,6 +296,7 @@
 
 	alive   []fleet.Name // neighbours that it holds for alive, where nodes talk
 	reached map[rules.NodeID]time.Duration
+	pace    pace         // of what it does, to check what it tells
 	lies    int          // words told while it tells nonsense; 0 while it does not
 	apart   bool         // no words pass between it and those that are not
 	noList  bool         // it hears nothing from discovery
@@ -386,6 +389,9 @@
 }
 
 func (m *witness) Ended(now time.Duration, id policy.JobID, a policy.AllocationID, how policy.Outcome, final bool) policy.Decision {
+	if t := m.n.tries[id]; how == policy.Handled && t != nil {
+		m.n.pace.did(m.n.w.now, cmp.Or(t.work.Hint, m.n.w.tracks[t.work.Track].Mean))
+	}
 	return m.gaveUp(id, m.Module.Ended(now, id, a, how, final))
 }
 
--- a/internal/node/talk.go
+++ b/internal/node/talk.go
@@ -10,6 +10,9 @@
 // Talk makes this node one of a fleet. It is called before the first step, or never: then nothing of this file acts.
 func (n *Node) Talk(s fleet.Settings) { n.fleet = fleet.New(s) }
 
+// Fleet is what this node knows of its fleet, to be looked at; nil where it does not talk.
+func (n *Node) Fleet() *fleet.Fleet { return n.fleet }
+
 // ofFleet takes in what comes of neighbours.
 func (n *Node) ofFleet(ev Event) {
 	if n.fleet == nil {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -20,9 +20,10 @@
 	DrainKept                     // nothing new later than the grace after being told
 	ColdSpared                    // a cold executor is not pushed over
 	AtOnce                        // a batch job given up on is answered at once
+	Bound                         // what nodes tell each other is within its bounds
 )
 
-var ruleNames = [...]string{"", "one answer", "no effect twice", "drain kept", "cold spared", "answered at once"}
+var ruleNames = [...]string{"", "one answer", "no effect twice", "drain kept", "cold spared", "answered at once", "bound kept"}
 
 func (r Rule) String() string { return ruleNames[r] }
 
@@ -414,6 +415,11 @@
 	}
 }
 
+// Over notes that a node that talks is over a bound, once for each node and kind of text.
+func (c *Checker) Over(at time.Duration, n NodeID, text string, args ...any) {
+	c.breaks(Bound, at, jobKey{n, ""}, WorkID(text), "", text, args...)
+}
+
 // breaks notes a broken rule once for each rule and batch job, or executor.
 func (c *Checker) breaks(r Rule, at time.Duration, key jobKey, work WorkID, e policy.ExecutorID, text string, args ...any) {
 	of := string(work)
