A full executor's token rests, the longer the more were turned away in a row

Change: twice the running time for each turned away since a sign of life. Weighed: one, three times, the square, all between.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,6 +57,7 @@
 	fewLate      = 0.1  // part of starts that may be late where a keeper lends one place more
 	mostSilences = 8    // times the usual span at most until a silent executor is probed again
 	restAfter    = 4    // intervals that a keeper leaves a lowered quota
+	fullRest     = 2.0  // running times that a full executor's token rests, for each turned away in a row
 	remembered   = 0.1  // of what is foretold: a tagged batch job done in less was done before
 	needStep     = 0.05 // by which a try that was too short teaches
 	mostCurt     = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
@@ -429,7 +430,7 @@
 		return Decision{}
 	}
 	d.hold(j, now)
-	// In the fleet's overload a further allocation of what never ran and is below the line by now is one too many.
+	// In the fleet's overload a further allocation of what never ran and is below the line by now is too much.
 	j.cut = j.cut || j.sent > 0 && j.ran == nil && d.line.Rung > d.rung(j)
 	if j.cut || now >= j.limitAt-d.quantum || j.sent >= j.track.allocations || !d.mayRepeat(j, now) {
 		return d.giveUp(j)
@@ -462,7 +463,8 @@
 // Guards against low earners taken here while dearer ones find no token elsewhere.
 func (d *Dispatcher) below(j *job) bool {
 	rung, line := d.offered(j), d.line
-	return !d.admitted(j, line.Rung == 0 || rung > line.Rung || rung == line.Rung && !j.tight && d.chance() < line.Part)
+	marginal := rung == line.Rung && !j.tight && d.chance() < line.Part
+	return !d.admitted(j, line.Rung == 0 || rung > line.Rung || marginal)
 }
 
 // giveUp answers at once. A pushback says that nothing happened or that trying again is harmless: rule 2.
@@ -624,9 +626,10 @@
 		d.at(max(now, begun+est), nil, e)
 		return
 	}
-	if how == NoRoom { // nor is there a place for this token before one is done there: it would be turned away again and again
+	if how == NoRoom { // guards against a token that is turned away again and again, in overload by the hundred
 		d.giveBack(e, now, true)
-		d.at(now+est/time.Duration(d.kinds[e.kind].parallel), nil, e)
+		e.turned++
+		d.at(now+times(est, fullRest*float64(e.turned)), nil, e)
 		return
 	}
 	d.release(e, now, j.startedLate)
@@ -647,7 +650,7 @@
 	if !j.running {
 		// Without start notices: latency against what the pace foretells.
 		ran = min(d.took(j), times(j.work, d.pace(e, now)))
-		if !j.hinted { // nor a hint: of what waits there do not explain half is running time, or a low guess would never rise
+		if !j.hinted { // of what waiting does not explain half is running time, or a low guess would never rise
 			ran += max(0, d.took(j)-ran-e.startWait) / 2
 		}
 		d.queued(e, j, d.took(j)-ran)
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -50,7 +50,7 @@
 
 // alive books a sign of life, which is as good as an answer to a probe.
 func (e *executor) alive(now time.Duration) {
-	e.news, e.broke, e.mute, e.silences = now, false, false, 0
+	e.news, e.broke, e.mute, e.silences, e.turned = now, false, false, 0, 0
 }
 
 // Left tells that the client has gone: nothing more is owed.
--- a/policy/state.go
+++ b/policy/state.go
@@ -153,6 +153,7 @@
 	held     time.Duration   // tokens are held back until then
 	news     time.Duration   // last sign of life
 	silences int             // hold-backs for silence since then
+	turned   int             // allocations turned away since then
 	broke    bool            // an outcome since then was no result
 
 	runs, works  float64 // running time seen and work done, fading
