--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -71,6 +71,24 @@
 	}
 }
 
+// Eight processes below capacity, two of them cut off from the others and one killed: what they send over what gets done stays far under what the same
+// processes send without words, which shows that the budget of moves holds over all of them.
+func TestBudgetOfMoves(t *testing.T) {
+	t.Parallel()
+	s := kept(t, "fleet-overload")
+	s.Name, s.Length = "budget-of-moves", lab.Span(8*time.Second)
+	s.Fleet.Nodes, s.Fleet.Executors, s.Load.Of = 8, 24, 0.8
+	s.Faults = []lab.Fault{{Kind: "nodes-apart", At: lab.Span(2 * time.Second), For: lab.Span(3 * time.Second), Where: []string{"n0", "n1"}},
+		{Kind: "node-killed", At: lab.Span(4 * time.Second), For: lab.Span(2 * time.Second), Where: []string{"n2"}}}
+	talking := play(t, s, 1)
+	s.Fleet.Talk = false
+	alone := play(t, s, 1)
+	more := func(r Result) float64 { return r.Work/r.Finished - 1 }
+	if t.Logf("sent over finished %.2f talking, %.2f alone", 1+more(talking), 1+more(alone)); more(talking) > 0.75*more(alone) {
+		t.Errorf("sent over finished %.2f talking, %.2f alone", 1+more(talking), 1+more(alone))
+	}
+}
+
 // Fleets and faults drawn from seeds keep the rules.
 func TestDrawnFleets(t *testing.T) {
 	for seed := range uint64(6) {
