--- a/internal/lab/bounds.go
+++ b/internal/lab/bounds.go
@@ -62,6 +62,9 @@
 	if done, did := to.Word.Figures.Done, n.pace.rate(w.now, w.now-n.pace.since); n.w.s.Load.HintNoise >= 0 && n.w.s.Load.HintNoise < 0.3 && w.now >= n.pace.stood && done > echoTimes*did+echoMore {
 		w.over(n, "%s tells that it does %.2f, and did %.2f", n.name, done, did)
 	}
+	if len(n.pace.words) > 1 && n.pace.words[len(n.pace.words)-2] == w.now {
+		return // what counts was looked at with the spell's first word
+	}
 	longest := s.ViewFor + time.Duration(w.s.Fleet.WordsLate) + max(time.Duration(w.s.Fleet.Near), time.Duration(w.s.Fleet.Far))
 	if w.now < n.pace.stood+s.ViewFor {
 		longest += 3 * s.Every // a shorter stand-still than that shows nowhere
