Read once more: what lab, rig, fleet and module wrote twice stands once

Cause: the rig had written the lab's troubles of faults, places of faults, heavy tail, tag memories and rates of load again; the fleet the module's chance; Tally and withinCold, rung and value, slack and Arrived each one formula twice; lose repeated voidAt; Probed kept a load and a time that nothing reads; the lab named words with a type of its own and kept a start that the node has. Change: standin.Together, Without, Touches, TailOf and Memories, lab Scenario.Rates, policy.Chance, warmth, counts, quoted, fleet.WordID serve both sides; dialled asks two named questions.

--- a/cmd/birchstair/main.go
+++ b/cmd/birchstair/main.go
@@ -94,14 +94,13 @@
 	if err != nil {
 		return err
 	}
+	onOff := map[bool]string{true: "on", false: "off"}
 	if own.Site != "" {
-		onOff := map[bool]string{true: "on", false: "off"}
 		fmt.Printf("%s is sound: durable batch jobs are %s, nodes that talk are %s\n", own.Site, onOff[s.Durable != nil], onOff[s.Fleet != nil])
 	}
 	clients, executors := c.Descriptors()
 	fmt.Printf("%s is sound: %d tracks, at most %d connections from clients and %d to executors\n",
 		os.Getenv("ROUTER_CONFIG"), len(c.Settings.Tracks), clients, executors)
-	onOff := map[bool]string{true: "on", false: "off"}
 	probes := "off"
 	if c.Settings.Policy.MayProbe {
 		probes = fmt.Sprintf("by GET %s within %v", c.Settings.Probe.Path, c.Settings.Probe.Limit)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,9 +8,7 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
 	"maps"
 	"math"
 	"slices"
@@ -139,13 +137,9 @@
 		figures: Figures{Offered: map[int]float64{}}}
 }
 
-// chance is a number from 0 to 1 drawn from the seed and a counter.
 func (f *Fleet) chance() float64 {
-	var b [8]byte
 	f.count++
-	binary.LittleEndian.PutUint32(b[:4], f.s.Seed)
-	binary.LittleEndian.PutUint32(b[4:], f.count)
-	return float64(crc32.ChecksumIEEE(b[:])) / math.MaxUint32
+	return policy.Chance(f.s.Seed, f.count)
 }
 
 // Next is when Tick is due.
@@ -509,17 +503,17 @@
 
 // ---- To see it ----
 
-// Counted is a neighbour's word whose figures count now.
-type Counted struct {
+// WordID names a word as its hearers see it.
+type WordID struct {
 	From      Name
 	Life, Seq uint64
 }
 
 // Counted gives the words whose figures count now, by neighbour.
-func (f *Fleet) Counted(now time.Duration) (out []Counted) {
+func (f *Fleet) Counted(now time.Duration) (out []WordID) {
 	for _, n := range slices.Sorted(maps.Keys(f.views)) {
 		if v := f.views[n]; now-v.at <= f.s.ViewFor {
-			out = append(out, Counted{n, v.life, v.seq})
+			out = append(out, WordID{n, v.life, v.seq})
 		}
 	}
 	return out
--- a/internal/lab/bounds.go
+++ b/internal/lab/bounds.go
@@ -11,30 +11,23 @@
 // and that what it tells of itself is what it did itself.
 
 const (
-	afterStop  = 4 * time.Second
-	slackWords = 1   // more than the formula: a round that has just begun
-	echoTimes  = 2.5 // what a node tells to have done, over what it did: hints are rough
-	echoMore   = 1.0 // and seconds of work a second more
+	afterStop  = 4 * time.Second // a node's figures may begin anew after a stand-still: so long they say nothing
+	slackWords = 1               // more than the formula: a round that has just begun
+	echoTimes  = 2.5             // what a node tells to have done, over what it did: hints are rough
+	echoMore   = 1.0             // and seconds of work a second more
 )
 
-// wordKey names a word as its receivers see it.
-type wordKey struct {
-	from      fleet.Name
-	life, seq uint64
-}
-
 // bounds is what the check keeps in mind.
 type bounds struct {
-	told map[wordKey]time.Duration // when each word was told
-	old  []wordKey                 // in that order
+	told map[fleet.WordID]time.Duration // when each word was told
+	old  []fleet.WordID                 // in that order
 }
 
 // pace is what a node did lately, averaged as it does itself.
 type pace struct {
 	work  float64
 	at    time.Duration
-	since time.Duration // when it began anew
-	stood time.Duration // when it last stood still, plus afterStop; its figures may begin anew
+	stood time.Duration // until when a stand-still shows in its figures
 	words []time.Duration
 }
 
@@ -59,7 +52,7 @@
 	if most := s.Tell * (5 + slackWords); len(n.pace.words) > most {
 		w.over(n, "%s told %d words in %v where %d are the most", n.name, len(n.pace.words), 4*s.Every, most)
 	}
-	if done, did := to.Word.Figures.Done, n.pace.rate(w.now, w.now-n.pace.since); n.w.s.Load.HintNoise >= 0 && n.w.s.Load.HintNoise < 0.3 && w.now >= n.pace.stood && done > echoTimes*did+echoMore {
+	if done, did := to.Word.Figures.Done, n.pace.rate(w.now, w.now-n.started); n.w.s.Load.HintNoise >= 0 && n.w.s.Load.HintNoise < 0.3 && w.now >= n.pace.stood && done > echoTimes*did+echoMore {
 		w.over(n, "%s tells that it does %.2f, and did %.2f", n.name, done, did)
 	}
 	if len(n.pace.words) > 1 && n.pace.words[len(n.pace.words)-2] == w.now {
@@ -70,7 +63,7 @@
 		longest += 3 * s.Every // a shorter stand-still than that shows nowhere
 	}
 	for _, c := range n.core.Fleet().Counted(w.now - n.started) {
-		at, ok := w.bounds.told[wordKey{c.From, c.Life, c.Seq}]
+		at, ok := w.bounds.told[c]
 		if !ok {
 			w.over(n, "%s counts word %d of %s, which was never told", n.name, c.Seq, c.From)
 		} else if w.now-at > longest {
@@ -82,10 +75,7 @@
 // remember books that a word is on its way.
 func (w *World) remember(word fleet.Word) {
 	b := &w.bounds
-	if b.told == nil {
-		b.told = map[wordKey]time.Duration{}
-	}
-	key := wordKey{word.From, word.Life, word.Seq}
+	key := fleet.WordID{From: word.From, Life: word.Life, Seq: word.Seq}
 	if _, ok := b.told[key]; !ok {
 		b.old = append(b.old, key)
 	}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -27,7 +27,7 @@
 // touched are the executors that a fault is on.
 func (w *World) touched(f standin.Fault) (all []*executor) {
 	for _, x := range w.executors {
-		if len(f.Where) == 0 || slices.Contains(f.Where, string(x.ID)) || slices.Contains(f.Where, w.s.Fleet.Zones[x.Zone]) {
+		if f.Touches(string(x.ID), w.s.Fleet.Zones[x.Zone]) {
 			all = append(all, x)
 		}
 	}
@@ -37,7 +37,7 @@
 // touchedNodes are the nodes that a fault is on.
 func (w *World) touchedNodes(f standin.Fault) (all []*sim) {
 	for _, n := range w.nodes {
-		if len(f.Where) == 0 || slices.Contains(f.Where, n.name) || slices.Contains(f.Where, w.s.Fleet.Zones[n.zone]) {
+		if f.Touches(n.name, w.s.Fleet.Zones[n.zone]) {
 			all = append(all, n)
 		}
 	}
@@ -142,17 +142,9 @@
 		for _, n := range w.touchedNodes(f) {
 			n.halt(f)
 		}
-	case standin.NodeLies:
-		for _, n := range w.touchedNodes(f) {
-			n.lies = 1
-		}
-	case standin.NodesApart:
-		for _, n := range w.touchedNodes(f) {
-			n.apart = true
-		}
-	case standin.ListCut:
+	case standin.NodeLies, standin.NodesApart, standin.ListCut:
 		for _, n := range w.touchedNodes(f) {
-			n.noList = true
+			n.amiss(f.Kind, true)
 		}
 	case standin.WordsLost:
 		w.wordsLost = f.Size
@@ -162,16 +154,13 @@
 		}
 	case standin.HeavyTail:
 		for _, c := range w.clients {
-			c.Tail = standin.Tail{Part: heavyPart, Times: f.Size}
+			c.Tail = standin.TailOf(f.Size)
 		}
 	case standin.ClockOff:
 		w.clockOff = time.Duration(f.Size * 1e9)
 	}
 }
 
-// heavyPart is the part of the batch jobs that a heavy tail is on.
-const heavyPart = 0.02
-
 func (w *World) end(f standin.Fault) {
 	if w.wired != nil && slices.Contains(ofTalk, f.Kind) {
 		return
@@ -179,9 +168,7 @@
 	switch f.Kind {
 	case standin.Slow, standin.Stalls, standin.Neighbour, standin.Errors, standin.Mute:
 		for _, x := range w.touched(f) {
-			x.faults = slices.DeleteFunc(x.faults, func(o standin.Fault) bool {
-				return o.Kind == f.Kind && o.At == f.At && o.Size == f.Size
-			})
+			x.faults = standin.Without(x.faults, f)
 			x.suffer()
 		}
 	case standin.Crash, standin.Vanish:
@@ -232,20 +219,9 @@
 		for _, n := range w.touchedNodes(f) {
 			n.back()
 		}
-	case standin.NodeLies:
-		for _, n := range w.touchedNodes(f) {
-			n.lies = 0
-		}
-	case standin.NodesApart:
-		for _, n := range w.touchedNodes(f) {
-			n.apart = false
-		}
-	case standin.ListCut:
+	case standin.NodeLies, standin.NodesApart, standin.ListCut:
 		for _, n := range w.touchedNodes(f) {
-			n.noList = false
-			if n.up {
-				n.news()
-			}
+			n.amiss(f.Kind, false)
 		}
 	case standin.WordsLost:
 		w.wordsLost = 0
@@ -262,23 +238,24 @@
 	}
 }
 
-// suffer puts all its troubles together.
-func (x *executor) suffer() {
-	t := standin.Trouble{Lies: x.Trouble().Lies}
-	for _, f := range x.faults {
-		switch f.Kind {
-		case standin.Slow:
-			t.Slow = max(1, t.Slow) * f.Size
-		case standin.Stalls:
-			t.StallFor, t.StallEvery = time.Duration(f.Size*1e9), 2*time.Second
-		case standin.Neighbour:
-			t.Neighbour = max(t.Neighbour, f.Size)
-		case standin.Errors:
-			t.Errors = max(t.Errors, f.Size)
-		case standin.Mute:
-			t.Mute = true
+// amiss begins or ends what is wrong with a node that talks.
+func (n *sim) amiss(k standin.Kind, on bool) {
+	switch k {
+	case standin.NodeLies:
+		n.lies = one(on)
+	case standin.NodesApart:
+		n.apart = on
+	case standin.ListCut:
+		if n.noList = on; !on && n.up {
+			n.news()
 		}
 	}
+}
+
+// suffer puts all its troubles together.
+func (x *executor) suffer() {
+	t := standin.Together(x.faults)
+	t.Lies = x.Trouble().Lies
 	x.does(x.Suffer(x.w.now, t))
 }
 
--- a/internal/lab/fleet_defects_test.go
+++ b/internal/lab/fleet_defects_test.go
@@ -24,7 +24,7 @@
 	m.Module.Cut(m.highest)
 }
 
-// overTold counts the bounds between nodes that broke, and gives the first.
+// overTold gives the first bound between nodes that broke.
 func overTold(_, r Result) string {
 	for _, b := range r.Broken {
 		if b.Rule == rules.Bound {
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -37,24 +37,14 @@
 // buildClients makes the clients of each zone.
 func (w *World) buildClients() {
 	f, l := &w.s.Fleet, &w.s.Load
-	capacity, mean := 0.0, 0.0
+	capacity := 0.0
 	for _, x := range w.executors {
 		capacity += x.Capacity(0)
 	}
-	for _, t := range w.tracks {
-		mean += t.Share * t.Mean
-	}
-	total := 0.0
-	for _, part := range l.Zones {
-		total += part
-	}
+	rates := w.s.Rates(w.tracks, capacity)
 	for i, zone := range f.Zones {
-		part := 1 / float64(len(f.Zones))
-		if len(l.Zones) > 0 {
-			part = l.Zones[i] / total
-		}
 		c := &callers{w: w, zone: policy.ZoneID(i)}
-		c.Clients = standin.NewClients(zone+"-", w.tracks, standin.Habits{Rate: l.Of * capacity / mean * part, Loops: l.Loops,
+		c.Clients = standin.NewClients(zone+"-", w.tracks, standin.Habits{Rate: rates[i], Loops: l.Loops,
 			Think: time.Duration(l.Think), Retries: l.Retries, RetryWait: time.Duration(l.RetryWait), HeedsBack: l.HeedsBack,
 			Leaves: l.Leaves, RepeatsIDs: l.RepeatsIDs, HintNoise: l.HintNoise}, f.PerWork, stream(w.seed, "clients "+zone))
 		w.clients = append(w.clients, c)
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -127,7 +127,8 @@
 	Size  float64      `toml:"size,omitempty"`
 }
 
-func (f Fault) fault() standin.Fault {
+// Standin is the fault as the stand-ins know it.
+func (f Fault) Standin() standin.Fault {
 	return standin.Fault{Kind: f.Kind, At: time.Duration(f.At), For: time.Duration(f.For), Where: f.Where, Size: f.Size}
 }
 
@@ -331,6 +332,25 @@
 	return own, module
 }
 
+// Rates are the batch jobs a second that come to each zone, where executors can do so much work a second in all.
+func (s *Scenario) Rates(tracks []standin.Track, capacity float64) (rates []float64) {
+	mean, total := 0.0, 0.0
+	for _, t := range tracks {
+		mean += t.Share * t.Mean
+	}
+	for _, part := range s.Load.Zones {
+		total += part
+	}
+	for i := range s.Fleet.Zones {
+		part := 1 / float64(len(s.Fleet.Zones))
+		if len(s.Load.Zones) > 0 {
+			part = s.Load.Zones[i] / total
+		}
+		rates = append(rates, s.Load.Of*capacity/mean*part)
+	}
+	return rates
+}
+
 // Spec is how the scenario's executor of that number is built.
 func (s *Scenario) Spec(id string, number int, speed float64) standin.ExecutorSpec {
 	f := &s.Fleet
--- a/internal/lab/talk.go
+++ b/internal/lab/talk.go
@@ -27,7 +27,7 @@
 	if n.w.plant.fleet != nil {
 		n.w.plant.fleet(&s)
 	}
-	n.pace = pace{at: n.w.now, since: n.w.now}
+	n.pace = pace{at: n.w.now}
 	n.core.Talk(s)
 	n.reached, n.alive = map[rules.NodeID]time.Duration{}, nil
 	n.later(time.Duration(n.w.talks.Int64N(int64(memberSpell))), n.look)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -37,7 +37,7 @@
 	byAddr    map[string]*executor
 	discovery *standin.Discovery
 	clients   []*callers
-	memories  map[memoryKey]*standin.Memory
+	memories  standin.Memories
 	wires     standin.ConnID
 	open      int // tries that clients wait for
 
@@ -70,13 +70,6 @@
 	allocation func(*standin.Allocation)
 }
 
-type memoryKey struct {
-	group policy.Group
-	zone  policy.ZoneID
-	cell  policy.CellID
-	track policy.TrackID
-}
-
 // cut says until when nothing gets into a zone from others, and out of it.
 type cut struct{ in, out time.Duration }
 
@@ -95,7 +88,7 @@
 // New makes a world in which nothing has happened yet.
 func New(s Scenario, seed uint64, o Options) *World {
 	w := &World{s: s, seed: seed, rand: stream(seed, "network"), talks: stream(seed, "words"), byAddr: map[string]*executor{},
-		memories: map[memoryKey]*standin.Memory{}, trace: o.Trace, cuts: make([]cut, len(s.Fleet.Zones)),
+		memories: standin.Memories{}, bounds: bounds{told: map[fleet.WordID]time.Duration{}}, trace: o.Trace, cuts: make([]cut, len(s.Fleet.Zones)),
 		discovery: standin.NewDiscovery(time.Duration(s.Fleet.ListLag)), most: cmp.Or(o.Most, mostBroken)}
 	w.tracks, w.module = s.Takes()
 	w.checker = rules.New(rules.Settings{Tracks: w.module, Slack: slack, Grace: time.Duration(s.Fleet.DrainGrace),
@@ -265,7 +258,7 @@
 		w.wired.letBadCome()
 	}
 	for _, f := range w.s.Faults {
-		w.script(f.fault())
+		w.script(f.Standin())
 	}
 }
 
@@ -646,19 +639,7 @@
 
 // memory is what remembers the tags of a track's batch jobs at an executor.
 func (w *World) memory(x *executor, id policy.TrackID) *standin.Memory {
-	k := memoryKey{group: w.module[id].Group, track: id}
-	switch k.group {
-	case policy.GroupZone:
-		k.zone = x.Zone
-	case policy.GroupCell:
-		k.cell = x.Cell
-	}
-	m := w.memories[k]
-	if m == nil {
-		m = standin.NewMemory()
-		w.memories[k] = m
-	}
-	return m
+	return w.memories.Of(id, w.module[id].Group, x.ExecutorSpec)
 }
 
 func compareIDs(a, b rules.Seen) int { return cmp.Compare(a.Executor, b.Executor) }
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -164,16 +164,24 @@
 	n.say(Write{c.id, Allocation{Call: &c.job.Call, Budget: max(c.job.limitAt-n.now, time.Millisecond)}})
 }
 
-// dialled puts a connection that has come up to its use. Its executor may drain or be gone by now, or the client
-// may have left: nothing new goes out then. If it has started anew the module is asked again, as it is cold: guards against
-// a process that wakes, sends on what it knew and learns of the start while it dials. Nor does a further allocation of a tagged one that was decided on longer ago than dialling may take, which is all
-// that a dedup window was lessened by: guards against a process that stood still meanwhile, and would repeat outside the window.
+// anew says whether the executor has started anew since the module meant it: it is cold, so the module is asked again. Guards
+// against a process that wakes, sends on what it knew and learns of the start while it dials.
+func (c *conn) anew() bool { return c.start != c.to.starts }
+
+// outOfWindow says whether a further allocation of a tagged batch job was decided on longer ago than dialling may take, which is
+// all that a dedup window was lessened by. Guards against a process that stood still meanwhile, and would repeat outside it.
+func (n *Node) outOfWindow(c *conn) bool {
+	return c.number > 0 && c.job.Tag != "" && n.now-c.askedAt > n.limits.DialLimit
+}
+
+// dialled puts a connection that has come up to its use. Its executor may drain, be gone or be another by now, the client may
+// have left, or the dedup window may be near its end: nothing goes out then.
 func (n *Node) dialled(c *conn) {
 	switch {
 	case c == nil || c.state != dialling:
 	case c.job == nil:
 		n.rest(c)
-	case !c.to.up || c.job.answered || c.start != c.to.starts || c.number > 0 && c.job.Tag != "" && n.now-c.askedAt > n.limits.DialLimit:
+	case !c.to.up || c.job.answered || c.anew() || n.outOfWindow(c):
 		j := n.unlink(c)
 		n.rest(c)
 		n.over(j, c.number, policy.NotSent)
@@ -303,7 +311,7 @@
 		n.say(Log{Text: detail, Executor: c.to.id, Job: j.ID})
 		n.closeResting(c.to)
 		n.over(j, c.number, policy.NoRoute)
-	case c.given || j.answered || c.start != c.to.starts || !n.place(j, c.number, c.to):
+	case c.given || j.answered || c.anew() || !n.place(j, c.number, c.to):
 		n.over(j, c.number, policy.NotSent)
 	}
 }
--- a/internal/rig/ends.go
+++ b/internal/rig/ends.go
@@ -2,12 +2,10 @@
 
 import (
 	"bufio"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"time"
 
-	"birchstair/internal/lab"
 	"birchstair/internal/rules"
 	"birchstair/internal/standin"
 	"birchstair/internal/standin/platform"
@@ -21,7 +19,7 @@
 	lives  int
 	socks  map[standin.ConnID]*sock
 	downs  int
-	faults []lab.Fault
+	faults []standin.Fault
 	timer  *time.Timer
 }
 
@@ -131,26 +129,11 @@
 		a.Hint = r.tracks[a.Track].Mean
 	}
 	if r.module[a.Track].Repeat == policy.Tagged {
-		a.Tag, a.Window, a.Memory = string(t.work.ID), r.module[a.Track].GroupWindow, r.memory(x, a.Track)
+		a.Tag, a.Window, a.Memory = string(t.work.ID), r.module[a.Track].GroupWindow, r.memories.Of(a.Track, r.module[a.Track].Group, x.ExecutorSpec)
 	}
 	x.does(x.Take(r.now(), a))
 }
 
-// memory is what remembers the tags of a track's batch jobs at an executor.
-func (r *Rig) memory(x *executor, track policy.TrackID) *standin.Memory {
-	key := fmt.Sprint(track)
-	switch r.module[track].Group {
-	case policy.GroupZone:
-		key += fmt.Sprint(" zone ", x.Zone)
-	case policy.GroupCell:
-		key += fmt.Sprint(" cell ", x.Cell)
-	}
-	if r.memories[key] == nil {
-		r.memories[key] = standin.NewMemory()
-	}
-	return r.memories[key]
-}
-
 // does hands on what follows from something that happened to an executor, and sets its timer. It is called with the rig's mutex held.
 func (x *executor) does(outs []standin.Out) {
 	r := x.r
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -35,12 +35,12 @@
 }
 
 // script puts a fault on the clock.
-func (r *Rig) script(f lab.Fault) {
-	r.after(warmUp+time.Duration(f.At), func() {
-		r.note("FAULT: %s for %v, %.3g, at %v", f.Kind, time.Duration(f.For), f.Size, f.Where)
+func (r *Rig) script(f standin.Fault) {
+	r.after(warmUp+f.At, func() {
+		r.note("FAULT: %s for %v, %.3g, at %v", f.Kind, f.For, f.Size, f.Where)
 		r.begin(f)
 		if f.For > 0 {
-			r.after(time.Duration(f.For), func() {
+			r.after(f.For, func() {
 				r.note("FAULT over: %s at %v", f.Kind, f.Where)
 				r.endFault(f)
 			})
@@ -48,27 +48,23 @@
 	})
 }
 
-func (r *Rig) touches(f lab.Fault, name string, zone policy.ZoneID) bool {
-	return len(f.Where) == 0 || slices.Contains(f.Where, name) || slices.Contains(f.Where, r.s.Fleet.Zones[zone])
-}
-
-func (r *Rig) onExecutors(f lab.Fault, what func(*executor)) {
+func (r *Rig) onExecutors(f standin.Fault, what func(*executor)) {
 	for _, x := range r.executors {
-		if r.touches(f, string(x.ID), x.Zone) {
+		if f.Touches(string(x.ID), r.s.Fleet.Zones[x.Zone]) {
 			what(x)
 		}
 	}
 }
 
-func (r *Rig) onNodes(f lab.Fault, what func(*proc)) {
+func (r *Rig) onNodes(f standin.Fault, what func(*proc)) {
 	for _, p := range r.nodes {
-		if r.touches(f, p.name, p.zone) {
+		if f.Touches(p.name, r.s.Fleet.Zones[p.zone]) {
 			what(p)
 		}
 	}
 }
 
-func (r *Rig) begin(f lab.Fault) {
+func (r *Rig) begin(f standin.Fault) {
 	switch f.Kind {
 	case standin.Slow, standin.Errors, standin.Mute:
 		r.onExecutors(f, func(x *executor) {
@@ -120,16 +116,16 @@
 		}
 	case standin.HeavyTail:
 		for _, c := range r.clients {
-			c.Tail = standin.Tail{Part: 0.02, Times: f.Size}
+			c.Tail = standin.TailOf(f.Size)
 		}
 	}
 }
 
-func (r *Rig) endFault(f lab.Fault) {
+func (r *Rig) endFault(f standin.Fault) {
 	switch f.Kind {
 	case standin.Slow, standin.Errors, standin.Mute:
 		r.onExecutors(f, func(x *executor) {
-			x.faults = slices.DeleteFunc(x.faults, func(o lab.Fault) bool { return o.Kind == f.Kind && o.At == f.At && o.Size == f.Size })
+			x.faults = standin.Without(x.faults, f)
 			x.suffer()
 		})
 	case standin.Crash:
@@ -167,7 +163,7 @@
 	}
 }
 
-// voidAt: what a node that stands still has in hand is late by no doing of its own.
+// voidAt: what a node that is gone or stands still has in hand is late or lost by no doing of its own.
 func (r *Rig) voidAt(p *proc) {
 	for _, t := range r.tries {
 		if t.p == p {
@@ -179,20 +175,7 @@
 // wasStopped says whether a node stands still or did just now.
 func (p *proc) wasStopped() bool { return p.stopped || p.r.now() < p.stoppedA }
 
-func (x *executor) suffer() {
-	t := standin.Trouble{}
-	for _, f := range x.faults {
-		switch f.Kind {
-		case standin.Slow:
-			t.Slow = max(1, t.Slow) * f.Size
-		case standin.Errors:
-			t.Errors = max(t.Errors, f.Size)
-		case standin.Mute:
-			t.Mute = true
-		}
-	}
-	x.does(x.Suffer(x.r.now(), t))
-}
+func (x *executor) suffer() { x.does(x.Suffer(x.r.now(), standin.Together(x.faults))) }
 
 // back ends one fault that keeps an executor down.
 func (x *executor) back() {
@@ -219,18 +202,18 @@
 }
 
 // drain: the list says so first; later the executor takes nothing new, ends, and starts again cold when the fault is over.
-func (r *Rig) drain(x *executor, f lab.Fault) {
+func (r *Rig) drain(x *executor, f standin.Fault) {
 	if !x.Up || x.downs > 0 {
 		return
 	}
 	x.downs++
 	lives := x.lives
 	r.change(x.entry(policy.Draining))
-	r.after(time.Duration(f.For)*3/4, func() {
+	r.after(f.For*3/4, func() {
 		if x.Up && x.lives == lives {
 			x.crash()
 			r.change(x.entry(policy.Gone))
 		}
 	})
-	r.after(time.Duration(f.For), x.back)
+	r.after(f.For, x.back)
 }
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -37,23 +37,14 @@
 // buildClients makes the clients of each zone; they come until then.
 func (r *Rig) buildClients(until time.Duration) {
 	f, l := &r.s.Fleet, &r.s.Load
-	capacity, mean, total := 0.0, 0.0, 0.0
+	capacity := 0.0
 	for _, x := range r.executors {
 		capacity += x.Capacity(0)
 	}
-	for _, t := range r.tracks {
-		mean += t.Share * t.Mean
-	}
-	for _, part := range l.Zones {
-		total += part
-	}
+	rates := r.s.Rates(r.tracks, capacity)
 	for i, zone := range f.Zones {
-		part := 1 / float64(len(f.Zones))
-		if len(l.Zones) > 0 {
-			part = l.Zones[i] / total
-		}
 		c := &clients{r: r, zone: policy.ZoneID(i), until: until}
-		c.Clients = standin.NewClients(zone+"-", r.tracks, standin.Habits{Rate: l.Of * capacity / mean * part, Retries: l.Retries,
+		c.Clients = standin.NewClients(zone+"-", r.tracks, standin.Habits{Rate: rates[i], Retries: l.Retries,
 			RetryWait: time.Duration(l.RetryWait), HeedsBack: l.HeedsBack, HintNoise: l.HintNoise}, f.PerWork, rand.New(rand.NewPCG(r.o.Seed, uint64(5000+i))))
 		r.clients = append(r.clients, c)
 		r.after(c.Gap(), c.arrive)
--- a/internal/rig/proc.go
+++ b/internal/rig/proc.go
@@ -252,11 +252,7 @@
 func (p *proc) lose() {
 	p.up = false
 	p.r.see(rules.Seen{What: rules.NodeKilled, Node: p.id})
-	for _, t := range p.r.tries {
-		if t.p == p {
-			t.void = true
-		}
-	}
+	p.r.voidAt(p)
 	for _, c := range p.pool {
 		c.Close()
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -67,7 +67,7 @@
 	tries     map[policy.JobID]*try
 	forgotten map[policy.JobID]time.Duration // when a try ended
 	clients   []*clients
-	memories  map[string]*standin.Memory
+	memories  standin.Memories
 	firstTold map[policy.ExecutorID]time.Duration // when any node was first told that it drains
 	conns     standin.ConnID
 	timeline  *os.File
@@ -95,7 +95,7 @@
 func Play(s lab.Scenario, o Options) (Result, error) {
 	r := &Rig{s: s, o: o, start: time.Now(), rand: rand.New(rand.NewPCG(o.Seed, 9)),
 		discovery: standin.NewDiscovery(time.Duration(s.Fleet.ListLag)), news: make(chan struct{}), tries: map[policy.JobID]*try{}, forgotten: map[policy.JobID]time.Duration{},
-		memories: map[string]*standin.Memory{}, firstTold: map[policy.ExecutorID]time.Duration{}, result: Result{Seed: o.Seed, Tries: map[string]int{}}}
+		memories: standin.Memories{}, firstTold: map[policy.ExecutorID]time.Duration{}, result: Result{Seed: o.Seed, Tries: map[string]int{}}}
 	r.tracks, r.module = s.Takes()
 	r.checker = rules.New(rules.Settings{Tracks: r.module, Slack: slack, Grace: time.Duration(s.Fleet.DrainGrace) + slack, Prompt: time.Hour,
 		WarmWithin: time.Duration(s.Fleet.WarmWithin), FallMultiple: busy * s.Fleet.FallMultiple, FallWindow: time.Duration(s.Fleet.FallWindow), Copies: s.Fleet.Copies})
@@ -201,7 +201,7 @@
 	length := time.Duration(r.s.Length)
 	r.after(warmUp, func() { r.buildClients(r.now() + length) })
 	for _, f := range r.s.Faults {
-		r.script(f)
+		r.script(f.Standin())
 	}
 	r.sampleCapacity()
 	longest := time.Duration(0)
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -38,6 +38,9 @@
 	Times float64
 }
 
+// TailOf is a tail so many times as dear as usual, on one batch job in 50.
+func TailOf(times float64) Tail { return Tail{Part: 0.02, Times: times} }
+
 // Work is what a client wants done, over all its tries.
 type Work struct {
 	ID     rules.WorkID
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -70,6 +70,31 @@
 // NewMemory makes an empty one.
 func NewMemory() *Memory { return &Memory{until: map[string]time.Duration{}} }
 
+// Memories are the memories of a world, by track and by what its dedup group spans.
+type Memories map[memoryKey]*Memory
+
+type memoryKey struct {
+	group policy.Group
+	zone  policy.ZoneID
+	cell  policy.CellID
+	track policy.TrackID
+}
+
+// Of is what remembers the tags of a track's batch jobs at an executor; an empty one where there was none.
+func (all Memories) Of(track policy.TrackID, group policy.Group, at ExecutorSpec) *Memory {
+	k := memoryKey{group: group, track: track}
+	switch group {
+	case policy.GroupZone:
+		k.zone = at.Zone
+	case policy.GroupCell:
+		k.cell = at.Cell
+	}
+	if all[k] == nil {
+		all[k] = NewMemory()
+	}
+	return all[k]
+}
+
 func (m *Memory) repeats(now time.Duration, tag string, window time.Duration) bool {
 	if now <= m.until[tag] {
 		return true
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -123,6 +123,35 @@
 	Size  float64
 }
 
+// Touches says whether a fault is on what bears that name in that zone.
+func (f Fault) Touches(name, zone string) bool {
+	return len(f.Where) == 0 || slices.Contains(f.Where, name) || slices.Contains(f.Where, zone)
+}
+
+// Together puts the troubles of an executor's faults together.
+func Together(faults []Fault) (t Trouble) {
+	for _, f := range faults {
+		switch f.Kind {
+		case Slow:
+			t.Slow = max(1, t.Slow) * f.Size
+		case Stalls:
+			t.StallFor, t.StallEvery = time.Duration(f.Size*1e9), 2*time.Second
+		case Neighbour:
+			t.Neighbour = max(t.Neighbour, f.Size)
+		case Errors:
+			t.Errors = max(t.Errors, f.Size)
+		case Mute:
+			t.Mute = true
+		}
+	}
+	return t
+}
+
+// Without takes a fault that is over out of an executor's.
+func Without(faults []Fault, over Fault) []Fault {
+	return slices.DeleteFunc(faults, func(f Fault) bool { return f.Kind == over.Kind && f.At == over.At && f.Size == over.Size })
+}
+
 func (f Fault) String() string {
 	s := fmt.Sprintf("%s from %v for %v", f.Kind, f.At, f.For)
 	if f.Size != 0 {
--- a/policy/books.go
+++ b/policy/books.go
@@ -22,15 +22,19 @@
 	return 0
 }
 
-// chance is a number from 0 to 1 drawn from the seed and a counter.
-func (d *Dispatcher) chance() float64 {
+// Chance is a number from 0 to 1 drawn from a seed and a counter.
+func Chance(seed, count uint32) float64 {
 	var b [8]byte
-	d.count++
-	binary.LittleEndian.PutUint32(b[:4], d.seed)
-	binary.LittleEndian.PutUint32(b[4:], d.count)
+	binary.LittleEndian.PutUint32(b[:4], seed)
+	binary.LittleEndian.PutUint32(b[4:], count)
 	return float64(crc32.ChecksumIEEE(b[:])) / math.MaxUint32
 }
 
+func (d *Dispatcher) chance() float64 {
+	d.count++
+	return Chance(d.seed, d.count)
+}
+
 // note writes a line to the log.
 func (d *Dispatcher) note(format string, args ...any) {
 	d.words = append(d.words, Due{Task: Note, Text: fmt.Sprintf(format, args...)})
@@ -112,6 +116,19 @@
 	return j.track.earnings
 }
 
+// counts is what a tenant's earnings count for: less over its share.
+func (d *Dispatcher) counts(t *tenant) float64 {
+	if t != nil && t.over > 1 {
+		return d.overage + (1-d.overage)/t.over
+	}
+	return 1
+}
+
+// quoted is the span of j's quoted time, counted from its first try.
+func (j *job) quoted() time.Duration {
+	return min(j.track.quoted+times(j.work, j.track.stretch), j.track.outerLimit)
+}
+
 // abroad is 1 for an executor of another zone, where that has a price.
 func (d *Dispatcher) abroad(e *executor) int {
 	if d.crossPrice > 0 && e.zone != d.zone {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -266,14 +266,17 @@
 	d.coldWork = multiple * d.fallWindow.Seconds() / float64(d.carriers)
 }
 
+// warmth is the least part of its work that e can do at its age, while it is cold.
+func (d *Dispatcher) warmth(e *executor, now time.Duration) float64 {
+	return d.coldShare + (1-d.coldShare)*min(1, max(0, float64(now-e.started)/float64(d.warmWithin)))
+}
+
 // withinCold is rule 4: this node's part of the budget of work for a cold executor, judged by what warm
 // executors of its kind take and the least it can do at its age.
 func (d *Dispatcher) withinCold(e *executor, j *job, now time.Duration) bool {
 	k := d.kinds[e.kind]
-	age := float64(now-e.started) / float64(d.warmWithin)
-	part := d.coldShare + (1-d.coldShare)*min(1, max(0, age))
 	// One that is smaller than its kind, or was slower before its start, takes less.
-	part *= min(1, max(e.size, e.weight)/k.size)
+	part := d.warmth(e, now) * min(1, max(e.size, e.weight)/k.size)
 	budget := d.coldWork * part * float64(k.parallel) / max(k.pace, d.pace(e, now))
 	e.colds = slices.DeleteFunc(e.colds, func(s spend) bool { return s.at+d.fallWindow <= now })
 	for _, s := range e.colds {
@@ -320,10 +323,7 @@
 	if j.track == d.worst {
 		v += d.trackWeight * e / d.worstUnit
 	}
-	if t := j.tenant; t != nil && t.over > 1 {
-		v *= d.overage + (1-d.overage)/t.over
-	}
-	return max(v, 1e-9)
+	return max(v*d.counts(j.tenant), 1e-9)
 }
 
 // patience is how long j waits for its own zone before another zone's tokens open to it: the part of its
@@ -375,7 +375,7 @@
 		j.curt, j.need = true, 1+j.tenant.need
 		j.margin = max(j.margin, j.need)
 	}
-	j.quotedAt = min(now-spent+min(t.quoted+times(j.work, t.stretch), t.outerLimit), j.limitAt)
+	j.quotedAt = min(now-spent+j.quoted(), j.limitAt)
 	d.closeBy(j)
 	d.asked(j, spent == 0 && !in.Again)
 	j.cut = d.talks && d.below(j)
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -294,7 +294,7 @@
 	}
 	if answered {
 		d.stale, d.freed = d.stale || e.mute, true
-		e.told, e.says, e.news, e.mute, e.silences = now, load, now, false, 0
+		e.news, e.mute, e.silences = now, false, 0
 		if k := d.kept[e.sum]; k != nil && load.Free >= 0.5 && now-k.lentAt >= d.shortestQuoted {
 			k.more = k.more || len(k.lent) >= k.quota
 			d.lend(k, len(k.lent)+1, now)
@@ -324,7 +324,7 @@
 		if k := d.kinds[e.kind]; e.up {
 			part := 1.0
 			if now < e.coldUntil {
-				part = d.coldShare + (1-d.coldShare)*min(1, max(0, float64(now-e.started)/float64(d.warmWithin)))
+				part = d.warmth(e, now)
 			}
 			t.Capacity += part * float64(k.parallel) * (e.works + 1) / max(e.runs+k.pace, 1e-9)
 		}
@@ -344,10 +344,7 @@
 
 // rung is the step of what j earns for its work. A tenant over its share is weighed down as in value.
 func (d *Dispatcher) rung(j *job) int {
-	density := d.earnings(j) / max(j.work.Seconds(), 1e-6)
-	if t := j.tenant; t != nil && t.over > 1 {
-		density *= d.overage + (1-d.overage)/t.over
-	}
+	density := d.earnings(j) / max(j.work.Seconds(), 1e-6) * d.counts(j.tenant)
 	rung := Rungs/2 + int(math.Round(2*math.Log2(max(density, 1e-9))))
 	return min(max(0, rung), Rungs-1)
 }
@@ -379,9 +376,7 @@
 }
 
 // slack is what j's quoted time leaves beyond its work, counted from its first try.
-func (j *job) slack() time.Duration {
-	return min(j.track.quoted+times(j.work, j.track.stretch), j.track.outerLimit) - j.work
-}
+func (j *job) slack() time.Duration { return j.quoted() - j.work }
 
 // pressing is j's work against its slack.
 func (j *job) pressing() float64 { return j.work.Seconds() / max(j.slack().Seconds(), 1e-3) }
--- a/policy/state.go
+++ b/policy/state.go
@@ -170,8 +170,6 @@
 	probing bool          // a probe is out
 	mute    bool          // a probe went without answer, and none was answered since
 	probed  time.Duration // when the last one was sent
-	told    time.Duration // when the last was answered, with the load here
-	says    Load
 
 	keeper  NodeID
 	firstAt time.Duration // from then on the first keeper in line is asked again
