A budget that no try before can have spent is the client's own hurry

Cause: Arrived takes all that a budget lacks of the outer limit as spent by earlier tries (policy.go, `case !curt`). Ruled out: tokens (free all along), hold-backs and connections that come up late (8 of 8 usable), overload (nothing held).

Change: where repeats bear no mark, a budget that lacks more than a node holds a batch job, and tells its client to wait, is taken as the client's own.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -369,6 +369,8 @@
 	curt := d.marks && (j.tenant.firstTries(in.Again, first) > mostCurt || first)
 	switch {
 	case lacks <= d.quantum:
+	case !d.marks && lacks > d.heldFor(j)+d.comeBack+max(0, d.stood):
+		// No try before can have spent so much: its client waits for less from the start.
 	case !curt:
 		spent = max(0, t.outerLimit-in.Budget)
 	case j.tenant != nil && in.Budget < t.outerLimit/2:
@@ -385,6 +387,14 @@
 	d.wants = true // it has its own look; of those held none can go that could not before
 }
 
+// heldFor is how long a node keeps a batch job at most for want of a token, before its client may come again.
+func (d *Dispatcher) heldFor(j *job) time.Duration {
+	if j.track.late > 0 {
+		return times(j.track.outerLimit, lateWait)
+	}
+	return j.quoted()
+}
+
 // Closing tells that this node ends: all in hand must be over by then, and what can't be gets its answer at
 // once.
 func (d *Dispatcher) Closing(now, by time.Duration) {
@@ -439,7 +449,7 @@
 	lastStart := j.quotedAt - times(j.work, best)
 	if j.track.late > 0 {
 		// Not to the outer limit: who has waited half of it with nothing out is told to come back instead.
-		lastStart = min(j.limitAt, j.heldAt+times(j.track.outerLimit, lateWait)) - times(j.work, best)
+		lastStart = min(j.limitAt, j.heldAt+d.heldFor(j)) - times(j.work, best)
 	}
 	if now > lastStart {
 		return d.giveUp(j)
