Clients' connections: read before a close, seen to leave behind early bytes, taken at the end

A stranger whose body was half read while clients are sent away got 400. Now nothing goes that holds a message, and what goes is read once more first (watched.go). Ruled out as cause: net/http's own deadlines, which are kept apart. - at StateIdle of a node that ends the connection was closed at once, though the answer before had not said so. - net/http looks for the client's leaving with a read of one byte: once a byte of the next message came, leaving was not seen, and batch jobs sent together by a client that left were sent on one after another. The front reads on by itself. - Loop.Tell drops what comes after Exit: a handler waited for an answer that nobody gives. Front.End pushes it back. - FrontClosed beyond the last moment exited with batch jobs owed: their answers stood behind Exit and were never carried out.

--- a/internal/clients/framing.go
+++ b/internal/clients/framing.go
@@ -2,23 +2,12 @@
 
 import (
 	"bytes"
-	"net"
 	"strconv"
-	"sync"
 )
 
-// watched is a client's connection that follows the framing of what is read on it, up to the first message in chunks.
-// Guards against a message with both a length and chunks: net/http keeps to the chunks and drops the length without a
-// word, and what the one covers and the other does not may hide a batch job.
-type watched struct {
-	net.Conn
-	messages int // that the handler has seen
-
-	mu      sync.Mutex
-	framing framing
-}
-
-// framing is the state of that.
+// framing follows what is read on a client's connection, up to the first message in chunks. Guards against a message with
+// both a length and chunks: net/http keeps to the chunks and drops the length without a word, and what the one covers and
+// the other does not may hide a batch job.
 type framing struct {
 	heads  int    // whole ones
 	ended  bool   // nothing more is followed: a message in chunks has come, or one that makes no sense
@@ -35,31 +24,6 @@
 // longestField is more than any length takes with its name.
 const longestField = 80
 
-func (c *watched) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.mu.Lock()
-	c.framing.follow(b[:n])
-	c.mu.Unlock()
-	return n, err
-}
-
-// CloseWrite ends the sending, as net/http does before it closes.
-func (c *watched) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
-// next counts a message that the handler is given, and says whether it has chunks and nothing beside them.
-func (c *watched) next() (onlyChunks bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.messages++
-	f := &c.framing
-	return f.chunks && !f.length && f.heads == c.messages
-}
-
 func (f *framing) follow(b []byte) {
 	for len(b) > 0 && !f.ended {
 		if f.skip > 0 {
--- a/internal/clients/front.go
+++ b/internal/clients/front.go
@@ -22,6 +22,7 @@
 	server http.Server
 	gate   *gate
 	ready  atomic.Bool
+	over   chan struct{} // closed when nobody takes batch jobs any more
 
 	mu      sync.Mutex
 	waiting map[policy.JobID]chan node.Answer
@@ -40,7 +41,7 @@
 
 // New makes a front for tracks, with a budget of connections.
 func New(tracks []node.Numbered, conns Budget, tell func(node.Event)) *Front {
-	f := &Front{tell: tell, gate: newGate(conns),
+	f := &Front{tell: tell, gate: newGate(conns), over: make(chan struct{}),
 		waiting: map[policy.JobID]chan node.Answer{}}
 	f.Retune(tracks)
 	f.server = http.Server{Handler: http.HandlerFunc(f.handle), ConnState: f.gate.turned,
@@ -136,9 +137,14 @@
 		return
 	}
 	job.Crowded = f.gate.came(conn)
+	gone := conn.awaits()
+	defer conn.replied()
 	f.tell(node.Arrived{Job: job})
-	a := f.wait(r.Context(), job.ID, to)
+	a, left := f.wait(r.Context(), gone, job.ID, to)
 	f.sendElsewhere(w)
+	if left {
+		w.Header().Set("Connection", "close") // what it has sent beyond this is wanted by nobody
+	}
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeSpell))
 	write(w, a)
 }
@@ -151,19 +157,28 @@
 }
 
 // wait gives the final answer, or, once the client has left, that it is broken off: one that has only ended its
-// sending reads that, and not the empty answer of a handler that writes nothing.
-func (f *Front) wait(client context.Context, id policy.JobID, to chan node.Answer) node.Answer {
+// sending reads that, and not the empty answer of a handler that writes nothing. Where nobody takes batch jobs any more,
+// this one was never looked at: it is pushed back. Left: nobody wants what else has come on the connection.
+func (f *Front) wait(client context.Context, gone <-chan struct{}, id policy.JobID, to chan node.Answer) (a node.Answer, left bool) {
+	over := false
 	select {
 	case a := <-to:
-		return a
+		return a, false
 	case <-client.Done():
+	case <-gone:
+		left = true
+	case <-f.over:
+		over = true
 	}
 	f.forget(id)
 	select {
 	case a := <-to: // it came at the same moment
-		return a
+		return a, left
 	default:
-		f.tell(node.Left{Job: id})
-		return node.Answer{Job: id, Final: node.BrokenOff}
 	}
+	if over {
+		return node.Answer{Job: id, Final: node.PushedBack}, false
+	}
+	f.tell(node.Left{Job: id})
+	return node.Answer{Job: id, Final: node.BrokenOff}, left
 }
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -15,6 +15,7 @@
 
 const (
 	closeSpell = 300 * time.Millisecond // answers on their way out have so long
+	endSpell   = 100 * time.Millisecond // and what comes when nobody takes batch jobs any more
 	againSpell = 20 * time.Millisecond
 	overSpell  = 400 * time.Millisecond // clients' connections that rest are left to them for so long in an upgrade
 
@@ -73,6 +74,14 @@
 	}()
 }
 
+// End is called when nobody takes batch jobs any more: what still comes is pushed back, since nothing of it was sent, and
+// the process must not end under it. Guards against clients that send their first message just then.
+func (f *Front) End() {
+	close(f.over)
+	f.gate.endAll(endSpell)
+	f.server.Close()
+}
+
 // gate keeps the connections from clients within their budget. Strangers, on which no batch job has come whole yet, may
 // hold a quarter of it while others want it. Over the budget the stranger goes that came first, or, where they are few,
 // the connection that has rested longest; only where none rests batch jobs are pushed back. From an eighth beyond it on,
@@ -100,10 +109,11 @@
 
 // place is a connection's place at the gate.
 type place struct {
-	conn  net.Conn
+	conn  *watched
 	in    *list.List // which of them it is in, or nil while it is owed an answer
 	at    *list.Element
-	known bool // a batch job has come on it
+	known bool  // a batch job has come on it
+	how   going // once it is let go
 	since time.Time
 }
 
@@ -189,28 +199,28 @@
 	p := g.places[c]
 	switch state {
 	case http.StateNew:
-		p = &place{conn: c, since: time.Now()}
+		p = &place{conn: c.(*watched), since: time.Now()}
 		g.places[c] = p
 		g.open++
 		g.put(p, g.strangers)
-	case http.StateActive: // a message has come
+	case http.StateActive: // a message's head has come
 		if p.known {
 			g.put(p, nil)
 		}
 	case http.StateIdle:
-		if p.known {
+		p.conn.rested()
+		if g.ending || p.in == g.leaving {
+			g.leave(p, resting) // what its client may have sent by now is still taken
+		} else if p.known {
 			g.put(p, g.resting)
 		}
 	case http.StateClosed, http.StateHijacked:
 		g.put(p, nil)
 		delete(g.places, c)
 		g.open--
-		g.room.Signal()
+		g.room.Broadcast()
 	}
 	g.letGo(g.open - g.leaving.Len() - g.budget)
-	if state == http.StateIdle && (g.ending || p.in == g.leaving) {
-		c.Close() // by its owner, before it reads anything more
-	}
 }
 
 func (g *gate) put(p *place, in *list.List) {
@@ -220,6 +230,15 @@
 	if p.in = in; in != nil {
 		p.at = in.PushBack(p)
 	}
+	if in != g.leaving {
+		p.conn.stay()
+	}
+}
+
+// leave lets a connection go.
+func (g *gate) leave(p *place, how going) {
+	g.put(p, g.leaving)
+	p.conn.letGo(how)
 }
 
 // came says that a batch job has come whole on a connection: it keeps its place until it has its answer. It gives
@@ -250,30 +269,17 @@
 	return g.idle
 }
 
-// letGo ends connections that are silent. A read that is over wakes up their owner, which closes them; one that has
-// just read a message goes on with it, so none is lost between being read and being answered. An owner that was about
-// to read may have missed it, so those that leave are told again.
+// letGo lets connections go that are silent, by their owner: a read that is over wakes it up, and it closes them.
 func (g *gate) letGo(n int) {
-	if n <= 0 {
-		return
-	}
 	for ; n > 0; n-- {
-		from := g.resting
+		from, how := g.resting, resting
 		if g.strangers.Len() > g.few {
-			from = g.strangers
+			from, how = g.strangers, silent
 		}
 		if from.Len() == 0 {
 			break
 		}
-		g.put(from.Front().Value.(*place), g.leaving)
-	}
-	g.wake()
-}
-
-// wake ends the reads of those that leave.
-func (g *gate) wake() {
-	for e := g.leaving.Front(); e != nil; e = e.Next() {
-		e.Value.(*place).conn.SetReadDeadline(time.Unix(1, 0))
+		g.leave(from.Front().Value.(*place), how)
 	}
 }
 
@@ -287,7 +293,23 @@
 // letRestingGo moves all that are known and rest to those that leave.
 func (g *gate) letRestingGo() {
 	for g.resting.Len() > 0 {
-		g.put(g.resting.Front().Value.(*place), g.leaving)
+		g.leave(g.resting.Front().Value.(*place), resting)
+	}
+}
+
+// endAll lets all go, and waits until they have or the spell is over.
+func (g *gate) endAll(spell time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ending = true
+	g.letRestingGo()
+	for g.strangers.Len() > 0 {
+		g.leave(g.strangers.Front().Value.(*place), resting)
+	}
+	by := time.Now().Add(spell)
+	defer time.AfterFunc(spell, g.room.Broadcast).Stop()
+	for g.open > 0 && time.Now().Before(by) {
+		g.room.Wait()
 	}
 }
 
@@ -297,7 +319,6 @@
 	defer g.mu.Unlock()
 	g.ending = true
 	g.letRestingGo()
-	g.wake()
 	return g.leaving.Len()
 }
 
@@ -323,9 +344,8 @@
 	for e := g.strangers.Front(); e != nil; {
 		p := e.Value.(*place)
 		if e = e.Next(); time.Since(p.since) >= newcomer {
-			g.put(p, g.leaving)
+			g.leave(p, resting)
 		}
 	}
-	g.wake()
 	return true
 }
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -85,10 +85,12 @@
 	fleet     *fleet.Fleet // nil where this node talks with no others
 	pair
 	booked   []int                     // by a track's number, where its figures stand
+	repeats  []policy.Repeat           // by that number
 	tracks   []Numbered                // the current ones
 	former   map[string]policy.TrackID // by name, the last number that it bore
 	lists    int
 	listLost bool
+	losts    int // calls for the list that brought nothing
 	stopping bool
 	leaving  bool
 	stopAt   time.Duration // when no new batch jobs come any more
@@ -181,10 +183,13 @@
 	case Stopping:
 		n.stop()
 	case FrontClosed:
-		if n.stopping && len(n.due) > 0 && n.now < n.stopBy { // one has come at the last moment
+		if n.stopping && len(n.due) > 0 { // one has come at the last moment; it has its answer by its limit
 			n.say(CloseFront{})
 			return
 		}
+		for len(n.due) > 0 { // the front broke: nobody would learn what becomes of them
+			n.answer(n.due[0], Answer{Final: BrokenOff})
+		}
 		n.say(Exit{})
 	case Declined:
 		n.count(ev.Track, BrokenOff)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -76,7 +76,8 @@
 	front := clients.New(core.Tracks()[:len(s.Settings.Tracks)], s.ClientConns, loop.Tell)
 	pool := executors.New(s.Executors, s.Settings.TellsLoad(), executors.Probing{Path: s.Settings.Probe.Path,
 		Limit: s.Settings.Probe.Limit, Told: s.Settings.Told()}, loop.Tell)
-	watcher := list.New(list.Names{Zones: s.Settings.Zones, Kinds: s.Settings.Kinds, Start: s.Start}, s.List, loop.Tell)
+	watcher := list.New(list.Names{Zones: s.Settings.Zones, Kinds: s.Settings.Kinds, Start: s.Start},
+		list.PatienceFor(s.Settings.DrainGrace, !s.Settings.Policy.MustAsk), s.List, loop.Tell)
 	door := operators.New(config.DoorCallers, loop.TellFirst)
 	edges := node.Edges{List: watcher, Operators: door}
 	if s.Heirs != "" {
@@ -143,6 +144,7 @@
 	}
 	edges.Clients, edges.Executors = fromClients, toExecutors
 	loop.Run(core, edges, s.Log)
+	front.End()
 	var err error
 	if s.Durable != nil {
 		err = s.Durable.End()
