List, executors, hand-overs: spans by the drain grace, stray answers, orders that cross a hand-over

- list: while discovery is silent calls are short, and calls and spells are parts of the drain grace (were 2.5 s and 0.8 s whatever the settings); one call that is lost makes no node ready on an old copy of the list.
- executors: a look before an allocation is written on a used connection, for an end or bytes that have arrived unread; an answer that begins before the first byte was written is none; a 503 that could be a second answer to the allocation before proves nothing for what must not run twice, unless nothing follows it for 20 ms.
- an executor that moves to another address: connections dialled to the old one are not used again.
- a tagged batch job that takes another connection keeps the moment of its decision, by which its window is judged.
- an operator's order at the new process's door before the old one's state is here is done again after it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,6 +83,7 @@
 	leastSockets   = 64
 	defaultIdle    = 60 * time.Second
 	defaultDial    = 100 * time.Millisecond
+	defaultGrace   = time.Second
 	defaultProbe   = 0.25 // seconds
 	leastQuantum   = time.Millisecond
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -24,6 +24,8 @@
 
 	IdleLimit time.Duration // an executor closes a connection that has stood idle so long
 	DialLimit time.Duration // a connection that is not up by then counts as none
+
+	DrainGrace time.Duration // after this node counts as told of a drain, nothing new goes there
 }
 
 // Probe is how executors may be asked for their load; no path: they are not.
@@ -126,6 +128,7 @@
 		WarmWithin   float64 `json:"warm-within-s"`
 		FallMultiple float64 `json:"fall-multiple"`
 		FallS        float64 `json:"fall-s"`
+		DrainGrace   float64 `json:"drain-grace-s"`
 	}
 	Clients struct {
 		MarksRetry bool `json:"marks-retry"`
@@ -170,7 +173,8 @@
 		return Settings{}, err
 	}
 	s := Settings{Zones: w.Areas, Kinds: w.Flavors,
-		IdleLimit: cmp.Or(Seconds(w.Caps.IdleS), defaultIdle), DialLimit: cmp.Or(Seconds(w.Caps.DialS), defaultDial)}
+		IdleLimit: cmp.Or(Seconds(w.Caps.IdleS), defaultIdle), DialLimit: cmp.Or(Seconds(w.Caps.DialS), defaultDial),
+		DrainGrace: cmp.Or(Seconds(w.Rules.DrainGrace), defaultGrace)}
 	for i, name := range loadNames {
 		s.Load[i] = slices.Index(w.Report.Fields, name)
 		if means := loadMeans[name]; means != "" && means != map[string]string{"x0": w.Domain.X0, "x1": w.Domain.X1}[name] {
@@ -234,6 +238,7 @@
 		{rules.WarmWithin < 0, "rules.warm-within-s", "under 0"},
 		{rules.FallMultiple < 0, "rules.fall-multiple", "under 0"},
 		{rules.FallS < 0, "rules.fall-s", "under 0"},
+		{rules.DrainGrace < 0, "rules.drain-grace-s", "under 0"},
 		{w.Domain.TellsEvery < 0, "domain.progress-s", "under 0"},
 		{len(w.Tracks) == 0, "tracks", "missing, or empty"},
 		{w.Report.How != "" && !slices.Contains(reportHows, w.Report.How), "report.how", "none of inline, on_probe and off"},
--- a/internal/executors/executors.go
+++ b/internal/executors/executors.go
@@ -51,7 +51,7 @@
 
 // Write sends an allocation in the background.
 func (p *Pool) Write(id node.ConnID, a node.Allocation) {
-	if l := p.link(id); l != nil && l.begin(a.ID) {
+	if l := p.link(id); l != nil && l.begin(a) {
 		go l.write(a)
 	}
 }
--- a/internal/executors/link.go
+++ b/internal/executors/link.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	longestHead = 16 << 10  // bytes of an answer's head
 	longestLine = 128 << 10 // bytes of one object: a full body, escaped
 	tailSpell   = time.Second
+
+	// A second answer to an allocation may come some milliseconds after the first, by the operators' page.
+	straySpell = 20 * time.Millisecond
 )
 
 // link is one connection.
@@ -33,7 +37,11 @@
 	conn    net.Conn
 	closed  bool         // by us or by the executor: nothing more is begun on it
 	carries policy.JobID // empty while it rests
+	once    bool         // and that must not run again unless it provably never ran
+	sending bool         // a byte of it may have left
 	written chan written // of the allocation it carries
+	readAt  time.Time    // when the last answer had come whole; zero for a new connection
+	sentAt  time.Time    // when this allocation was begun
 }
 
 // written says how writing an allocation ended.
@@ -43,17 +51,37 @@
 }
 
 // begin claims the connection for an allocation, unless it is closed already.
-func (l *link) begin(id policy.JobID) bool {
+func (l *link) begin(a node.Allocation) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || l.conn == nil || l.carries != "" {
 		return false
 	}
-	l.carries, l.written = id, make(chan written, 1)
+	l.carries, l.once, l.written = a.ID, a.Once, make(chan written, 1)
 	return true
 }
 
+// start says whether the allocation may go out. Guards against an executor's close, or something that nothing asked for,
+// that has arrived on a connection at rest and that its reader has not come to: what is written then may have run, for all
+// this node would know, or gets an answer that is not its own.
+func (l *link) start() bool {
+	l.mu.Lock()
+	used := !l.readAt.IsZero()
+	l.mu.Unlock()
+	disturbed := used && pending(l.conn)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = l.closed || disturbed
+	l.sending, l.sentAt = !l.closed, time.Now()
+	return l.sending
+}
+
 func (l *link) write(a node.Allocation) {
+	if !l.start() {
+		l.written <- written{}
+		l.close()
+		return
+	}
 	n, err := l.conn.Write(encode(a))
 	l.written <- written{any: n > 0, all: err == nil}
 	if err != nil {
@@ -105,15 +133,18 @@
 	_, err := r.Peek(1)
 	l.mu.Lock()
 	job := l.carries
-	l.closed = l.closed || err != nil || job == "" // broken, or something that nothing asked for
+	unasked := job == "" || err == nil && !l.sending // it comes before anything has asked for it
+	l.closed = l.closed || err != nil || unasked
 	l.mu.Unlock()
-	if job == "" {
+	if unasked {
 		return false
 	}
 	end := node.Ended{Conn: l.id}
 	var rest io.Reader
 	if err == nil {
-		rest, err = l.read(r, limited, job, &end)
+		if rest, err = l.read(r, limited, job, &end); err == nil && end.Outcome == policy.NoRoom && l.mayBeStray() {
+			err = l.alone(r, rest)
+		}
 	} else {
 		err = fmt.Errorf("no answer: %w", err)
 	}
@@ -133,6 +164,31 @@
 	return err == nil && rest != nil && l.readOut(rest)
 }
 
+// mayBeStray says whether a head that came could be a second answer to the allocation before, and would let a batch job run
+// twice: a head names none. A line does.
+func (l *link) mayBeStray() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.once && !l.readAt.IsZero() && l.sentAt.Sub(l.readAt) < straySpell
+}
+
+// alone waits whether another answer follows: then the one that was turned away is not this allocation.
+func (l *link) alone(r *bufio.Reader, rest io.Reader) error {
+	if rest == nil {
+		return errors.New("an answer that may be to the allocation before, on a connection that ends")
+	}
+	l.conn.SetReadDeadline(time.Now().Add(straySpell))
+	_, err := io.Copy(io.Discard, io.LimitReader(rest, longestHead))
+	if err == nil {
+		_, err = r.Peek(1)
+	}
+	l.conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return fmt.Errorf("an answer that may be to the allocation before: %v", err)
+}
+
 // readOut reads what follows an outcome to its end, or the connection is of no more use.
 func (l *link) readOut(rest io.Reader) bool {
 	l.conn.SetDeadline(time.Now().Add(tailSpell))
@@ -145,7 +201,7 @@
 	l.conn.SetDeadline(time.Time{})
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.carries = ""
+	l.carries, l.sending, l.readAt = "", false, time.Now()
 	return !l.closed
 }
 
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -16,14 +16,36 @@
 )
 
 const (
-	hold       = 2 * time.Second // a watch waits so long for news; one that hangs is noticed soon after
-	grace      = 500 * time.Millisecond
+	// By the operators' page what a watch that has fallen silent misses counts as told 6 s after that: one that hangs is
+	// noticed soon after its wait, which is well within it.
+	hold       = 2 * time.Second
+	shortHold  = 20 * time.Millisecond // the wait of a call that only asks whether discovery is back
 	firstSpell = 50 * time.Millisecond // after a call that brought nothing usable, doubled up to lastSpell
-	lastSpell  = 800 * time.Millisecond
-	breath     = 20 * time.Millisecond // between calls that are answered at once; a watch goes on for 200 ms
+	breath     = 20 * time.Millisecond // between calls that are answered at once; the page lets a watch go on for 200 ms
 	longest    = 4 << 20               // bytes of an answer
+
+	// Bounds of what is derived from the drain grace: an answer takes some time where the core is shared, and calls cost.
+	leastAnswer, mostAnswer = 100 * time.Millisecond, 500 * time.Millisecond
+	leastSpell, mostSpell   = firstSpell, 800 * time.Millisecond
 )
 
+// Patience is how long calls may take, and how far apart they are, while discovery is silent.
+type Patience struct {
+	answer    time.Duration // beyond a call's own wait
+	lastSpell time.Duration
+}
+
+// PatienceFor fits it to the drain grace. Where lists are pushed, what discovery has when it is back counts as told at once,
+// whoever asks: a call that hangs, the spell after it and the next call together take no more than three quarters of the
+// grace. Where nodes ask, calls load a service that all share, and the settings name another time.
+func PatienceFor(drainGrace time.Duration, pushed bool) Patience {
+	if !pushed {
+		return Patience{mostAnswer, mostSpell}
+	}
+	part := drainGrace / 4
+	return Patience{min(max(part, leastAnswer), mostAnswer), min(max(part, leastSpell), mostSpell)}
+}
+
 // Names are the settings' names of zones and kinds, by number.
 type Names struct {
 	Zones, Kinds []string
@@ -32,8 +54,8 @@
 
 // Watcher follows discovery, at one address after another.
 type Watcher struct {
-	hold   time.Duration
-	grace  time.Duration
+	hold time.Duration
+	Patience
 	names  Names
 	tell   func(node.Event)
 	again  chan struct{}
@@ -61,8 +83,8 @@
 type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // New makes a watcher; without a dialer it uses the system's.
-func New(names Names, dial Dialer, tell func(node.Event)) *Watcher {
-	return &Watcher{hold: hold, grace: grace, names: names, tell: tell,
+func New(names Names, patience Patience, dial Dialer, tell func(node.Event)) *Watcher {
+	return &Watcher{hold: hold, Patience: patience, names: names, tell: tell,
 		again: make(chan struct{}, 1), follow: make(chan string, 1), news: make(chan news),
 		http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, DialContext: dial}}}
 }
@@ -133,10 +155,11 @@
 // usable it begins again with a spell in between.
 func (w *Watcher) run(ctx context.Context, from *watch) {
 	url := "http://" + from.addr + path
-	version, known, spell := int64(0), false, firstSpell
+	version, known, lost, spell := int64(0), false, false, firstSpell
 	for {
 		began := time.Now()
-		got, err := w.next(ctx, url, version, known)
+		got, err := w.next(ctx, url, version, known, lost)
+		lost = err != nil
 		select {
 		case <-ctx.Done():
 			return
@@ -151,7 +174,7 @@
 		var odd oddError
 		known = known && !errors.As(err, &odd)
 		w.pause(ctx, spell)
-		spell = min(2*spell, lastSpell)
+		spell = min(2*spell, w.lastSpell)
 	}
 }
 
@@ -167,12 +190,17 @@
 	}
 }
 
-// next asks for the whole list, or for what has changed since a version.
-func (w *Watcher) next(ctx context.Context, url string, version int64, known bool) (update, error) {
+// next asks for the whole list, or for what has changed since a version. While discovery is silent calls are short: one that
+// it leaves unanswered when it is back must not keep its news from this node, which counts as told.
+func (w *Watcher) next(ctx context.Context, url string, version int64, known, lost bool) (update, error) {
 	if known {
-		return w.call(ctx, url+since(version, w.hold), w.hold+w.grace)
+		wait := w.hold
+		if lost {
+			wait = min(wait, shortHold)
+		}
+		return w.call(ctx, url+since(version, wait), wait+w.answer)
 	}
-	got, err := w.call(ctx, url, 2*w.grace)
+	got, err := w.call(ctx, url, w.answer)
 	if err == nil && !got.whole {
 		err = oddError{errors.New("changes where the whole list is due")}
 	}
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -69,7 +69,7 @@
 	defer discovery.Close()
 
 	w := New(Names{Zones: []string{"tallinn", "tartu"}, Kinds: []string{"large", "small"},
-		Start: time.UnixMilli(5000)}, nil, func(ev node.Event) {
+		Start: time.UnixMilli(5000)}, PatienceFor(time.Second, true), nil, func(ev node.Event) {
 		told := ev.(node.Listed)
 		line := map[policy.ListKind]string{policy.Whole: "whole", policy.Changes: "changes", policy.Lost: "lost"}[told.Kind]
 		for _, e := range told.Executors {
@@ -81,7 +81,7 @@
 		}
 		steps <- "  -> " + line
 	})
-	w.hold, w.grace = 20*time.Millisecond, time.Second
+	w.hold, w.answer = 20*time.Millisecond, time.Second
 	go func() {
 		w.Run(ctx, discovery.Listener.Addr().String())
 		close(steps)
@@ -116,7 +116,7 @@
 	from, to := stand("old", oldAnswers), stand("new", newAnswers)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	w := New(Names{}, nil, func(ev node.Event) {
+	w := New(Names{}, PatienceFor(time.Second, true), nil, func(ev node.Event) {
 		switch ev := ev.(type) {
 		case node.Listed:
 			steps <- fmt.Sprintf("  -> list %d: %s", ev.Kind, ev.Executors[0].Executor)
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -15,6 +15,7 @@
 	started time.Duration
 	listed  int // the list that named it last
 	starts  int // how often the list told of a new one
+	moves   int // and of another address
 	up      bool
 	rest    []*conn
 }
@@ -36,13 +37,14 @@
 	job     *job // whose allocation it carries, or is to carry once it is up
 	number  policy.AllocationID
 	start   int            // the start of its executor that the module meant
+	moves   int            // the address that it leads to
 	given   bool           // this node has stopped waiting for that allocation
 	as      policy.Outcome // and why
 	rested  bool           // it has been up and at rest
 	heard   bool           // something of its executor came for that allocation
 	restsAt time.Duration
 	wroteAt time.Duration
-	askedAt time.Duration // when it was dialled
+	askedAt time.Duration // when the module decided on the allocation
 }
 
 func (n *Node) closeConn(c *conn) {
@@ -61,13 +63,13 @@
 func (n *Node) send(j *job, id policy.ExecutorID) {
 	number := policy.AllocationID(j.sent)
 	j.sent++
-	if e := n.executors[id]; e == nil || !n.place(j, number, e) {
+	if e := n.executors[id]; e == nil || !n.place(j, number, e, n.now) {
 		n.over(j, number, policy.NotSent)
 	}
 }
 
-// place finds a connection for an allocation: the one that has rested least, or a new one.
-func (n *Node) place(j *job, number policy.AllocationID, e *executor) bool {
+// place finds a connection for an allocation that was decided on then: the one that has rested least, or a new one.
+func (n *Node) place(j *job, number policy.AllocationID, e *executor, decided time.Duration) bool {
 	if !e.up {
 		return false
 	}
@@ -78,7 +80,7 @@
 	if c == nil {
 		return false
 	}
-	c.job, c.number, c.start, j.conns = j, number, e.starts, append(j.conns, c)
+	c.job, c.number, c.start, c.askedAt, j.conns = j, number, e.starts, decided, append(j.conns, c)
 	if c.state == resting {
 		n.write(c)
 	}
@@ -120,7 +122,7 @@
 		return nil
 	}
 	n.lastConn++
-	c := &conn{id: n.lastConn, to: e, askedAt: n.now}
+	c := &conn{id: n.lastConn, to: e, moves: e.moves}
 	n.conns[c.id] = c
 	n.say(Dial{c.id, e.addr})
 	return c
@@ -161,17 +163,22 @@
 func (n *Node) write(c *conn) {
 	c.state, c.heard, c.wroteAt = busy, false, n.now
 	n.figures.Allocations++ // taken back if its last byte never leaves
-	n.say(Write{c.id, Allocation{Call: &c.job.Call, Budget: max(c.job.limitAt-n.now, time.Millisecond)}})
+	n.say(Write{c.id, Allocation{Call: &c.job.Call, Budget: max(c.job.limitAt-n.now, time.Millisecond),
+		Once: n.repeats[c.job.Track] != policy.Repeatable}})
 }
 
 // anew says whether the executor has started anew since the module meant it: it is cold, so the module is asked again. Guards
 // against a process that wakes, sends on what it knew and learns of the start while it dials.
 func (c *conn) anew() bool { return c.start != c.to.starts }
 
+// astray says whether the executor has moved since this connection was dialled. Guards against one that carries an answer
+// meanwhile, rests after it, and would carry the next allocation to whoever has the old address.
+func (c *conn) astray() bool { return c.moves != c.to.moves }
+
 // outOfWindow says whether a further allocation of a tagged batch job was decided on longer ago than dialling may take, which is
 // all that a dedup window was lessened by. Guards against a process that stood still meanwhile, and would repeat outside it.
-func (n *Node) outOfWindow(c *conn) bool {
-	return c.number > 0 && c.job.Tag != "" && n.now-c.askedAt > n.limits.DialLimit
+func (n *Node) outOfWindow(c *conn, j *job) bool {
+	return c.number > 0 && j.Tag != "" && n.now-c.askedAt > n.limits.DialLimit
 }
 
 // dialled puts a connection that has come up to its use. Its executor may drain, be gone or be another by now, the client may
@@ -181,7 +188,7 @@
 	case c == nil || c.state != dialling:
 	case c.job == nil:
 		n.rest(c)
-	case !c.to.up || c.job.answered || c.anew() || n.outOfWindow(c):
+	case !c.to.up || c.job.answered || c.anew() || c.astray() || n.outOfWindow(c, c.job):
 		j := n.unlink(c)
 		n.rest(c)
 		n.over(j, c.number, policy.NotSent)
@@ -191,7 +198,7 @@
 }
 
 func (n *Node) rest(c *conn) {
-	if !c.to.up {
+	if !c.to.up || c.astray() {
 		n.closeConn(c)
 		return
 	}
@@ -311,7 +318,7 @@
 		n.say(Log{Text: detail, Executor: c.to.id, Job: j.ID})
 		n.closeResting(c.to)
 		n.over(j, c.number, policy.NoRoute)
-	case c.given || j.answered || c.anew() || !n.place(j, c.number, c.to):
+	case c.given || j.answered || c.anew() || n.outOfWindow(c, j) || !n.place(j, c.number, c.to, c.askedAt):
 		n.over(j, c.number, policy.NotSent)
 	}
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -62,6 +62,7 @@
 type Allocation struct {
 	*Call
 	Budget time.Duration // how long this node waits for it
+	Once   bool          // it must not run again unless it provably never ran
 }
 
 // Final is the kind of a final answer.
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -74,7 +74,9 @@
 		}
 	default:
 		if r.No = n.carry(ev.Order, ev.Executor); r.No == "" {
-			n.pass(nobody, Word{Kind: Relay, Order: ev.Order, Executor: ev.Executor}, &r)
+			w := Word{Kind: Relay, Order: ev.Order, Executor: ev.Executor}
+			n.remember(w)
+			n.pass(nobody, w, &r)
 			return
 		}
 	}
--- a/internal/node/listed.go
+++ b/internal/node/listed.go
@@ -50,7 +50,11 @@
 	}
 	n.brain.Listed(n.now, ev.Kind, entries)
 	n.live = n.live || ev.Kind == policy.Whole
-	if !n.ready && len(n.executors) > 0 && ev.Kind != policy.WarmCopy {
+	if ev.Kind == policy.Lost {
+		n.losts++
+	}
+	// One call that is lost is no sign that discovery is down: what it has counts as told, and the copy is older.
+	if !n.ready && len(n.executors) > 0 && ev.Kind != policy.WarmCopy && (n.live || n.copied || n.losts > 1) {
 		n.ready = true
 		n.becomeReady()
 	}
@@ -71,6 +75,9 @@
 		n.executors[e.id] = e
 	}
 	anew := !as.LongAgo && as.Started > e.started
+	if e.addr != in.Addr {
+		e.moves++
+	}
 	if e.addr != in.Addr || anew {
 		n.closeResting(e)
 	}
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -84,6 +84,7 @@
 	said    bool // this process has said its yes
 	relays  map[uint64]*relay
 	seq     uint64
+	orders  []Word // of operators, obeyed here while the elder's state is on its way
 }
 
 // joined takes up a link to another process.
@@ -184,6 +185,7 @@
 		n.mayUseCold()
 	case Relay:
 		n.obey(w.Order, w.Executor)
+		n.remember(w)
 		n.pass(from, Word{Kind: Relay, Order: w.Order, Executor: w.Executor}, nil)
 		n.say(Pass{from, Word{Kind: Done, Seq: w.Seq}})
 	case Done:
@@ -215,6 +217,10 @@
 			n.showModule(e)
 		}
 	}
+	for _, w := range n.orders {
+		n.obey(w.Order, w.Executor)
+	}
+	n.orders = nil
 	n.learn(s)
 	n.say(Log{Text: "the older process has handed over"})
 	n.becomeReady()
@@ -263,6 +269,14 @@
 	}
 }
 
+// remember keeps an order until the older process's state is here. Guards against a state that was told before the order was
+// given, comes after it, and would undo it here alone.
+func (n *Node) remember(w Word) {
+	if n.waits {
+		n.orders = append(n.orders, w)
+	}
+}
+
 // pass hands an order on to all processes but one. The reply, if there is one, goes out once they have done.
 func (n *Node) pass(but LinkID, w Word, reply *Reply) {
 	n.seq++
--- a/internal/node/retune.go
+++ b/internal/node/retune.go
@@ -22,6 +22,7 @@
 			c.ID = n.tracks[i].ID
 		} else {
 			n.booked = append(n.booked, n.figuresOf(t.Name))
+			n.repeats = append(n.repeats, t.Repeat)
 		}
 		n.former[t.Name] = c.ID
 		changes = append(changes, c)
