Crossings on clients' connections, each ordered by a test; what has arrived is asked of the system

Halts (internal/standin) stop a named read, write, close or accept of a real connection until they are let go.

The system is asked instead (internal/socket); the short read stays where it can't say.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -12,6 +12,7 @@
 
 	"birchstair/internal/kept"
 	"birchstair/internal/node"
+	"birchstair/internal/standin"
 	"birchstair/policy"
 )
 
@@ -26,6 +27,11 @@
 }
 
 func newCore(t *testing.T, conns int, change ...func(*http.Server)) *core {
+	return newCoreBehind(t, conns, &standin.Halts{}, change...)
+}
+
+// newCoreBehind makes one whose listener and connections can be stopped.
+func newCoreBehind(t *testing.T, conns int, halts *standin.Halts, change ...func(*http.Server)) *core {
 	c := &core{t: t, told: make(chan node.Event, 100)}
 	c.front = New([]node.Numbered{{Track: node.Track{Name: "board-read"}}, {ID: 1, Track: node.Track{Name: "run-verify", Track: policy.Track{OuterLimit: time.Second}}},
 		{ID: 2, Track: node.Track{Name: "split-record", Track: policy.Track{Repeat: policy.Tagged}}}}, Budget{conns, conns / 2}, func(ev node.Event) {
@@ -51,7 +57,7 @@
 		t.Fatal(err)
 	}
 	c.addr = l.Addr().String()
-	go c.front.Serve(l)
+	go c.front.Serve(halts.Listener(l))
 	t.Cleanup(func() { c.front.server.Close() })
 	return c
 }
--- /dev/null
+++ b/internal/clients/crossings_test.go
@@ -0,0 +1,235 @@
+package clients
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"birchstair/internal/kept"
+	"birchstair/internal/node"
+	"birchstair/internal/standin"
+)
+
+// halted is a core behind a listener whose calls can be stopped.
+func halted(t *testing.T, conns int) (*core, *standin.Halts) {
+	h := &standin.Halts{}
+	c := newCoreBehind(t, conns, h)
+	c.front.Ready(true)
+	return c, h
+}
+
+func (c *core) reached(s *standin.Stop) {
+	c.t.Helper()
+	select {
+	case <-s.Reached:
+	case <-time.After(20 * time.Second):
+		c.t.Fatalf("a call never came where it was to stop, after:\n%s", c.out.String())
+	}
+}
+
+// until waits for something that another goroutine brings about.
+func (c *core) until(what string, so func() bool) {
+	c.t.Helper()
+	for by := time.Now().Add(20 * time.Second); !so(); time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			c.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func (g *gate) counts() (open, resting, leaving int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open, g.resting.Len(), g.leaving.Len()
+}
+
+// eachConn looks at all connections, each under its lock.
+func (c *core) eachConn(look func(*watched)) {
+	c.front.gate.mu.Lock()
+	defer c.front.gate.mu.Unlock()
+	for _, p := range c.front.gate.places {
+		p.conn.mu.Lock()
+		look(p.conn)
+		p.conn.mu.Unlock()
+	}
+}
+
+func (c *core) say(format string, args ...any) { fmt.Fprintf(&c.out, format+"\n", args...) }
+
+// A message that has arrived and is not read yet, when its connection is let go: it is answered.
+func TestLetGoUnderMessage(t *testing.T) {
+	for _, let := range []struct {
+		name string
+		let  func(*core)
+	}{
+		{"the node ends", func(c *core) { c.front.gate.end() }},
+		{"clients are sent away", func(c *core) {
+			c.front.gate.sendAway(true)
+			c.front.gate.letAwayGo()
+		}},
+		{"over the budget", func(c *core) { c.front.Halve(true) }},
+	} {
+		c, h := halted(t, 2)
+		c.say("%s", let.name)
+		first, second := c.dial(), client{}
+		io.WriteString(first, job("handled-1"))
+		c.event()
+		c.answer(first)
+		c.until("it rests", func() bool { _, resting, _ := c.front.gate.counts(); return resting == 1 })
+		if strings.HasPrefix(let.name, "over") {
+			second = c.dial()
+			io.WriteString(second, job("handled-0"))
+			c.event()
+			c.answer(second)
+			c.until("both rest", func() bool { _, resting, _ := c.front.gate.counts(); return resting == 2 })
+		}
+		// The owner's next read is stopped behind the one that waits, so that this one brings the first byte alone.
+		stop := h.At(standin.BeforeRead, 0)
+		io.WriteString(first, job("handled-2")[:1])
+		c.reached(stop)
+		io.WriteString(first, job("handled-2")[1:])
+		let.let(c)
+		stop.Go()
+		c.event()
+		c.answer(first)
+		c.front.server.Close()
+		kept.Compare(t, "let-go-"+strings.Fields(let.name)[0]+".txt", c.out.String())
+	}
+}
+
+// A message that arrives whole between the deadline that is to wake its connection's owner and the owner's look.
+func TestMessageAtLastLook(t *testing.T) {
+	c, h := halted(t, 10)
+	first := c.dial()
+	io.WriteString(first, job("handled-1"))
+	c.event()
+	c.answer(first)
+	c.until("it rests", func() bool { _, resting, _ := c.front.gate.counts(); return resting == 1 })
+	stop := h.At(standin.AfterRead, 0)
+	c.front.gate.end()
+	c.reached(stop) // the read has ended by the deadline, with nothing
+	io.WriteString(first, job("handled-2"))
+	stop.Go()
+	c.event()
+	c.answer(first)
+	kept.Compare(t, "last-look.txt", c.out.String())
+}
+
+// The connection is at rest when the node ends, and its client's next message is there before its owner comes to that.
+func TestRestAtTheEnd(t *testing.T) {
+	c, h := halted(t, 10)
+	first := c.dial()
+	stop := h.At(standin.AfterWrite, 0)
+	io.WriteString(first, job("handled-1"))
+	c.event()
+	c.answer(first) // it says nothing of a close
+	c.reached(stop)
+	c.front.gate.end()
+	io.WriteString(first, job("handled-2"))
+	stop.Go()
+	c.event()
+	c.answer(first)
+	kept.Compare(t, "rest-at-end.txt", c.out.String())
+}
+
+// A newcomer's message is half here when clients are sent away: its rest is waited for.
+func TestSentAwayUnderBody(t *testing.T) {
+	c, _ := halted(t, 10)
+	from := c.dial()
+	text := job("handled-1", "Content-Length: 4") + "bo"
+	io.WriteString(from, text)
+	c.until("its head is read", func() bool {
+		half := false
+		c.eachConn(func(w *watched) { half = w.framing.heads == 1 && w.framing.skip == 2 })
+		return half
+	})
+	c.front.gate.mu.Lock()
+	for _, p := range c.front.gate.places {
+		p.since = time.Now().Add(-newcomer)
+	}
+	c.front.gate.mu.Unlock()
+	c.front.gate.sendAway(true)
+	for range 3 {
+		c.front.gate.letAwayGo()
+	}
+	io.WriteString(from, "dy")
+	c.event()
+	c.answer(from)
+	kept.Compare(t, "sent-away-body.txt", c.out.String())
+}
+
+// Clients that have sent more than their message when they leave, in one piece or later, are seen to leave, and nothing more
+// of their connection is taken. One that stays gets all its answers.
+func TestLeftBehindMore(t *testing.T) {
+	c, _ := halted(t, 10)
+	leaves := func(title, together, later string) {
+		c.say("%s", title)
+		from := c.dial()
+		io.WriteString(from, job("wait-"+title[:1])+together)
+		c.event()
+		io.WriteString(from, later)
+		from.Close()
+		c.event()
+		c.until("its connection is closed", func() bool { open, _, _ := c.front.gate.counts(); return open == 0 })
+	}
+	leaves("a byte of the next, later", "", "P")
+	leaves("both: a byte together and more later", "P", "OST")
+	leaves("c: the next message whole, and one more", job("never-1"), job("never-2"))
+	leaves("d: more than is read at a time", "", job("never", "X-A: "+strings.Repeat("a", 9000))+job("never"))
+
+	c.say("one that only ends its sending reads that it is broken off")
+	from := c.dial()
+	io.WriteString(from, job("wait-h")+"PO")
+	c.event()
+	from.Conn.(*net.TCPConn).CloseWrite()
+	c.event()
+	c.answer(from)
+
+	c.say("one that stays")
+	from = c.dial()
+	next := job("handled-2", "Content-Length: 6000") + strings.Repeat("b", 6000)
+	io.WriteString(from, job("wait-s"))
+	c.event()
+	io.WriteString(from, next[:3])
+	c.until("it is read ahead", func() bool {
+		ahead := false
+		c.eachConn(func(w *watched) { ahead = ahead || w.ahead != nil })
+		return ahead
+	})
+	io.WriteString(from, next[3:5000])
+	c.front.Answer(node.Answer{Job: "wait-s", Result: []byte("at last")})
+	c.answer(from)
+	io.WriteString(from, next[5000:]+job("handled-3"))
+	c.event()
+	c.answer(from)
+	c.event()
+	c.answer(from)
+	kept.Compare(t, "left-behind-more.txt", c.out.String())
+}
+
+// Nobody takes batch jobs any more: what comes whole at that moment is pushed back, and what comes on a connection that was
+// never read is as well.
+func TestEnd(t *testing.T) {
+	c, h := halted(t, 10)
+	stop := h.At(standin.BeforeRead, 2) // behind the two of the first connection: its message, and its client's leaving
+	told := c.dial()
+	io.WriteString(told, job("wait-1"))
+	c.event() // the reducer has ended: it does not look at it
+	late := c.dial()
+	c.reached(stop)
+	io.WriteString(late, job("wait-2"))
+	over := make(chan struct{})
+	go func() {
+		c.front.End()
+		close(over)
+	}()
+	c.answer(told)
+	stop.Go()
+	c.event() // told to nobody
+	c.answer(late)
+	<-over
+	kept.Compare(t, "end.txt", c.out.String())
+}
--- a/internal/clients/watched.go
+++ b/internal/clients/watched.go
@@ -6,10 +6,12 @@
 	"os"
 	"sync"
 	"time"
+
+	"birchstair/internal/socket"
 )
 
 const (
-	lookSpell  = time.Millisecond          // a client's message that has arrived by then is taken, before its connection ends
+	lookSpell  = time.Millisecond          // a last read, where the system can't say whether a message has arrived
 	longestRun = longestHead + longestBody // bytes that are read ahead while an answer is due
 )
 
@@ -154,8 +156,16 @@
 	case c.going == stays || !c.mayGo():
 		c.limit()
 	case !c.looked:
+		// The deadline says nothing of what has arrived: it ends a read that would find something, too.
 		c.looked = true
-		c.Conn.SetReadDeadline(time.Now().Add(lookSpell))
+		switch any, known := socket.Pending(c.Conn); {
+		case any:
+			c.limit()
+		case known:
+			return true
+		default:
+			c.Conn.SetReadDeadline(time.Now().Add(lookSpell))
+		}
 	default:
 		return true
 	}
--- a/internal/executors/link.go
+++ b/internal/executors/link.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"birchstair/internal/node"
+	"birchstair/internal/socket"
 	"birchstair/policy"
 )
 
@@ -68,7 +69,10 @@
 	l.mu.Lock()
 	used := !l.readAt.IsZero()
 	l.mu.Unlock()
-	disturbed := used && pending(l.conn)
+	disturbed := false
+	if used {
+		disturbed, _ = socket.Pending(l.conn)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = l.closed || disturbed
--- /dev/null
+++ b/internal/socket/socket_test.go
@@ -0,0 +1,52 @@
+package socket
+
+import (
+	"io"
+	"net"
+	"testing"
+)
+
+// Nothing, bytes, an end and a break are told apart from nothing without being taken; what is no socket can't say.
+func TestPending(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for _, c := range []struct {
+		name string
+		do   func(*net.TCPConn)
+		want bool
+	}{
+		{"nothing", func(*net.TCPConn) {}, false},
+		{"bytes", func(c *net.TCPConn) { io.WriteString(c, "ab") }, true},
+		{"its end", func(c *net.TCPConn) { c.CloseWrite() }, true},
+		{"a break", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
+	} {
+		near, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		far, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.do(far.(*net.TCPConn))
+		for range 2 { // the first took nothing of it
+			if any, known := Pending(near); any != c.want || !known {
+				t.Errorf("%s: %v, known %v", c.name, any, known)
+			}
+		}
+		if b := make([]byte, 2); c.name == "bytes" {
+			if _, err := io.ReadFull(near, b); err != nil || string(b) != "ab" {
+				t.Errorf("read %q, %v", b, err)
+			}
+		}
+		near.Close()
+		far.Close()
+	}
+	a, _ := net.Pipe()
+	if any, known := Pending(a); any || known {
+		t.Error("a pipe's end says something")
+	}
+}
--- /dev/null
+++ b/internal/standin/halt.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// Step is a moment in a connection's or a listener's life at which it can be stopped.
+type Step int
+
+const (
+	BeforeRead Step = iota
+	AfterRead
+	BeforeWrite
+	AfterWrite
+	BeforeClose
+	AfterClose
+	BeforeAccept
+	AfterAccept
+)
+
+// Halts stops the calls of connections and listeners at named moments, until they are let go. A test orders two events by
+// it that would otherwise come in either order.
+type Halts struct {
+	mu    sync.Mutex
+	stops []*Stop
+}
+
+// Stop is one such moment; it stops one call.
+type Stop struct {
+	// Reached is closed once a call stands there.
+	Reached chan struct{}
+
+	step  Step
+	skip  int
+	letGo chan struct{}
+	once  sync.Once
+}
+
+// At stops the next call that comes to a step, after skip of them have passed it.
+func (h *Halts) At(step Step, skip int) *Stop {
+	s := &Stop{Reached: make(chan struct{}), step: step, skip: skip, letGo: make(chan struct{})}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stops = append(h.stops, s)
+	return s
+}
+
+// Go lets the call go on that stands there, or is to come.
+func (s *Stop) Go() { s.once.Do(func() { close(s.letGo) }) }
+
+func (h *Halts) pass(step Step) {
+	h.mu.Lock()
+	var at *Stop
+	for i, s := range h.stops {
+		if s.step != step {
+			continue
+		}
+		if s.skip--; s.skip < 0 {
+			at = s
+			h.stops = append(h.stops[:i:i], h.stops[i+1:]...)
+			break
+		}
+	}
+	h.mu.Unlock()
+	if at != nil {
+		close(at.Reached)
+		<-at.letGo
+	}
+}
+
+// Conn is a connection that stops.
+func (h *Halts) Conn(c net.Conn) net.Conn { return &haltedConn{c, h} }
+
+// Listener is a listener that stops, and whose connections do.
+func (h *Halts) Listener(l net.Listener) net.Listener { return &haltedListener{l, h} }
+
+type haltedConn struct {
+	net.Conn
+	h *Halts
+}
+
+func (c *haltedConn) Read(b []byte) (int, error) {
+	c.h.pass(BeforeRead)
+	n, err := c.Conn.Read(b)
+	c.h.pass(AfterRead)
+	return n, err
+}
+
+func (c *haltedConn) Write(b []byte) (int, error) {
+	c.h.pass(BeforeWrite)
+	n, err := c.Conn.Write(b)
+	c.h.pass(AfterWrite)
+	return n, err
+}
+
+func (c *haltedConn) Close() error {
+	c.h.pass(BeforeClose)
+	err := c.Conn.Close()
+	c.h.pass(AfterClose)
+	return err
+}
+
+// SyscallConn lets what looks at the socket itself pass.
+func (c *haltedConn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
+type haltedListener struct {
+	net.Listener
+	h *Halts
+}
+
+func (l *haltedListener) Accept() (net.Conn, error) {
+	l.h.pass(BeforeAccept)
+	c, err := l.Listener.Accept()
+	l.h.pass(AfterAccept)
+	if err != nil {
+		return nil, err
+	}
+	return l.h.Conn(c), nil
+}
