The two tests of a message that is half here see the deadline itself

They now count deadlines in the past on the stopped connection; without the look at the framing both fail.

--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -91,7 +91,11 @@
 		io.WriteString(first, job("handled-2")[:1])
 		c.reached(stop)
 		io.WriteString(first, job("handled-2")[1:])
+		cut := h.Cut()
 		let.let(c)
+		if h.Cut() != cut {
+			t.Errorf("%s: its read is cut short under a message", let.name)
+		}
 		stop.Go()
 		c.event()
 		c.answer(first)
@@ -137,7 +141,7 @@
 
 // A newcomer's message is half here when clients are sent away: its rest is waited for.
 func TestSentAwayUnderBody(t *testing.T) {
-	c, _ := halted(t, 10)
+	c, h := halted(t, 10)
 	from := c.dial()
 	text := job("handled-1", "Content-Length: 4") + "bo"
 	io.WriteString(from, text)
@@ -151,10 +155,14 @@
 		p.since = time.Now().Add(-newcomer)
 	}
 	c.front.gate.mu.Unlock()
+	cut := h.Cut()
 	c.front.gate.sendAway(true)
 	for range 3 {
 		c.front.gate.letAwayGo()
 	}
+	if h.Cut() != cut {
+		t.Error("its read is cut short under a message")
+	}
 	io.WriteString(from, "dy")
 	c.event()
 	c.answer(from)
--- a/internal/standin/halt.go
+++ b/internal/standin/halt.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Step is a moment in a connection's or a listener's life at which it can be stopped.
@@ -26,6 +27,14 @@
 type Halts struct {
 	mu    sync.Mutex
 	stops []*Stop
+	cut   int
+}
+
+// Cut is how often a read was told to end at once, by a deadline in the past.
+func (h *Halts) Cut() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cut
 }
 
 // Stop is one such moment; it stops one call.
@@ -96,6 +105,15 @@
 	return n, err
 }
 
+func (c *haltedConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && t.Before(time.Now()) {
+		c.h.mu.Lock()
+		c.h.cut++
+		c.h.mu.Unlock()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 func (c *haltedConn) Close() error {
 	c.h.pass(BeforeClose)
 	err := c.Conn.Close()
