Stops name the connection: a read of another, or one that was late to wait, took the place of the one meant

Seen: TestLetGoUnderMessage failed in about 1 of 100 runs in a row, because the owner had not begun its waiting read when the stop was set.

--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -86,9 +86,12 @@
 			c.answer(second)
 			c.until("both rest", func() bool { _, resting, _ := c.front.gate.counts(); return resting == 2 })
 		}
-		// The owner's next read is stopped behind the one that waits, so that this one brings the first byte alone.
-		stop := h.At(standin.BeforeRead, 0)
+		// The read that waits brings the first byte alone, and the next one is stopped.
+		waits := h.On(1, standin.AfterRead, 0)
 		io.WriteString(first, job("handled-2")[:1])
+		c.reached(waits)
+		stop := h.On(1, standin.BeforeRead, 0)
+		waits.Go()
 		c.reached(stop)
 		io.WriteString(first, job("handled-2")[1:])
 		cut := h.Cut()
@@ -222,7 +225,7 @@
 // never read is as well.
 func TestEnd(t *testing.T) {
 	c, h := halted(t, 10)
-	stop := h.At(standin.BeforeRead, 2) // behind the two of the first connection: its message, and its client's leaving
+	stop := h.On(2, standin.BeforeRead, 0)
 	told := c.dial()
 	io.WriteString(told, job("wait-1"))
 	c.event() // the reducer has ended: it does not look at it
--- a/internal/standin/halt.go
+++ b/internal/standin/halt.go
@@ -28,6 +28,7 @@
 	mu    sync.Mutex
 	stops []*Stop
 	cut   int
+	conns int
 }
 
 // Cut is how often a read was told to end at once, by a deadline in the past.
@@ -43,14 +44,18 @@
 	Reached chan struct{}
 
 	step  Step
+	on    int // the connection's number, from 1; 0 for any
 	skip  int
 	letGo chan struct{}
 	once  sync.Once
 }
 
 // At stops the next call that comes to a step, after skip of them have passed it.
-func (h *Halts) At(step Step, skip int) *Stop {
-	s := &Stop{Reached: make(chan struct{}), step: step, skip: skip, letGo: make(chan struct{})}
+func (h *Halts) At(step Step, skip int) *Stop { return h.On(0, step, skip) }
+
+// On does so for the calls of one connection; they count from 1 in the order in which they were made.
+func (h *Halts) On(conn int, step Step, skip int) *Stop {
+	s := &Stop{Reached: make(chan struct{}), step: step, on: conn, skip: skip, letGo: make(chan struct{})}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stops = append(h.stops, s)
@@ -60,11 +65,11 @@
 // Go lets the call go on that stands there, or is to come.
 func (s *Stop) Go() { s.once.Do(func() { close(s.letGo) }) }
 
-func (h *Halts) pass(step Step) {
+func (h *Halts) pass(conn int, step Step) {
 	h.mu.Lock()
 	var at *Stop
 	for i, s := range h.stops {
-		if s.step != step {
+		if s.step != step || s.on != 0 && s.on != conn {
 			continue
 		}
 		if s.skip--; s.skip < 0 {
@@ -81,27 +86,33 @@
 }
 
 // Conn is a connection that stops.
-func (h *Halts) Conn(c net.Conn) net.Conn { return &haltedConn{c, h} }
+func (h *Halts) Conn(c net.Conn) net.Conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conns++
+	return &haltedConn{c, h, h.conns}
+}
 
 // Listener is a listener that stops, and whose connections do.
 func (h *Halts) Listener(l net.Listener) net.Listener { return &haltedListener{l, h} }
 
 type haltedConn struct {
 	net.Conn
-	h *Halts
+	h      *Halts
+	number int
 }
 
 func (c *haltedConn) Read(b []byte) (int, error) {
-	c.h.pass(BeforeRead)
+	c.h.pass(c.number, BeforeRead)
 	n, err := c.Conn.Read(b)
-	c.h.pass(AfterRead)
+	c.h.pass(c.number, AfterRead)
 	return n, err
 }
 
 func (c *haltedConn) Write(b []byte) (int, error) {
-	c.h.pass(BeforeWrite)
+	c.h.pass(c.number, BeforeWrite)
 	n, err := c.Conn.Write(b)
-	c.h.pass(AfterWrite)
+	c.h.pass(c.number, AfterWrite)
 	return n, err
 }
 
@@ -115,9 +126,9 @@
 }
 
 func (c *haltedConn) Close() error {
-	c.h.pass(BeforeClose)
+	c.h.pass(c.number, BeforeClose)
 	err := c.Conn.Close()
-	c.h.pass(AfterClose)
+	c.h.pass(c.number, AfterClose)
 	return err
 }
 
@@ -135,9 +146,9 @@
 }
 
 func (l *haltedListener) Accept() (net.Conn, error) {
-	l.h.pass(BeforeAccept)
+	l.h.pass(0, BeforeAccept)
 	c, err := l.Listener.Accept()
-	l.h.pass(AfterAccept)
+	l.h.pass(0, AfterAccept)
 	if err != nil {
 		return nil, err
 	}
