Crossings on executors' connections, each ordered by a test

TestRestDisturbed (a close, a reset, a second answer that have arrived unread), TestStrayAnswer (a second answer beside the write), TestAnswerBeforeAllocation.

--- /dev/null
+++ b/internal/executors/crossings_test.go
@@ -0,0 +1,188 @@
+package executors
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"birchstair/internal/kept"
+	"birchstair/internal/node"
+	"birchstair/internal/standin"
+)
+
+// used is a connection that has carried one allocation and rests; its calls can be stopped.
+type used struct {
+	printer
+	t        *testing.T
+	halts    standin.Halts
+	pool     *Pool
+	executor net.Conn
+	in       *bufio.Reader
+}
+
+const (
+	handled = `{"id":"j1","state":"done","result":"r"}`
+	stray   = "503 Service Unavailable\r\nX-Rejected: 1"
+)
+
+// use makes one. What it is to do when the connection rests is done before its reader goes on.
+func use(t *testing.T, title string, atRest func(*used)) *used {
+	u := &used{t: t, printer: printer{events: make(chan node.Event, 100), details: true}}
+	u.out.WriteString(title + "\n")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	tcp := TCP(10 * time.Second)
+	u.pool = New(func(ctx context.Context, id node.ConnID, addr string) (net.Conn, error) {
+		c, err := tcp(ctx, id, addr)
+		if err != nil {
+			return nil, err
+		}
+		return u.halts.Conn(c), nil
+	}, false, Probing{}, func(ev node.Event) {
+		if _, rests := ev.(node.Rested); rests && atRest != nil {
+			atRest(u)
+			atRest = nil
+		}
+		u.events <- ev
+	})
+	u.pool.Dial(1, l.Addr().String())
+	if u.executor, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { u.executor.Close() })
+	u.in = bufio.NewReader(u.executor)
+	u.next(t)
+	u.pool.Write(1, call("j1"))
+	u.takes()
+	u.says(lines(handled))
+	u.next(t)
+	u.next(t)
+	return u
+}
+
+// takes reads an allocation whole.
+func (u *used) takes() {
+	u.t.Helper()
+	u.executor.SetReadDeadline(time.Now().Add(20 * time.Second))
+	m, err := http.ReadRequest(u.in)
+	if err != nil {
+		u.t.Fatalf("no allocation came after:\n%s", u.out.String())
+	}
+	io.Copy(io.Discard, m.Body)
+}
+
+func (u *used) says(text string) { io.WriteString(u.executor, text) }
+
+func (u *used) reached(s *standin.Stop) {
+	u.t.Helper()
+	select {
+	case <-s.Reached:
+	case <-time.After(20 * time.Second):
+		u.t.Fatalf("a call never came where it was to stop, after:\n%s", u.out.String())
+	}
+}
+
+// end prints what is told until the connection is given back.
+func (u *used) end() {
+	u.t.Helper()
+	for {
+		if _, over := u.next(u.t).(node.Closed); over {
+			return
+		}
+	}
+}
+
+func onceOnly(id string) node.Allocation {
+	a := call(id)
+	a.Once = true
+	return a
+}
+
+// What an executor has done on a connection at rest has arrived, and its reader has not come to it, when the next allocation
+// is to go out: nothing of it does.
+func TestRestDisturbed(t *testing.T) {
+	text := ""
+	for _, c := range []struct {
+		title string
+		do    func(*used)
+	}{
+		{"the executor closes", func(u *used) { u.executor.Close() }},
+		{"the executor resets", func(u *used) {
+			u.executor.(*net.TCPConn).SetLinger(0)
+			u.executor.Close()
+		}},
+		{"a second answer", func(u *used) { u.says(answer(stray)) }},
+	} {
+		var stop *standin.Stop
+		u := use(t, c.title, func(u *used) { stop = u.halts.On(1, standin.BeforeRead, 0) })
+		u.reached(stop)
+		c.do(u)
+		wrote := u.halts.On(1, standin.BeforeClose, 0) // the writer gives up by closing
+		u.pool.Write(1, onceOnly("j2"))
+		u.reached(wrote)
+		wrote.Go()
+		stop.Go()
+		u.end()
+		text += u.out.String()
+	}
+	kept.Compare(t, "rest-disturbed.txt", text)
+}
+
+// A second answer to the allocation before arrives when the next one is about to be written, or has just been: for what must
+// not run twice it proves nothing. Where nothing follows it, it is this allocation's own.
+func TestStrayAnswer(t *testing.T) {
+	text := ""
+	for _, c := range []struct {
+		title  string
+		follow bool
+	}{{"the allocation's own answer follows", true}, {"nothing follows", false}} {
+		u := use(t, c.title, nil)
+		writes := u.halts.On(1, standin.BeforeWrite, 0)
+		u.pool.Write(1, onceOnly("j2"))
+		u.reached(writes)
+		reads := u.halts.On(1, standin.BeforeRead, 0)
+		u.says(answer(stray))
+		u.reached(reads) // the answer has been read, and more is waited for
+		writes.Go()
+		u.takes()
+		if c.follow {
+			u.says(lines(`{"id":"j2","state":"started"}`))
+		}
+		for l, sent := u.pool.link(1), false; !sent; time.Sleep(time.Millisecond) {
+			l.mu.Lock()
+			sent = l.sent
+			l.mu.Unlock()
+		}
+		reads.Go()
+		if u.next(t); c.follow {
+			u.end()
+		} else {
+			u.next(t)
+		}
+		text += u.out.String()
+	}
+	kept.Compare(t, "stray-answer.txt", text)
+}
+
+// Something comes on a connection that is taken for an allocation of which no byte has left: it answers nothing.
+func TestAnswerBeforeAllocation(t *testing.T) {
+	u := use(t, "taken, and not begun", nil)
+	l := u.pool.link(1)
+	if !l.begin(onceOnly("j2")) {
+		t.Fatal("it does not rest")
+	}
+	u.says(answer(stray))
+	u.end()
+	l.write(onceOnly("j2"))
+	if how := <-l.written; how.any {
+		t.Error("a byte of it left all the same")
+	}
+	kept.Compare(t, "answer-before.txt", u.out.String())
+}
--- a/internal/executors/link.go
+++ b/internal/executors/link.go
@@ -40,6 +40,7 @@
 	carries policy.JobID // empty while it rests
 	once    bool         // and that must not run again unless it provably never ran
 	sending bool         // a byte of it may have left
+	sent    bool         // its last one has
 	written chan written // of the allocation it carries
 	readAt  time.Time    // when the last answer had come whole; zero for a new connection
 	sentAt  time.Time    // when this allocation was begun
@@ -87,6 +88,9 @@
 		return
 	}
 	n, err := l.conn.Write(encode(a))
+	l.mu.Lock()
+	l.sent = err == nil
+	l.mu.Unlock()
 	l.written <- written{any: n > 0, all: err == nil}
 	if err != nil {
 		l.close()
@@ -173,7 +177,7 @@
 func (l *link) mayBeStray() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.once && !l.readAt.IsZero() && l.sentAt.Sub(l.readAt) < straySpell
+	return l.once && !l.readAt.IsZero() && (!l.sent || l.sentAt.Sub(l.readAt) < straySpell)
 }
 
 // alone waits whether another answer follows: then the one that was turned away is not this allocation.
@@ -187,7 +191,11 @@
 		_, err = r.Peek(1)
 	}
 	l.conn.SetReadDeadline(time.Time{})
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	l.mu.Lock()
+	sent := l.sent
+	l.mu.Unlock()
+	// A deadline ends a read that would find something, too.
+	if more, _ := socket.Pending(l.conn); sent && !more && errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil
 	}
 	return fmt.Errorf("an answer that may be to the allocation before: %v", err)
@@ -205,7 +213,7 @@
 	l.conn.SetDeadline(time.Time{})
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.carries, l.sending, l.readAt = "", false, time.Now()
+	l.carries, l.sending, l.sent, l.readAt = "", false, false, time.Now()
 	return !l.closed
 }
 
