A rule: nothing is sent on 0.3 s after its client left, in the lab, the rig and with real processes

rules.Awaited counts from the end of the client's connection, known to the node or not, whatever the track; birchlab prints how many left while they waited.

--- a/cmd/birchlab/fleet.go
+++ b/cmd/birchlab/fleet.go
@@ -119,6 +119,9 @@
 	if r.Late > 0 {
 		fmt.Printf("  %d allocations to executors that drain, from nodes that nobody told\n", r.Late)
 	}
+	if r.WentWaiting > 0 {
+		fmt.Printf("  %d clients left while their batch jobs waited\n", r.WentWaiting)
+	}
 	for _, w := range r.Wrong {
 		fmt.Printf("  WRONG: %s (see %s)\n", w, dir)
 	}
--- a/internal/lab/defects_test.go
+++ b/internal/lab/defects_test.go
@@ -46,6 +46,11 @@
 	s.Faults = []Fault{{Kind: standin.Slow, At: Span(4 * time.Second), For: Span(18 * time.Second), Where: []string{"e0", "e1", "e2", "e3", "e4"}, Size: 6}}
 }
 
+// impatient is a world whose clients leave while their batch jobs wait.
+func impatient(s *Scenario) {
+	s.Load.Of, s.Load.Leaves, s.Faults = 1.6, 0.5, nil
+}
+
 // fewSeconds is for tagged tracks whose window passes soon.
 func tagged(group string, window time.Duration) func(*Scenario) {
 	return func(s *Scenario) {
@@ -241,6 +246,7 @@
 		s.Load.Of = 1.5
 		s.Fleet.ColdShare, s.Fleet.FallMultiple, s.Fleet.Queue = 0.1, 1, 10
 	}, plant{settings: func(p *policy.Settings) { p.ColdShare, p.WarmWithin, p.FallMultiple = 1, time.Millisecond, 1000 }}},
+	{"the leaving is forgotten", rules.Awaited, impatient, plant{unheard: true}},
 	{"what is given up on is held for a while", rules.AtOnce, nil, plant{
 		effect: instead(func(w *World, n *sim, a node.Answer) []node.Effect {
 			if t := n.tries[a.Job]; a.Final == node.PushedBack && t != nil && t.work.Limit > w.now+time.Second {
@@ -283,7 +289,10 @@
 
 // All rules have a defect that breaks them.
 func TestEveryRuleIsPutToTheTest(t *testing.T) {
-	for r := rules.OneAnswer; r <= rules.AtOnce; r++ {
+	for r := range rules.Awaited + 1 {
+		if r < rules.OneAnswer || r == rules.Bound { // its defects are planted in fleets
+			continue
+		}
 		if !slices.ContainsFunc(defects, func(d defect) bool { return d.rule == r }) {
 			t.Errorf("no defect breaks %q", r)
 		}
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -180,6 +180,10 @@
 func (n *sim) forget(t *try) {
 	t.over = true
 	n.inHand--
+	n.w.see(rules.Seen{What: rules.Went, Node: n.id, Job: t.job})
+	if n.w.plant.unheard {
+		return
+	}
 	n.w.see(rules.Seen{What: rules.Left, Node: n.id, Job: t.job})
 	n.tell(node.Left{Job: t.job})
 }
--- a/internal/lab/wired.go
+++ b/internal/lab/wired.go
@@ -630,6 +630,7 @@
 		v.enter(func() {
 			if how == standin.EndBrokenOff && work.Leaves <= v.w.now {
 				v.w.result.Left++
+				v.w.see(rules.Seen{What: rules.Went, Node: t.n.id, Job: t.job})
 			}
 			t.end(how, comeBack)
 		})
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -68,6 +68,7 @@
 	fleet      func(*fleet.Settings)
 	standin    func(*standin.Executor)
 	allocation func(*standin.Allocation)
+	unheard    bool // nodes are not told that a client has left
 }
 
 // cut says until when nothing gets into a zone from others, and out of it.
--- a/internal/rig/ends.go
+++ b/internal/rig/ends.go
@@ -147,6 +147,10 @@
 			}
 			r.see(rules.Seen{What: rules.Ran, Node: o.Node, Job: o.Job, Work: o.Work, Track: o.Track, Executor: x.ID})
 		case standin.Reached:
+			// The rig sees no first byte but what reaches an executor; its links add nothing where none is slowed.
+			if at, went := r.went[o.Job]; went && r.now()-at >= rules.AwaitedFor+slack {
+				r.wrong("%s reached %s %v after its client had left", o.Job, x.ID, r.now()-at)
+			}
 			if x.Cold(r.now()) {
 				r.see(rules.Seen{What: rules.Reached, Node: o.Node, Job: o.Job, Executor: x.ID, Cost: o.Hint, Capacity: o.Capacity})
 			}
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -45,7 +45,7 @@
 	for i, zone := range f.Zones {
 		c := &clients{r: r, zone: policy.ZoneID(i), until: until}
 		c.Clients = standin.NewClients(zone+"-", r.tracks, standin.Habits{Rate: rates[i], Retries: l.Retries,
-			RetryWait: time.Duration(l.RetryWait), HeedsBack: l.HeedsBack, HintNoise: l.HintNoise}, f.PerWork, rand.New(rand.NewPCG(r.o.Seed, uint64(5000+i))))
+			RetryWait: time.Duration(l.RetryWait), HeedsBack: l.HeedsBack, Leaves: l.Leaves, HintNoise: l.HintNoise}, f.PerWork, rand.New(rand.NewPCG(r.o.Seed, uint64(5000+i))))
 		r.clients = append(r.clients, c)
 		r.after(c.Gap(), c.arrive)
 	}
@@ -130,7 +130,12 @@
 		r.mu.Lock()
 		r.see(rules.Seen{What: rules.Taken, Node: t.p.id, Job: t.job, Work: t.work.ID, Track: t.work.Track, Limit: r.now() + m.Budget})
 		r.mu.Unlock()
-		c.SetDeadline(time.Now().Add(m.Budget + slack + 500*time.Millisecond))
+		until := m.Budget + slack + 500*time.Millisecond
+		leaves := t.work.Leaves < t.work.Limit
+		if leaves {
+			until = max(0, t.work.Leaves-r.now())
+		}
+		c.SetDeadline(time.Now().Add(until))
 		_, err = c.Write(m.Append(nil))
 		var f platform.Final
 		in := bufio.NewReader(c)
@@ -145,6 +150,12 @@
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.Close()
+			if leaves {
+				r.mu.Lock()
+				r.see(rules.Seen{What: rules.Went, Node: t.p.id, Job: t.job})
+				r.went[t.job] = r.now()
+				r.mu.Unlock()
+			}
 			return standin.EndBrokenOff, f
 		case err != nil:
 			c.Close()
@@ -208,6 +219,7 @@
 		}
 	case how == standin.EndLost:
 		r.wrong("%s: node %s ended its connection with no whole answer", t.job, t.p.name)
+	case f.Status == 0 && work.Leaves <= r.now(): // its client has left
 	case f.Status == 0:
 		r.wrong("%s: node %s gave no answer by its outer limit", t.job, t.p.name)
 	default:
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -42,6 +42,7 @@
 	Work        float64        // seconds of work that reached executors
 	Finished    float64        // and that they got done
 	Late        int            // allocations to an executor that drains from nodes whose own list does not say so, long after another node was told
+	WentWaiting int            // clients that left while their batch jobs waited with nothing out
 	Views       [][]string     // what each node said of its fleet at the end
 	Wrong       []string
 }
@@ -66,6 +67,7 @@
 	news      chan struct{} // closed when discovery may have something new
 	tries     map[policy.JobID]*try
 	forgotten map[policy.JobID]time.Duration // when a try ended
+	went      map[policy.JobID]time.Duration // when a client left before its answer
 	clients   []*clients
 	memories  standin.Memories
 	firstTold map[policy.ExecutorID]time.Duration // when any node was first told that it drains
@@ -94,7 +96,7 @@
 // Play plays a run. An error means that it could not be played.
 func Play(s lab.Scenario, o Options) (Result, error) {
 	r := &Rig{s: s, o: o, start: time.Now(), rand: rand.New(rand.NewPCG(o.Seed, 9)),
-		discovery: standin.NewDiscovery(time.Duration(s.Fleet.ListLag)), news: make(chan struct{}), tries: map[policy.JobID]*try{}, forgotten: map[policy.JobID]time.Duration{},
+		discovery: standin.NewDiscovery(time.Duration(s.Fleet.ListLag)), news: make(chan struct{}), tries: map[policy.JobID]*try{}, forgotten: map[policy.JobID]time.Duration{}, went: map[policy.JobID]time.Duration{},
 		memories: standin.Memories{}, firstTold: map[policy.ExecutorID]time.Duration{}, result: Result{Seed: o.Seed, Tries: map[string]int{}}}
 	r.tracks, r.module = s.Takes()
 	r.checker = rules.New(rules.Settings{Tracks: r.module, Slack: slack, Grace: time.Duration(s.Fleet.DrainGrace) + slack, Prompt: time.Hour,
@@ -255,6 +257,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.checker.Pass(r.now())
+	r.result.WentWaiting = r.checker.WentWaiting()
 	for _, b := range r.checker.Broken() {
 		if text := b.String(); !slices.Contains(r.result.Wrong, text) {
 			r.wrong("%s", text)
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -114,3 +114,11 @@
 		}
 	}
 }
+
+// Clients leave while their batch jobs wait at real processes: nothing of those reaches an executor 0.3 s later.
+func TestClientsLeave(t *testing.T) {
+	r := play(t, kept(t, "fleet-clients-leave"), 3)
+	if r.WentWaiting < 10 {
+		t.Errorf("%d clients left while their batch jobs waited: too few to tell", r.WentWaiting)
+	}
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -21,9 +22,10 @@
 	ColdSpared                    // a cold executor is not pushed over
 	AtOnce                        // a batch job given up on is answered at once
 	Bound                         // what nodes tell each other is within its bounds
+	Awaited                       // nothing is sent on whose client left a while ago
 )
 
-var ruleNames = [...]string{"", "one answer", "no effect twice", "drain kept", "cold spared", "answered at once", "bound kept"}
+var ruleNames = [...]string{"", "one answer", "no effect twice", "drain kept", "cold spared", "answered at once", "bound kept", "still awaited"}
 
 func (r Rule) String() string { return ruleNames[r] }
 
@@ -72,6 +74,8 @@
 	broken    []Broken
 	reported  map[string]bool
 	lateTwice int
+	went      map[jobKey]time.Duration // when the client's connection ended
+	wentWaits int
 }
 
 type jobKey struct {
@@ -89,6 +93,7 @@
 	excused  bool // its node stood still while it was in hand: no time binds
 	answered bool
 	left     bool
+	went     bool // its client has, whether its node knows or not
 	sent     []sent
 }
 
@@ -136,11 +141,14 @@
 
 const keptLines = 1 << 12
 
+// AwaitedFor is how long after its client's end a batch job may still be sent on, whatever its track, by the operators' terms.
+const AwaitedFor = 300 * time.Millisecond
+
 // New makes a checker that has seen nothing.
 func New(s Settings) *Checker {
 	return &Checker{s: s, jobs: map[jobKey]*job{}, still: map[NodeID]bool{}, works: map[WorkID][]run{},
 		nodes: map[NodeID]map[policy.ExecutorID]told{}, executors: map[policy.ExecutorID]*executor{},
-		reported: map[string]bool{}}
+		reported: map[string]bool{}, went: map[jobKey]time.Duration{}}
 }
 
 // Broken are the rules that broke so far, in order.
@@ -149,6 +157,9 @@
 // LateTwice is how often a tagged batch job ran again because its allocation came later than its window.
 func (c *Checker) LateTwice() int { return c.lateTwice }
 
+// WentWaiting is how many clients left while their batch jobs waited with nothing out.
+func (c *Checker) WentWaiting() int { return c.wentWaits }
+
 // See takes in a thing seen, and says which rules broke by it or by the time that passed before it. Things come in the
 // order of their times.
 func (c *Checker) See(s Seen) []Broken {
@@ -170,6 +181,7 @@
 				delete(c.jobs, k)
 			}
 		}
+		maps.DeleteFunc(c.went, func(k jobKey, _ time.Duration) bool { return k.node == s.Node })
 	case StoodStill, WentOn:
 		c.still[s.Node] = s.What == StoodStill
 		for k, j := range c.jobs {
@@ -184,6 +196,14 @@
 			j.given, j.gaveUp = true, s.At
 			c.at(s.At+c.s.Prompt, key, 0)
 		}
+	case Went:
+		c.went[key] = s.At
+		if j := c.jobs[key]; j != nil {
+			j.went = true
+			if !j.answered && !slices.ContainsFunc(j.sent, func(a sent) bool { return !a.over }) {
+				c.wentWaits++
+			}
+		}
 	case Left:
 		if j := c.jobs[key]; j != nil {
 			j.left = true
@@ -212,6 +232,11 @@
 		j := c.jobs[d.key]
 		switch {
 		case j == nil || j.answered || j.left || j.excused:
+		case j.went: // nobody waits for an answer
+			if d.limit == j.limit {
+				j.left = true
+				c.drop(d.key, j)
+			}
 		case d.limit == 0 && j.given:
 			c.breaks(AtOnce, d.at, d.key, j.work, "", "%s was given up on at %.3fs and has no answer %v later", d.key.id,
 				j.gaveUp.Seconds(), c.s.Prompt)
@@ -250,7 +275,8 @@
 		j = &job{}
 		c.jobs[key] = j
 	}
-	j.work, j.track, j.limit, j.answered, j.left, j.given = s.Work, s.Track, s.Limit, false, false, false
+	delete(c.went, key)
+	j.work, j.track, j.limit, j.answered, j.left, j.went, j.given = s.Work, s.Track, s.Limit, false, false, false, false
 	j.excused = c.still[s.Node]
 	c.at(s.Limit+c.s.Slack, key, s.Limit)
 }
@@ -264,6 +290,9 @@
 
 func (c *Checker) sent(key jobKey, s Seen) {
 	j := c.jobs[key]
+	if at, went := c.went[key]; went && s.At >= at+AwaitedFor && (j == nil || !j.excused) {
+		c.breaks(Awaited, s.At, key, s.Work, s.Executor, "%s was sent to %s %v after its client had left", s.Job, s.Executor, s.At-at)
+	}
 	if j == nil || (j.answered || j.left) && !j.excused {
 		c.breaks(OneAnswer, s.At, key, s.Work, s.Executor, "%s was sent to %s after its end", s.Job, s.Executor)
 		return
--- a/internal/rules/seen.go
+++ b/internal/rules/seen.go
@@ -41,10 +41,11 @@
 	Fell                    // Executor has fallen over
 	StoodStill              // Node's process stands still, and owes what it has in hand no more by its time
 	WentOn                  // and goes on
+	Went                    // the connection of Job's client at Node has ended, whether Node knows or not
 )
 
 var whats = [...]string{"note", "node started", "node killed", "told", "taken", "given up", "left", "first byte",
-	"last byte", "over", "answered", "started", "reached", "ran", "fell", "stood still", "went on"}
+	"last byte", "over", "answered", "started", "reached", "ran", "fell", "stood still", "went on", "client went"}
 
 func (w What) String() string { return whats[w] }
 
