--- /dev/null
+++ b/internal/service/crossings_test.go
@@ -0,0 +1,285 @@
+package service_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchstair/internal/clients"
+	"birchstair/internal/config"
+	"birchstair/internal/node"
+	"birchstair/internal/service"
+	"birchstair/internal/standin"
+	"birchstair/internal/standin/platform"
+	"birchstair/policy"
+)
+
+// whole is a whole node on real connections, with one executor that discovery names in a state that the test sets.
+type whole struct {
+	t      *testing.T
+	listen string
+	dials  chan chan struct{} // each dial to the executor stops until its channel is closed
+	state  chan policy.State
+
+	mu              sync.Mutex
+	ran             map[policy.JobID]int
+	left, lists, up int // events that the reducer has taken
+	writes          int // allocations that it has sent out
+	over            chan error
+	stop            context.CancelFunc
+}
+
+func listener(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func start(t *testing.T, first policy.State, repeat string) *whole {
+	w := &whole{t: t, ran: map[policy.JobID]int{}, over: make(chan error, 1), state: make(chan policy.State, 1), dials: make(chan chan struct{}, 10)}
+	at := listener(t)
+	go (&platform.Executor{ID: "e", Takes: func() time.Duration { return time.Millisecond }, Ran: func(job policy.JobID) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.ran[job]++
+	}}).Serve(at)
+	list := listener(t)
+	go w.discovery(list, standin.Entry{Addr: at.Addr().String(), Entry: policy.Entry{Executor: "e", Weight: 1, LongAgo: true, State: first}})
+	s, err := config.ReadSettings([]byte(`{"balancers":1,"areas":["z"],"flavors":["plain"],"caps":{"max-allocations":3},"domain":{"tells-start":true},
+		"tracks":[{"name":"page","quoted-time-s":20,"outer-limit-s":40,"late-earnings":0.5,"repeat":"` + repeat + `","earnings":1}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := listener(t)
+	w.listen = l.Addr().String()
+	var ctx context.Context
+	ctx, w.stop = context.WithCancel(context.Background())
+	t.Cleanup(w.stop)
+	tcp := net.Dialer{}
+	go func() {
+		w.over <- service.Run(ctx, service.Setup{Settings: s, Start: time.Now(), Listener: l, Discovery: list.Addr().String(), Log: zerolog.Nop(),
+			ClientConns: clients.Budget{Whole: 300, Half: 150}, Module: policy.New(s.Policy),
+			Executors: func(ctx context.Context, _ node.ConnID, addr string) (net.Conn, error) {
+				goOn := make(chan struct{})
+				select {
+				case w.dials <- goOn:
+					<-goOn
+				default:
+				}
+				return tcp.DialContext(ctx, "tcp", addr)
+			},
+			Tap: func(_ time.Duration, ev node.Event, effects []node.Effect) {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				switch ev.(type) {
+				case node.Left:
+					w.left++
+				case node.Listed:
+					w.lists++
+				case node.Dialled:
+					w.up++
+				}
+				for _, e := range effects {
+					if _, ok := e.(node.Write); ok {
+						w.writes++
+					}
+				}
+			},
+			Limits: node.Limits{Quantum: time.Millisecond, IdleUse: time.Minute, DialLimit: 10 * time.Second, Conns: 100, HalfConns: 50, Bodies: 1 << 20,
+				Work: time.Hour, StopSpell: 10 * time.Millisecond, StopLimit: 10 * time.Second}}, nil)
+	}()
+	w.until("it is ready", func() bool {
+		a, err := http.Get("http://" + w.listen + "/-/ready")
+		if err != nil {
+			return false
+		}
+		a.Body.Close()
+		return a.StatusCode == http.StatusOK
+	})
+	return w
+}
+
+// discovery names one executor; a watch waits for its next state.
+func (w *whole) discovery(l net.Listener, e standin.Entry) {
+	seq := 1
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		in := bufio.NewReader(c)
+		for {
+			ask, err := platform.ReadWatch(in)
+			if err != nil {
+				break
+			}
+			entries := []standin.Entry{e}
+			if !ask.Whole {
+				select {
+				case e.State = <-w.state:
+					seq++
+					entries = []standin.Entry{e}
+				case <-time.After(ask.Hold):
+					entries = nil
+				}
+			}
+			if _, err := c.Write(platform.AppendList(nil, seq, ask.Whole, entries, []string{"z"}, time.Now())); err != nil {
+				break
+			}
+		}
+		c.Close()
+	}
+}
+
+func (w *whole) until(what string, so func() bool) {
+	w.t.Helper()
+	for by := time.Now().Add(20 * time.Second); !so(); time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			w.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// hands writes a batch job on a connection of its own.
+func (w *whole) hands(id string) net.Conn {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.listen)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: n\r\nX-Call-Id: %s\r\nX-Call-Class: page\r\nX-Budget-Ms: 40000\r\nContent-Length: 0\r\n\r\n", id)
+	return c
+}
+
+// handled waits for the answer.
+func (w *whole) handled(c net.Conn) {
+	w.t.Helper()
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || a.StatusCode != http.StatusOK {
+		w.t.Fatalf("no result: %v, %v", a, err)
+	}
+}
+
+// ranOnly says that nothing ran but what a client still waited for.
+func (w *whole) ranOnly(id policy.JobID) {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for job, n := range w.ran {
+		if job != id || n != 1 {
+			w.t.Errorf("%s ran %d times", job, n)
+		}
+	}
+}
+
+func (w *whole) heard(n int) {
+	w.t.Helper()
+	w.until("the node has heard that its clients left", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.left == n
+	})
+}
+
+// A hundred clients leave in one instant while their batch jobs wait for a token: none of those is sent on, the one whose client
+// stays is.
+func TestClientsLeaveWhileHeld(t *testing.T) {
+	end := func(conns []net.Conn, more string) {
+		for _, c := range conns {
+			if more != "" {
+				c.Write([]byte(more))
+			}
+		}
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+	for _, more := range []string{"", "P", strings.Repeat("POST /y HTTP/1.1\r\n", 300)} {
+		w := start(t, policy.Draining, "repeatable")
+		var leave []net.Conn
+		for i := range 100 {
+			leave = append(leave, w.hands(fmt.Sprint("leaves-", i)))
+		}
+		stays := w.hands("stays")
+		end(leave, more)
+		w.heard(100)
+		w.state <- policy.Up
+		go func() {
+			for goOn := range w.dials {
+				close(goOn)
+			}
+		}()
+		w.handled(stays)
+		w.ranOnly("stays")
+		w.stop()
+		if err := <-w.over; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// The client leaves while the connection for its batch job is being dialled: nothing of it is written.
+func TestClientLeavesWhileDialling(t *testing.T) {
+	w := start(t, policy.Up, "once")
+	leaves := w.hands("leaves")
+	goOn := <-w.dials
+	leaves.Close()
+	w.heard(1)
+	close(goOn)
+	go func() {
+		for goOn := range w.dials {
+			close(goOn)
+		}
+	}()
+	w.handled(w.hands("stays"))
+	w.ranOnly("stays")
+}
+
+// Discovery names the executor as draining while the connection is being dialled: nothing goes out on it when it comes up, and
+// the batch job goes there once the executor is up again.
+func TestDrainWhileDialling(t *testing.T) {
+	w := start(t, policy.Up, "once")
+	stays := w.hands("stays")
+	goOn := <-w.dials
+	w.mu.Lock()
+	lists := w.lists
+	w.mu.Unlock()
+	w.state <- policy.Draining
+	w.until("the drain is taken in", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.lists > lists
+	})
+	close(goOn)
+	w.until("the connection is up", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.up > 0
+	})
+	w.mu.Lock()
+	if w.writes > 0 {
+		t.Error("an allocation went out to an executor that drains")
+	}
+	w.mu.Unlock()
+	go func() {
+		for goOn := range w.dials {
+			close(goOn)
+		}
+	}()
+	w.state <- policy.Up
+	w.handled(stays)
+	w.ranOnly("stays")
+}
