--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -171,3 +171,58 @@
 		}
 	}
 }
+
+// A watch that falls silent is given up, and until discovery answers calls are short: one that hangs in the silence does not keep
+// its news from the node when it is back.
+func TestSilence(t *testing.T) {
+	var at atomic.Int32
+	steps := make(chan string, 10)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		i := at.Add(1)
+		steps <- r.URL.String()
+		switch i {
+		case 1:
+			w.Write([]byte(`{"seq":1,"whole":true,"hosts":[` + host("a", `"health":"ready"`) + `]}`))
+		case 2, 3, 4: // a watch, and two calls: never answered, not even when it is back
+			<-r.Context().Done()
+		case 5:
+			w.Write([]byte(`{"seq":2,"whole":false,"hosts":[` + host("a", `"health":"draining"`) + `]}`))
+		default:
+			w.Write([]byte(`{"seq":2,"whole":false,"hosts":[]}`))
+		}
+	}))
+	defer discovery.Close()
+	w := New(Names{}, PatienceFor(400*time.Millisecond, true), nil, func(ev node.Event) {
+		if told := ev.(node.Listed); told.Kind == policy.Lost {
+			steps <- "  -> lost"
+		} else {
+			steps <- fmt.Sprintf("  -> list %d: %s %d", told.Kind, told.Executors[0].Executor, told.Executors[0].State)
+		}
+	})
+	w.hold = 50 * time.Millisecond
+	go w.Run(ctx, discovery.Listener.Addr().String())
+	var out strings.Builder
+	for range 11 {
+		out.WriteString(<-steps + "\n")
+	}
+	kept.Compare(t, "silence.txt", out.String())
+}
+
+// What a hang, the spell after it and the next call take together, for drain grace after drain grace.
+func TestPatience(t *testing.T) {
+	var out strings.Builder
+	for _, grace := range []time.Duration{50, 150, 400, 1000, 1500, 2000, 10000} {
+		grace *= time.Millisecond
+		for _, pushed := range []bool{true, false} {
+			p := PatienceFor(grace, pushed)
+			fmt.Fprintf(&out, "grace %v pushed %v: answer %v, spells up to %v, together %v\n", grace, pushed, p.answer, p.lastSpell,
+				2*(shortHold+p.answer)+p.lastSpell)
+			if whole := 2*(shortHold+p.answer) + p.lastSpell; pushed && grace >= 400*time.Millisecond && whole > grace {
+				t.Errorf("%v is over the grace %v", whole, grace)
+			}
+		}
+	}
+	kept.Compare(t, "patience.txt", out.String())
+}
