--- a/cmd/birchstair/upgrade_test.go
+++ b/cmd/birchstair/upgrade_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -179,10 +180,11 @@
 	m.GetBody = nil // what breaks is not sent again
 	track, _, _ := strings.Cut(id, "-")
 	m.Header = http.Header{"X-Call-Id": {id}, "X-Call-Class": {track}, "X-Budget-Ms": {"2000"}}
-	status := 0
+	status, on := 0, httptrace.GotConnInfo{}
+	m = m.WithContext(httptrace.WithClientTrace(m.Context(), &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { on = got }}))
 	a, err := client.Do(m)
 	if err != nil {
-		p.t.Logf("%s: %v", id, err)
+		p.t.Logf("%s: %v, on a connection that was used: %t, had rested for %v", id, err, on.Reused, on.IdleTime)
 	}
 	if err == nil {
 		if _, err = io.Copy(io.Discard, a.Body); err == nil {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	closeSpell = 300 * time.Millisecond // answers on their way out have so long
-	endSpell   = 100 * time.Millisecond // and what comes when nobody takes batch jobs any more
+	closeSpell = 300 * time.Millisecond // answers on their way out have so long, and again what comes when nobody takes any more
 	againSpell = 20 * time.Millisecond
 	overSpell  = 400 * time.Millisecond // clients' connections that rest are left to them for so long in an upgrade
 
@@ -78,7 +77,7 @@
 // the process must not end under it. Guards against clients that send their first message just then.
 func (f *Front) End() {
 	close(f.over)
-	f.gate.endAll(endSpell)
+	f.gate.endAll(closeSpell)
 	f.server.Close()
 }
 
