--- /dev/null
+++ b/cmd/birchstair/end_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A real process is told to end, twice, with SIGHUP in between: a client that has only connected, and one whose message is half here,
+// still get their answers, and the process ends well.
+func TestEndUnderStrangers(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "birchstair")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	p := newPlatform(t, binary)
+	pr := p.start(p.work, false)
+	p.ready(pr)
+	message := func(id string) string {
+		return "POST /x HTTP/1.1\r\nHost: n\r\nX-Call-Id: " + id + "\r\nX-Call-Class: order\r\nX-Budget-Ms: 2000\r\nContent-Length: 4\r\n\r\nbody"
+	}
+	var conns []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(15 * time.Second))
+		conns = append(conns, c)
+	}
+	half := len(message("order-1")) - 2
+	io.WriteString(conns[1], message("order-1")[:half])
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		pr.cmd.Process.Signal(sig)
+	}
+	io.WriteString(conns[0], message("order-0"))
+	io.WriteString(conns[1], message("order-1")[half:])
+	for i, c := range conns {
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		if a.StatusCode != http.StatusOK || !a.Close {
+			t.Errorf("connection %d: status %d, closing %t", i, a.StatusCode, a.Close)
+		}
+	}
+	if err := p.end(pr, nil); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ran["order-0"] != 1 || p.ran["order-1"] != 1 {
+		t.Errorf("they ran %v times", p.ran)
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -247,6 +247,18 @@
 			return fmt.Errorf("settings.%s: %s", c.key, c.why)
 		}
 	}
+	for _, c := range [...]struct {
+		key     string
+		seconds float64
+	}{
+		{"quantum-s", w.Quantum}, {"caps.max-retry-after-s", caps.MaxComeBackS}, {"caps.conn-idle-s", caps.IdleS}, {"caps.dial-timeout-s", caps.DialS},
+		{"rules.ask-within-s", rules.AskWithin}, {"rules.warm-within-s", rules.WarmWithin}, {"rules.fall-s", rules.FallS},
+		{"rules.drain-grace-s", rules.DrainGrace}, {"domain.progress-s", w.Domain.TellsEvery},
+	} {
+		if c.seconds > longestLimit { // more would not fit a span
+			return fmt.Errorf("settings.%s: over %g s", c.key, longestLimit)
+		}
+	}
 	return nil
 }
 
@@ -265,7 +277,7 @@
 	case t.Limit <= 0:
 		return policy.Track{}, fmt.Errorf("settings.tracks[%d].outer-limit-s: missing, or not over 0", i)
 	}
-	if max(t.Quoted, t.Limit) > longestLimit {
+	if max(t.Quoted, t.Limit, t.Window) > longestLimit {
 		return policy.Track{}, fmt.Errorf("settings.tracks[%d]: a time over %g s", i, longestLimit)
 	}
 	return policy.Track{Repeat: repeat, Group: group, GroupWindow: Seconds(t.Window),
