--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -76,6 +76,7 @@
 // End is called when nobody takes batch jobs any more: what still comes is pushed back, since nothing of it was sent, and
 // the process must not end under it. Guards against clients that send their first message just then.
 func (f *Front) End() {
+	f.gate.end() // first: from here on each answer says that its connection closes
 	close(f.over)
 	f.gate.endAll(closeSpell)
 	f.server.Close()
@@ -124,8 +125,12 @@
 	return g
 }
 
+// keep takes a listener over. Whether this process takes new connections may be known already, or change just now.
 func (g *gate) keep(l net.Listener) net.Listener {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.Listener = l
+	g.wakeAccept()
 	return g
 }
 
@@ -161,6 +166,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.idle = !yes
+	g.wakeAccept()
+	g.room.Broadcast()
+}
+
+// wakeAccept has the listener wait as long as it is to.
+func (g *gate) wakeAccept() {
 	if l, ok := g.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		at := time.Time{}
 		if g.idle {
@@ -168,7 +179,6 @@
 		}
 		l.SetDeadline(at)
 	}
-	g.room.Broadcast()
 }
 
 func (g *gate) halve(half bool) {
