Short budgets count as hurry only where more of them come than batch jobs were turned away

Change: both must hold, more lack than one try costs, and more short budgets than three times what was turned away fresh.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,6 +62,7 @@
 	needStep     = 0.05 // by which a try that was too short teaches
 	mostCurt     = 0.3  // part of a tenant's first tries with short budgets from which budgets tell nothing
 	fewCame      = 2.0  // batch jobs of a tenant by which chance may bring it over its part here
+	mostAgain    = 3.0  // times that a batch job which was turned away comes again, here and elsewhere
 )
 
 // many says whether the nodes are so many that one can't use all executors: then it uses a part of them.
@@ -366,11 +367,12 @@
 	t.fullBudget = max(t.fullBudget, in.Budget)
 	lacks, spent := t.fullBudget-in.Budget, time.Duration(0)
 	first := !in.Again && lacks > d.gap
+	t.came(lacks > d.quantum)
 	curt := d.marks && (j.tenant.firstTries(in.Again, first) > mostCurt || first)
 	switch {
 	case lacks <= d.quantum:
-	case !d.marks && lacks > d.heldFor(j)+d.comeBack+max(0, d.stood):
-		// No try before can have spent so much: its client waits for less from the start.
+	case !d.marks && lacks > d.heldFor(j)+d.comeBack+max(0, d.stood) && t.short > fewCame+mostAgain*t.lost:
+		// One try before can't have spent so much, and more such come than were turned away: clients wait for less.
 	case !curt:
 		spent = max(0, t.outerLimit-in.Budget)
 	case j.tenant != nil && in.Budget < t.outerLimit/2:
@@ -379,7 +381,8 @@
 	}
 	j.quotedAt = min(now-spent+j.quoted(), j.limitAt)
 	d.closeBy(j)
-	d.asked(j, spent == 0 && !in.Again)
+	j.fresh = spent == 0 && !in.Again
+	d.asked(j, j.fresh)
 	j.cut = d.talks && d.below(j)
 	d.jobs[in.Job] = j
 	d.hold(j, now)
@@ -480,6 +483,7 @@
 // giveUp answers at once. A pushback says that nothing happened or that trying again is harmless: rule 2.
 func (d *Dispatcher) giveUp(j *job) Decision {
 	d.forget(j)
+	j.track.lost += flag(j.fresh)
 	if j.cut { // they come back at times of their own, not all together
 		return Decision{Act: PushBack, ComeBack: times(d.comeBack, (1+d.chance())/2)}
 	}
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -147,6 +147,12 @@
 	return t.curt
 }
 
+// came books a batch job, and whether it brought less than the full budget.
+func (t *track) came(short bool) {
+	const keeps = 1 - (1-fade)/8
+	t.short, t.lost = t.short*keeps+flag(short), t.lost*keeps
+}
+
 // asked books what a batch job that came is worth; first: it is not a repeat by the client.
 func (d *Dispatcher) asked(j *job, first bool) {
 	e := d.earnings(j)
--- a/policy/state.go
+++ b/policy/state.go
@@ -101,6 +101,7 @@
 	late         float64
 	kind         KindID
 	fullBudget   time.Duration // largest budget seen: that of a batch job's first try
+	short, lost  float64       // batch jobs that came with less than it, and fresh ones turned away, fading
 	meanWork     time.Duration // running average, as time on a standard core
 	learnt       int           // running times that it stems from, where no hints come
 	asked, given float64       // earnings asked for and handled in quoted time, fading
@@ -216,6 +217,7 @@
 	tenantID TenantID
 	work     time.Duration
 	hinted   bool
+	fresh    bool    // nothing of its budget was spent by tries before, for all this node knows
 	curt     bool    // its client waits for less than the outer limit leaves
 	need     float64 // what its last start must leave over
 	margin   float64 // what a prediction for it must leave over
