--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -112,8 +112,7 @@
 	conn  *watched
 	in    *list.List // which of them it is in, or nil while it is owed an answer
 	at    *list.Element
-	known bool  // a batch job has come on it
-	how   going // once it is let go
+	known bool // a batch job has come on it
 	since time.Time
 }
 
@@ -306,12 +305,10 @@
 	}
 }
 
-// endAll lets all go, and waits until they have or the spell is over.
+// endAll lets strangers go as well, after end, and waits until they have or the spell is over.
 func (g *gate) endAll(spell time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ending = true
-	g.letRestingGo()
 	for g.strangers.Len() > 0 {
 		g.leave(g.strangers.Front().Value.(*place), resting)
 	}
