Settings: a tenant's quota under 0 or over 1e9 is refused by its key

Change: settings.projects[i].quota-per-s is checked, and a list of tenants without any share is served.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -95,6 +95,9 @@
 // longestLimit is the longest outer limit in seconds: a year.
 const longestLimit = 366 * 24 * 3600.0
 
+// mostQuota is the largest quota of a tenant, in batch jobs a second: more than any installation takes.
+const mostQuota = 1e9
+
 // settingsText is the object's form; keys that are not known are skipped.
 type settingsText struct {
 	Areas     []string
@@ -197,7 +200,10 @@
 	if w.Caps.RetryAfter {
 		s.Policy.MaxComeBack = Seconds(w.Caps.MaxComeBackS)
 	}
-	for _, p := range w.Projects {
+	for i, p := range w.Projects {
+		if !(p.Quota >= 0 && p.Quota <= mostQuota) { // what is left of a sum with one under 0 divides rates
+			return s, fmt.Errorf("settings.projects[%d].quota-per-s: not between 0 and %g", i, mostQuota)
+		}
 		s.Policy.Tenant = append(s.Policy.Tenant, policy.Tenant{QuotaPerS: p.Quota})
 	}
 	for i, t := range w.Tracks {
