SIGHUP is caught as Go initialises its package, before the command line is read

Symptom: a SIGHUP in the process's first milliseconds ended it. Cause: it was caught first thing in serve, but some 4 ms of initialising (kong, net/http) and the command line's reading come before that. Change: internal/reload catches it in its own initialising; it needs os/signal alone and Go takes packages by path, so it is the first of ours, at 1.3 ms of which 1.3 are the runtime's (GODEBUG=inittrace=1). One that came is kept, and the file is read again once the node serves, so whoever sent it sees reloads_ok. Other commands give the signal back, also one that has come by then. Test: a real process whose trace of initialising is read line by line; the signal is sent at our package's line, 12 times. The tests of this package build the program once instead of once each.

--- a/cmd/birchstair/end_test.go
+++ b/cmd/birchstair/end_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -15,11 +13,7 @@
 // A real process is told to end, twice, with SIGHUP in between: a client that has only connected, and one whose message is half here,
 // still get their answers, and the process ends well.
 func TestEndUnderStrangers(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "birchstair")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
-	p := newPlatform(t, binary)
+	p := newPlatform(t, program(t))
 	pr := p.start(p.work, false)
 	p.ready(pr)
 	message := func(id string) string {
--- a/cmd/birchstair/main.go
+++ b/cmd/birchstair/main.go
@@ -20,6 +20,7 @@
 	"birchstair/internal/config"
 	"birchstair/internal/list"
 	"birchstair/internal/node"
+	"birchstair/internal/reload"
 	"birchstair/internal/site"
 )
 
@@ -50,6 +51,9 @@
 func main() {
 	c := kong.Parse(&commands, kong.Name("birchstair"), kong.Description(
 		"A dispatcher that pushes batch jobs to executors. ROUTER_CONFIG names its configuration file."))
+	if c.Command() != "serve" {
+		reload.Release()
+	}
 	if err := c.Run(&commands.Ops, commandName(c.Selected().Name)); err != nil {
 		fmt.Fprintln(os.Stderr, "birchstair:", err)
 		os.Exit(1)
@@ -58,8 +62,6 @@
 
 func (c serveCmd) Run() error {
 	start := time.Now()
-	again := make(chan os.Signal, 1) // a later one than is looked at finds the file as it is then
-	signal.Notify(again, syscall.SIGHUP)
 	read := func() (told, error) { return readTold(os.Getenv, start) }
 	t, err := read()
 	if err != nil {
@@ -79,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, t, own, again, read, start, log)
+	return serve(ctx, t, own, reload.Asked(), read, start, log)
 }
 
 // onlyWriter keeps the log's end from closing what it writes to: a last word may follow.
--- /dev/null
+++ b/cmd/birchstair/reload_test.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"birchstair/internal/node"
+	"birchstair/internal/operators"
+)
+
+// initLine ends with the trace's line of the package that catches SIGHUP: Go tells of each package that it has initialised.
+const initLine = "init birchstair/internal/reload @"
+
+// untilCaught starts a command with that trace on its standard error, and gives the rest of it once SIGHUP is caught.
+func untilCaught(t *testing.T, start func(stderr *os.File)) io.Reader {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	start(w)
+	w.Close()
+	r.SetReadDeadline(time.Now().Add(30 * time.Second))
+	for lines := bufio.NewReader(r); ; {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			t.Fatalf("it is not told that SIGHUP is caught: %v", err)
+		}
+		if strings.HasPrefix(line, initLine) {
+			r.SetReadDeadline(time.Time{})
+			return lines
+		}
+	}
+}
+
+// A real process is sent SIGHUP as soon as Go has initialised the package that catches it, long before it has read its command line: it
+// does not end, and reads its configuration again once it serves.
+func TestReloadAtTheStart(t *testing.T) {
+	for range 12 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			p := newPlatform(t, program(t))
+			pr := p.prepare(p.work, false)
+			pr.cmd.Env = append(pr.cmd.Env, "GODEBUG=inittrace=1")
+			rest := untilCaught(t, func(stderr *os.File) { p.startPrepared(pr, stderr) })
+			pr.cmd.Process.Signal(syscall.SIGHUP)
+			go func() {
+				text, _ := io.ReadAll(rest)
+				os.WriteFile(pr.log, text, 0o600)
+			}()
+			p.ready(pr)
+			var figures []string
+			for by := time.Now().Add(15 * time.Second); !slices.Contains(figures, "reloads_ok=1"); time.Sleep(5 * time.Millisecond) {
+				var err error
+				if figures, err = operators.Call(pr.door, node.ReadFigures, "", time.Second); err != nil {
+					t.Fatal(err)
+				}
+				if time.Now().After(by) {
+					t.Fatalf("it was never read again: %v", figures)
+				}
+			}
+			if err := p.end(pr, syscall.SIGTERM); err != nil {
+				t.Errorf("the process ended with %v", err)
+			}
+		})
+	}
+}
+
+// Commands other than serve end by SIGHUP, as soon as it has been caught and while they read the configuration.
+func TestOtherCommandsEndByHangup(t *testing.T) {
+	for _, early := range []bool{true, false} {
+		t.Run(fmt.Sprintf("early %t", early), func(t *testing.T) {
+			t.Parallel()
+			config := filepath.Join(t.TempDir(), "config")
+			if err := syscall.Mkfifo(config, 0o600); err != nil { // whoever reads it waits
+				t.Fatal(err)
+			}
+			cmd := exec.Command(program(t), "config", "check")
+			cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "GODEBUG=inittrace=1")
+			ended := make(chan error, 1)
+			rest := untilCaught(t, func(stderr *os.File) {
+				cmd.Stderr = stderr
+				if err := cmd.Start(); err != nil {
+					t.Fatal(err)
+				}
+				go func() { ended <- cmd.Wait() }()
+			})
+			go io.Copy(io.Discard, rest)
+			t.Cleanup(func() { cmd.Process.Kill() })
+			if !early {
+				by := time.Now().Add(20 * time.Second)
+				f, err := os.OpenFile(config, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+				for ; err != nil; f, err = os.OpenFile(config, os.O_WRONLY|syscall.O_NONBLOCK, 0) { // until it reads
+					if time.Now().After(by) {
+						t.Fatal(err)
+					}
+					time.Sleep(time.Millisecond)
+				}
+				defer f.Close()
+			}
+			cmd.Process.Signal(syscall.SIGHUP)
+			select {
+			case <-ended:
+				if s := cmd.ProcessState.Sys().(syscall.WaitStatus); s.Signal() != syscall.SIGHUP {
+					t.Errorf("it ended with %v", cmd.ProcessState)
+				}
+			case <-time.After(20 * time.Second):
+				t.Error("it goes on")
+			}
+		})
+	}
+}
--- a/cmd/birchstair/upgrade_test.go
+++ b/cmd/birchstair/upgrade_test.go
@@ -92,6 +92,18 @@
 
 // start starts a process of the node; a discovery that leads nowhere keeps it from getting ready.
 func (p *platformHere) start(discovery string, broken bool) *process {
+	pr := p.prepare(discovery, broken)
+	log, err := os.Create(pr.log)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer log.Close()
+	p.startPrepared(pr, log)
+	return pr
+}
+
+// prepare makes one that is not started yet.
+func (p *platformHere) prepare(discovery string, broken bool) *process {
 	p.started++
 	pr := &process{door: freePort(p.t), log: filepath.Join(p.dir, fmt.Sprint("log", p.started)), over: make(chan error, 1)}
 	tracks := []any{}
@@ -107,18 +119,18 @@
 	}
 	p.doors = append(p.doors, pr.door)
 	config := filepath.Join(p.dir, fmt.Sprint("config", p.started))
-	log, err := os.Create(pr.log)
-	if err == nil {
-		err = os.WriteFile(config, text, 0o600)
-	}
-	if err != nil {
+	if err := os.WriteFile(config, text, 0o600); err != nil {
 		p.t.Fatal(err)
 	}
-	defer log.Close()
-	nothing, _ := os.Open(os.DevNull)
-	defer nothing.Close()
 	pr.cmd = exec.Command(p.binary, "serve")
 	pr.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_LISTEN_FD=5", "TMPDIR="+p.dir)
+	return pr
+}
+
+// startPrepared starts it with its log on that file.
+func (p *platformHere) startPrepared(pr *process, log *os.File) {
+	nothing, _ := os.Open(os.DevNull)
+	defer nothing.Close()
 	pr.cmd.ExtraFiles = []*os.File{nothing, nothing, p.socket}
 	pr.cmd.Stderr = log
 	if err := pr.cmd.Start(); err != nil {
@@ -126,7 +138,6 @@
 	}
 	go func() { pr.over <- pr.cmd.Wait() }()
 	p.t.Cleanup(func() { pr.cmd.Process.Kill() })
-	return pr
 }
 
 func (pr *process) call(order node.Order, id policy.ExecutorID) error {
@@ -282,10 +293,7 @@
 // Upgrades with two real processes under load, one of them killed at each step. What an operator has taken out before
 // gets nothing new all along.
 func TestUpgrade(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "birchstair")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	binary := program(t)
 	nowhere := "127.0.0.1:1"
 	for _, c := range []struct {
 		name string
