The last look at a client stands directly before its attempt's first byte

And a client that left behind more bytes than are read ahead (80 KiB) was not seen to leave before its answer at all. Ruled out: the watch of net/http and the reading ahead are at once where the process runs; nothing is polled. At fault: executors.link.write wrote what had been decided, with no look at the client; clients.watched.runAhead stops at its bound.

Change: a batch job bears its Client, which the reducer hands on and never asks. The writer asks it right before conn.Write: first a flag that the front sets before it tells of the leaving or once the answer is given, then the system (socket.Ended: a peek that takes nothing and does not wait; behind bytes the state of the socket). Whoever finds it gone tells the front too, so one Left follows; the reducer hears Unsent: never ran, the connection rests and carries the next attempt. Left names its client: word that comes after its id has come again would have ended another's batch job.

--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -221,6 +221,102 @@
 	kept.Compare(t, "left-behind-more.txt", c.out.String())
 }
 
+// arrives gives the next batch job that the front tells of.
+func (c *core) arrives() node.Job {
+	c.t.Helper()
+	select {
+	case ev := <-c.told:
+		if ev, ok := ev.(node.Arrived); ok {
+			return ev.Job
+		}
+		c.t.Fatalf("told of %T", ev)
+	case <-time.After(20 * time.Second):
+		c.t.Fatalf("no batch job came after:\n%s", c.out.String())
+	}
+	return node.Job{}
+}
+
+// The client leaves and the reader of its connection does not come to that: whoever looks right before an attempt sees it all
+// the same, by what the system knows, and by the look the front learns of it, once. Also where more lies unread before its
+// end than is read ahead.
+func TestGoneUnread(t *testing.T) {
+	for _, leave := range []struct {
+		title string
+		early string
+		end   func(*net.TCPConn)
+	}{
+		{"it closes", "", func(c *net.TCPConn) { c.Close() }},
+		{"it resets", "", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+		{"it only ends its sending", "", func(c *net.TCPConn) { c.CloseWrite() }},
+		{"it closes behind a byte of its next message", "P", func(c *net.TCPConn) { c.Close() }},
+		{"it closes behind a whole one", job("never-1"), func(c *net.TCPConn) { c.Close() }},
+		{"it closes behind more than is read ahead", strings.Repeat("a", longestRun+8<<10), func(c *net.TCPConn) { c.Close() }},
+	} {
+		t.Run(leave.title, func(t *testing.T) {
+			c, h := halted(t, 10)
+			from := c.dial()
+			io.WriteString(from, job("wait-1"))
+			client := c.arrives().Client
+			if client.Gone() {
+				t.Fatal("it has gone before it left")
+			}
+			stop := h.On(1, standin.AfterRead, 0)
+			if len(leave.early) > longestRun {
+				stop.Go()
+			}
+			io.WriteString(from, leave.early)
+			switch {
+			case len(leave.early) > longestRun:
+				c.until("all that is read ahead is", func() bool {
+					done := false
+					c.eachConn(func(w *watched) { done = w.ahead != nil && w.ahead.done })
+					return done
+				})
+			case leave.early != "":
+				c.reached(stop)
+			}
+			if client.Gone() {
+				t.Error("it has gone by what it sent early")
+			}
+			leave.end(from.Conn.(*net.TCPConn))
+			c.until("it is seen to have gone", client.Gone)
+			c.event()
+			stop.Go()
+			c.until("its connection is closed", func() bool { open, _, _ := c.front.gate.counts(); return open == 0 })
+			if got, want := c.out.String(), "  left: wait-1\n"; got != want || len(c.told) > 0 {
+				t.Errorf("told %q and %d more, not %q", got, len(c.told), want)
+			}
+		})
+	}
+}
+
+// A client that stays is not taken for gone by what it sends early, nor by the answer to its next batch job; with its own
+// answer it waits no more.
+func TestGoneStays(t *testing.T) {
+	c, _ := halted(t, 10)
+	from := c.dial()
+	io.WriteString(from, job("wait-1")+job("wait-2")[:20])
+	first := c.arrives().Client
+	if first.Gone() {
+		t.Error("it has gone by what it sent early")
+	}
+	c.front.Answer(node.Answer{Job: "wait-1", Result: []byte("one")})
+	c.answer(from)
+	if !first.Gone() {
+		t.Error("it waits with its answer")
+	}
+	io.WriteString(from, job("wait-2")[20:])
+	second := c.arrives().Client
+	if second.Gone() || !first.Gone() {
+		t.Errorf("the second has gone: %v, the first has not: %v", second.Gone(), !first.Gone())
+	}
+	c.front.Answer(node.Answer{Job: "wait-2", Result: []byte("two")})
+	c.answer(from)
+	if got, want := c.out.String(), "  answer: 200 \"one\"\n  answer: 200 \"two\"\n"; got != want {
+		t.Errorf("%s, not %s", got, want)
+	}
+}
+
 // Nobody takes batch jobs any more: what comes whole at that moment is pushed back, and what comes on a connection that was
 // never read is as well.
 func TestEnd(t *testing.T) {
--- a/internal/clients/front.go
+++ b/internal/clients/front.go
@@ -137,10 +137,11 @@
 		return
 	}
 	job.Crowded = f.gate.came(conn)
-	gone := conn.awaits()
+	client := conn.awaits()
 	defer conn.replied()
+	job.Client = client
 	f.tell(node.Arrived{Job: job})
-	a, left := f.wait(r.Context(), gone, job.ID, to)
+	a, left := f.wait(r.Context(), client, job.ID, to)
 	f.sendElsewhere(w)
 	if left {
 		w.Header().Set("Connection", "close") // what it has sent beyond this is wanted by nobody
@@ -159,17 +160,19 @@
 // wait gives the final answer, or, once the client has left, that it is broken off: one that has only ended its
 // sending reads that, and not the empty answer of a handler that writes nothing. Where nobody takes batch jobs any more,
 // this one was never looked at: it is pushed back. Left: nobody wants what else has come on the connection.
-func (f *Front) wait(client context.Context, gone <-chan struct{}, id policy.JobID, to chan node.Answer) (a node.Answer, left bool) {
+func (f *Front) wait(ctx context.Context, client *caller, id policy.JobID, to chan node.Answer) (a node.Answer, left bool) {
+	defer client.over.Store(true)
 	over := false
 	select {
 	case a := <-to:
 		return a, false
-	case <-client.Done():
-	case <-gone:
+	case <-ctx.Done():
+	case <-client.left:
 		left = true
 	case <-f.over:
 		over = true
 	}
+	client.over.Store(true) // before the reducer is told: it may be late
 	f.forget(id)
 	select {
 	case a := <-to: // it came at the same moment
@@ -179,6 +182,6 @@
 	if over {
 		return node.Answer{Job: id, Final: node.PushedBack}, false
 	}
-	f.tell(node.Left{Job: id})
+	f.tell(node.Left{Job: id, Client: client})
 	return node.Answer{Job: id, Final: node.BrokenOff}, left
 }
--- a/internal/clients/watched.go
+++ b/internal/clients/watched.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"birchstair/internal/socket"
@@ -31,8 +32,8 @@
 	going    going
 	looked   bool // nothing came in the last look
 
-	gone  chan struct{} // closed when the client ends its sending while an answer is due; nil while none is
-	early bool          // net/http asked for one byte, to see the client leave, got it, and looks no further
+	waits *caller // for its answer; nil while none is due
+	early bool    // net/http asked for one byte, to see the client leave, got it, and looks no further
 	ahead *ahead
 }
 
@@ -172,21 +173,52 @@
 	return false
 }
 
-// awaits begins to follow the client of a batch job until the answer is written: the channel is closed if it leaves.
-func (c *watched) awaits() <-chan struct{} {
+// caller is a client that waits for its batch job's answer on a connection.
+type caller struct {
+	conn *watched
+	left chan struct{} // closed when it ends its sending before the answer
+	over atomic.Bool   // nobody waits any more: it has its answer, or has left
+}
+
+// Gone is the last look before an attempt's first byte. Guards against an attempt for a client that has left and whose end
+// lies unread in the system: its reader may be late, or the whole process have stood still. What it finds the front learns
+// as well, so that it tells of the leaving also where no reader would come to it.
+func (w *caller) Gone() bool {
+	if w.over.Load() {
+		return true
+	}
+	if ended, _ := socket.Ended(w.conn.Conn); !ended {
+		return false
+	}
+	w.conn.leaves(w)
+	return true
+}
+
+// leaves notes that the client of a batch job has gone, unless it has its answer.
+func (c *watched) leaves(w *caller) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waits == w {
+		close(w.left)
+		c.waits = nil
+	}
+}
+
+// awaits begins to follow the client of a batch job until the answer is written.
+func (c *watched) awaits() *caller {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.gone = make(chan struct{})
-	gone := c.gone
+	w := &caller{conn: c, left: make(chan struct{})}
+	c.waits = w
 	c.lookAhead()
-	return gone
+	return w
 }
 
 // replied ends that. What was read ahead is net/http's now.
 func (c *watched) replied() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.gone = nil
+	c.waits = nil
 	if c.ahead != nil && !c.ahead.stop {
 		c.ahead.stop = true
 		c.limit()
@@ -195,7 +227,7 @@
 
 // lookAhead begins to read ahead, where an answer is due and net/http looks no further.
 func (c *watched) lookAhead() {
-	if c.early && c.gone != nil && c.ahead == nil {
+	if c.early && c.waits != nil && c.ahead == nil {
 		c.ahead = &ahead{over: make(chan struct{})}
 		go c.runAhead(c.ahead)
 	}
@@ -217,9 +249,9 @@
 	switch {
 	case a.stop && errors.Is(a.err, os.ErrDeadlineExceeded):
 		a.err = nil
-	case a.err != nil && c.gone != nil:
-		close(c.gone)
-		c.gone = nil
+	case a.err != nil && c.waits != nil:
+		close(c.waits.left)
+		c.waits = nil
 	}
 }
 
--- a/internal/executors/crossings_test.go
+++ b/internal/executors/crossings_test.go
@@ -31,6 +31,17 @@
 
 // use makes one. What it is to do when the connection rests is done before its reader goes on.
 func use(t *testing.T, title string, atRest func(*used)) *used {
+	u := dialled(t, title, atRest)
+	u.pool.Write(1, call("j1"))
+	u.takes()
+	u.says(lines(handled))
+	u.next(t)
+	u.next(t)
+	return u
+}
+
+// dialled makes one that has just come up and carried nothing yet.
+func dialled(t *testing.T, title string, atRest func(*used)) *used {
 	u := &used{t: t, printer: printer{events: make(chan node.Event, 100), details: true}}
 	u.out.WriteString(title + "\n")
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,16 +70,11 @@
 	t.Cleanup(func() { u.executor.Close() })
 	u.in = bufio.NewReader(u.executor)
 	u.next(t)
-	u.pool.Write(1, call("j1"))
-	u.takes()
-	u.says(lines(handled))
-	u.next(t)
-	u.next(t)
 	return u
 }
 
 // takes reads an allocation whole.
-func (u *used) takes() {
+func (u *used) takes() *http.Request {
 	u.t.Helper()
 	u.executor.SetReadDeadline(time.Now().Add(20 * time.Second))
 	m, err := http.ReadRequest(u.in)
@@ -76,6 +82,7 @@
 		u.t.Fatalf("no allocation came after:\n%s", u.out.String())
 	}
 	io.Copy(io.Discard, m.Body)
+	return m
 }
 
 func (u *used) says(text string) { io.WriteString(u.executor, text) }
@@ -186,3 +193,65 @@
 	}
 	kept.Compare(t, "answer-before.txt", u.out.String())
 }
+
+// caller is a client that has gone or not when it is looked at, after what the test does at that moment.
+type caller struct {
+	gone bool
+	look func()
+}
+
+func (c caller) Gone() bool {
+	if c.look != nil {
+		c.look()
+	}
+	return c.gone
+}
+
+// A client turns out to have gone at the last look before its attempt's first byte, on a connection that has just come up and
+// on one at rest: no byte of it goes out, and the same connection carries the next one. Where the executor has closed it
+// meanwhile, it is given back.
+func TestClientGoneAtWrite(t *testing.T) {
+	left := func(id string, look func()) node.Allocation {
+		a := onceOnly(id)
+		a.Client = caller{true, look}
+		return a
+	}
+	u := use(t, "at rest", nil)
+	u.pool.Write(1, left("j2", nil))
+	u.next(t)
+	stays := call("j3")
+	stays.Client = caller{}
+	u.pool.Write(1, stays)
+	if m := u.takes(); m.Header.Get("X-Call-Id") != "j3" {
+		t.Errorf("%s went out", m.Header.Get("X-Call-Id"))
+	}
+	u.says(lines(`{"id":"j3","state":"done","result":"r"}`))
+	u.next(t)
+	u.next(t)
+	text := u.out.String()
+
+	u.out.Reset()
+	u.out.WriteString("at rest, and the executor closes it under the look\n")
+	looks, goOn := make(chan struct{}), make(chan struct{})
+	u.pool.Write(1, left("j4", func() {
+		close(looks)
+		<-goOn
+	}))
+	<-looks
+	stop := u.halts.On(1, standin.BeforeClose, 0)
+	u.executor.Close()
+	u.reached(stop)
+	stop.Go()
+	close(goOn)
+	u.end()
+	text += u.out.String()
+
+	u = dialled(t, "just come up", nil)
+	u.pool.Write(1, left("j1", nil))
+	u.next(t)
+	u.pool.Write(1, stays)
+	if m := u.takes(); m.Header.Get("X-Call-Id") != "j3" {
+		t.Errorf("%s went out", m.Header.Get("X-Call-Id"))
+	}
+	kept.Compare(t, "client-gone.txt", text+u.out.String())
+}
--- a/internal/executors/executors_test.go
+++ b/internal/executors/executors_test.go
@@ -144,6 +144,8 @@
 		}
 	case node.Rested:
 		line = "rested"
+	case node.Unsent:
+		line = "unsent"
 	case node.Dialled:
 		line = "dialled"
 	}
--- a/internal/executors/link.go
+++ b/internal/executors/link.go
@@ -63,31 +63,29 @@
 	return true
 }
 
-// start says whether the allocation may go out. Guards against an executor's close, or something that nothing asked for,
-// that has arrived on a connection at rest and that its reader has not come to: what is written then may have run, for all
-// this node would know, or gets an answer that is not its own.
-func (l *link) start() bool {
-	l.mu.Lock()
-	used := !l.readAt.IsZero()
-	l.mu.Unlock()
-	disturbed := false
-	if used {
-		disturbed, _ = socket.Pending(l.conn)
-	}
+// write sends an attempt, after a last look at both ends. The decision may be old by now, through a dial that came up late, a
+// loop that was late or a process that stood still.
+func (l *link) write(a node.Allocation) {
+	text := encode(a)
+	disturbed := l.disturbed()
+	gone := a.Client != nil && a.Client.Gone() // the last thing before the first byte
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.closed = l.closed || disturbed
-	l.sending, l.sentAt = !l.closed, time.Now()
-	return l.sending
-}
-
-func (l *link) write(a node.Allocation) {
-	if !l.start() {
+	switch {
+	case l.closed:
+		l.mu.Unlock()
 		l.written <- written{}
 		l.close()
 		return
+	case gone:
+		l.carries = ""
+		l.mu.Unlock()
+		l.pool.tell(node.Unsent{Conn: l.id})
+		return
 	}
-	n, err := l.conn.Write(encode(a))
+	l.sending, l.sentAt = true, time.Now()
+	l.mu.Unlock()
+	n, err := l.conn.Write(text)
 	l.mu.Lock()
 	l.sent = err == nil
 	l.mu.Unlock()
@@ -97,6 +95,20 @@
 	}
 }
 
+// disturbed says whether something has come on a connection at rest. Guards against an executor's close, or something that
+// nothing asked for, that its reader has not come to: what is written then may have run, for all this node would know, or
+// gets an answer that is not its own.
+func (l *link) disturbed() bool {
+	l.mu.Lock()
+	used := !l.readAt.IsZero()
+	l.mu.Unlock()
+	any := false
+	if used {
+		any, _ = socket.Pending(l.conn)
+	}
+	return any
+}
+
 func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -138,7 +138,7 @@
 	budget := (work.Limit - w.now).Truncate(time.Millisecond)
 	w.see(rules.Seen{What: rules.Taken, Node: n.id, Job: t.job, Work: work.ID, Track: work.Track, Limit: w.now + budget})
 	n.tell(node.Arrived{Job: node.Job{Call: node.Call{ID: t.job, Method: "POST", URI: "/", Tag: w.tag(work), Body: w.body()},
-		Track: work.Track, Work: time.Duration(work.Hint * 1e9).Truncate(time.Microsecond), Budget: budget}})
+		Track: work.Track, Work: time.Duration(work.Hint * 1e9).Truncate(time.Microsecond), Budget: budget, Client: t}})
 	n.mostHeld = max(n.mostHeld, n.inHand-n.out)
 	leave := min(work.Leaves, work.Limit+slack+time.Millisecond)
 	n.later(leave-w.now, func() { n.leaves(t) })
@@ -176,6 +176,9 @@
 	t.done(standin.EndBrokenOff, 0)
 }
 
+// Gone is the last look before an attempt: what the node's system knows of the client, also where the process has not read it.
+func (t *try) Gone() bool { return t.over && !t.n.w.plant.blind }
+
 // forget tells the node that a client waits no more.
 func (n *sim) forget(t *try) {
 	t.over = true
@@ -185,7 +188,7 @@
 		return
 	}
 	n.w.see(rules.Seen{What: rules.Left, Node: n.id, Job: t.job})
-	n.tell(node.Left{Job: t.job})
+	n.tell(node.Left{Job: t.job, Client: t})
 }
 
 func (n *sim) answer(a node.Answer) {
--- a/internal/lab/net.go
+++ b/internal/lab/net.go
@@ -321,6 +321,10 @@
 	if t == nil {
 		return
 	}
+	if client := e.Allocation.Client; client != nil && client.Gone() {
+		c.tellLater(epsilon, node.Unsent{Conn: c.id})
+		return
+	}
 	c.uses++
 	l := n.sends(t, c.x)
 	c.load = l
--- a/internal/lab/wired.go
+++ b/internal/lab/wired.go
@@ -513,6 +513,8 @@
 		n.listed(ev.Kind, entries)
 	case node.Ended:
 		l.over(ev.Conn, ev.Outcome.NeverRan())
+	case node.Unsent: // what was booked as its first byte with the effect never left
+		l.over(ev.Conn, true)
 	case node.Closed:
 		l.over(ev.Conn, true) // nothing of it had left, or its outcome would have come
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -69,6 +69,7 @@
 	standin    func(*standin.Executor)
 	allocation func(*standin.Allocation)
 	unheard    bool // nodes are not told that a client has left
+	blind      bool // and don't see it at the last look before an attempt
 }
 
 // cut says until when nothing gets into a zone from others, and out of it.
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// PeerEnded says whether the other end's end of sending, or a break, has arrived, also behind bytes that are unread.
+func (c *Conn) PeerEnded() bool {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	return c.ended || c.err != nil
+}
+
 // Write sends; it waits while the other end has too much unread.
 func (c *Conn) Write(b []byte) (sent int, err error) {
 	c.net.mu.Lock()
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -164,7 +164,7 @@
 	c.state, c.heard, c.wroteAt = busy, false, n.now
 	n.figures.Allocations++ // taken back if its last byte never leaves
 	n.say(Write{c.id, Allocation{Call: &c.job.Call, Budget: max(c.job.limitAt-n.now, time.Millisecond),
-		Once: n.repeats[c.job.Track] != policy.Repeatable}})
+		Once: n.repeats[c.job.Track] != policy.Repeatable, Client: c.job.Client}})
 }
 
 // anew says whether the executor has started anew since the module meant it: it is cold, so the module is asked again. Guards
@@ -284,6 +284,21 @@
 	n.over(j, c.number, how)
 }
 
+// unsent takes in that the last look before an attempt's first byte found its client gone: it never ran, and the connection
+// may carry the next one. Word of the leaving by the front may come before or after.
+func (n *Node) unsent(c *conn) {
+	if c == nil || c.state != busy {
+		return
+	}
+	n.figures.Allocations--
+	j := n.unlink(c)
+	if c.state = spent; !c.given { // else it is being closed
+		n.rest(c)
+	}
+	n.left(j)
+	n.over(j, c.number, policy.NotSent)
+}
+
 func (n *Node) rested(c *conn) {
 	if c != nil && c.state == spent && !c.given {
 		n.rest(c)
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -32,6 +32,15 @@
 	Again  bool          // the client marks it as a repeat of its own
 
 	Crowded bool // it came when the front was at the edge of its descriptors
+
+	Client Client // nil where nobody waits on a connection
+}
+
+// Client is who waits for a batch job's answer. The reducer only hands it on.
+type Client interface {
+	// Gone says whether nobody waits for the answer any more, by what is known at this moment. It never waits, and any
+	// goroutine may ask.
+	Gone() bool
 }
 
 // Track is a track and its name.
@@ -63,6 +72,7 @@
 	*Call
 	Budget time.Duration // how long this node waits for it
 	Once   bool          // it must not run again unless it provably never ran
+	Client Client        // looked at right before the first byte; nil where nobody waits
 }
 
 // Final is the kind of a final answer.
@@ -80,8 +90,11 @@
 type (
 	// Arrived: a batch job is taken.
 	Arrived struct{ Job Job }
-	// Left: the client has closed its connection.
-	Left struct{ Job policy.JobID }
+	// Left: the client that handed the batch job in has closed its connection.
+	Left struct {
+		Job    policy.JobID
+		Client Client // as in Job
+	}
 	// Listed: the list has news, or, with a detail, could not be had.
 	Listed struct {
 		Kind      policy.ListKind
@@ -116,6 +129,8 @@
 		Broken  bool   // the connection broke, or brought what makes no sense
 		Detail  string // for the log
 	}
+	// Unsent: not a byte of an attempt was written, since its client turned out to have gone; its connection rests.
+	Unsent struct{ Conn ConnID }
 	// Probed: what came of a probe; load means something only where it was answered.
 	Probed struct {
 		Executor policy.ExecutorID
@@ -178,6 +193,7 @@
 func (Told) event()        {}
 func (Ended) event()       {}
 func (Rested) event()      {}
+func (Unsent) event()      {}
 func (Probed) event()      {}
 func (Closed) event()      {}
 func (Stopping) event()    {}
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -157,9 +157,9 @@
 	case Arrived:
 		n.arrived(ev.Job)
 	case Left:
-		if j := n.jobs[ev.Job]; j != nil && !j.answered {
-			n.settled(j)
-			n.brain.Left(n.now, j.ID)
+		// Guards against word of a client that the last look had seen leave, once its id has come again from another one.
+		if j := n.jobs[ev.Job]; j != nil && j.Client == ev.Client {
+			n.left(j)
 		}
 	case Listed:
 		n.listed(ev)
@@ -178,6 +178,8 @@
 		n.brain.Probed(n.now, ev.Executor, ev.Answered, ev.Load)
 	case Rested:
 		n.rested(n.conns[ev.Conn])
+	case Unsent:
+		n.unsent(n.conns[ev.Conn])
 	case Closed:
 		n.closed(n.conns[ev.Conn], ev.Detail)
 	case Stopping:
@@ -261,6 +263,14 @@
 	n.drop(j)
 }
 
+// left notes that a batch job's client has gone: it is owed no answer, and nothing of it is sent any more.
+func (n *Node) left(j *job) {
+	if !j.answered {
+		n.settled(j)
+		n.brain.Left(n.now, j.ID)
+	}
+}
+
 // carryOut does what the module decided for a batch job.
 func (n *Node) carryOut(j *job, what policy.Decision) {
 	n.deciding = nil
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -31,6 +31,8 @@
 //	2s alive n1                  the neighbours that live; word n1 3 a: its third word, by its list a drains
 //	3s still up 1                the process stood still until then: no timer came first
 //	9s wait                      let time pass until then
+//	2s left j1 client=x          the client x of it, by "job j1 client=x", has gone
+//	2s unsent 1                  the last look before an attempt's first byte found its client gone
 type player struct {
 	t     *testing.T
 	n     *Node
@@ -38,6 +40,11 @@
 	lines []string
 }
 
+// caller is a client by its name. The reducer never asks it.
+type caller string
+
+func (c caller) Gone() bool { panic("the reducer looked at the connection of " + c) }
+
 func settings(words []string) (*policy.Dispatcher, Limits) {
 	s := policy.Settings{Seed: 7, Nodes: 1, WholeWeight: 1, MaxAllocations: 3, MayCancel: true,
 		MaxComeBack: 2 * time.Second, Quantum: time.Millisecond, TellsStart: true, EarnPerWork: true,
@@ -145,6 +152,8 @@
 				j.Body = []byte(value)
 			case "crowded":
 				j.Crowded = true
+			case "client":
+				j.Client = caller(value)
 			case "track":
 				id, _ := strconv.Atoi(value)
 				j.Track = policy.TrackID(id)
@@ -170,8 +179,14 @@
 			Result: []byte("result")}
 	case "probed":
 		return Probed{policy.ExecutorID(words[1]), last == "answered", policy.Load{Held: -1, Waiting: -1, Free: -1, Memory: -1, Took: -1}}
+	case "unsent":
+		return Unsent{Conn: p.conn(last)}
 	case "left":
-		return Left{policy.JobID(last)}
+		l := Left{Job: policy.JobID(words[1])}
+		if of, ok := strings.CutPrefix(last, "client="); ok {
+			l.Client = caller(of)
+		}
+		return l
 	case "reread":
 		if last == "odd" {
 			return Reread{Detail: "listen: missing"}
