Whole node: clients that leave under a write, a dial and a late loop are not sent on

Need: the last look is shown on a node of the program's own parts, not on its pieces alone. TestClientLeavesUnderWrite: the loop stands before the write that it has decided; the client's end lies unread at the front, or the client has only ended its sending and has read that it is broken off. Nothing goes out, and the next batch job goes out on the same connection with the same token. TestClientsLeaveUnderLateLoop: a hundred at once. TestClientLeavesUnreadWhileDialling: the dial comes up after the leaving, which the front has not read.

--- a/internal/service/crossings_test.go
+++ b/internal/service/crossings_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,11 +30,14 @@
 	listen string
 	dials  chan chan struct{} // each dial to the executor stops until its channel is closed
 	state  chan policy.State
+	halts  standin.Halts // of clients' connections
+	late   atomic.Pointer[late]
 
 	mu              sync.Mutex
 	ran             map[policy.JobID]int
 	left, lists, up int // events that the reducer has taken
 	writes          int // allocations that it has sent out
+	unsent          int // of those, called off by the last look
 	over            chan error
 	stop            context.CancelFunc
 }
@@ -68,7 +73,7 @@
 	t.Cleanup(w.stop)
 	tcp := net.Dialer{}
 	go func() {
-		w.over <- service.Run(ctx, service.Setup{Settings: s, Start: time.Now(), Listener: l, Discovery: list.Addr().String(), Log: zerolog.Nop(),
+		w.over <- service.Run(ctx, service.Setup{Settings: s, Start: time.Now(), Listener: w.halts.Listener(l), Discovery: list.Addr().String(), Log: zerolog.Nop(),
 			ClientConns: clients.Budget{Whole: 300, Half: 150}, Module: policy.New(s.Policy),
 			Executors: func(ctx context.Context, _ node.ConnID, addr string) (net.Conn, error) {
 				goOn := make(chan struct{})
@@ -80,6 +85,12 @@
 				return tcp.DialContext(ctx, "tcp", addr)
 			},
 			Tap: func(_ time.Duration, ev node.Event, effects []node.Effect) {
+				if slices.ContainsFunc(effects, func(e node.Effect) bool { _, ok := e.(node.Write); return ok }) {
+					if l := w.late.Swap(nil); l != nil {
+						close(l.reached)
+						<-l.goOn
+					}
+				}
 				w.mu.Lock()
 				defer w.mu.Unlock()
 				switch ev.(type) {
@@ -89,6 +100,8 @@
 					w.lists++
 				case node.Dialled:
 					w.up++
+				case node.Unsent:
+					w.unsent++
 				}
 				for _, e := range effects {
 					if _, ok := e.(node.Write); ok {
@@ -231,6 +244,122 @@
 	}
 }
 
+// leaving are the ways in which a node may come to know late that a client has left.
+var leaving = []struct {
+	name  string
+	leave func(*whole, net.Conn) (after func())
+}{
+	{"the front does not come to its end, which lies unread", func(w *whole, c net.Conn) func() {
+		stop := w.halts.At(standin.AfterRead, 0) // nobody else sends anything now
+		c.Close()
+		w.reached(stop)
+		return stop.Go
+	}},
+	{"it only ends its sending, and has read that it is broken off", func(w *whole, c net.Conn) func() {
+		w.endsSending(c)
+		return func() {}
+	}},
+}
+
+func (w *whole) reached(s *standin.Stop) {
+	w.t.Helper()
+	select {
+	case <-s.Reached:
+	case <-time.After(20 * time.Second):
+		w.t.Fatal("a call never came where it was to stop")
+	}
+}
+
+// endsSending has a client end its sending and read that its batch job is broken off: the front has told the loop by then.
+func (w *whole) endsSending(c net.Conn) {
+	w.t.Helper()
+	c.(*net.TCPConn).CloseWrite()
+	if a, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || a.StatusCode < 500 {
+		w.t.Fatalf("not broken off: %v, %v", a, err)
+	}
+}
+
+// late is a loop that stops before it carries out the next write.
+type late struct{ reached, goOn chan struct{} }
+
+func (w *whole) isLate() *late {
+	l := &late{make(chan struct{}), make(chan struct{})}
+	w.late.Store(l)
+	return l
+}
+
+func (w *whole) stands(l *late) {
+	w.t.Helper()
+	select {
+	case <-l.reached:
+	case <-time.After(20 * time.Second):
+		w.t.Fatal("nothing was to be written")
+	}
+}
+
+// The client leaves when the write of its batch job is decided and not carried out: not a byte of it goes out, and what comes
+// next goes out on the same connection, with the same token.
+func TestClientLeavesUnderWrite(t *testing.T) {
+	for _, l := range leaving {
+		t.Run(l.name, func(t *testing.T) {
+			w := start(t, policy.Up, "once")
+			loop := w.isLate()
+			leaves := w.hands("leaves")
+			close(<-w.dials)
+			w.stands(loop)
+			after := l.leave(w, leaves)
+			close(loop.goOn)
+			w.handled(w.hands("stays"))
+			after()
+			w.heard(1)
+			w.ranOnly("stays")
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.unsent != 1 || w.up != 1 {
+				t.Errorf("%d attempts were called off, %d connections came up, not one", w.unsent, w.up)
+			}
+		})
+	}
+}
+
+// Clients leave in one instant while the loop stands before the first write: none of them is sent on.
+func TestClientsLeaveUnderLateLoop(t *testing.T) {
+	w := start(t, policy.Up, "once")
+	loop := w.isLate()
+	var leave []net.Conn
+	for i := range 100 {
+		leave = append(leave, w.hands(fmt.Sprint("leaves-", i)))
+	}
+	go func() {
+		for goOn := range w.dials {
+			close(goOn)
+		}
+	}()
+	w.stands(loop)
+	for _, c := range leave {
+		w.endsSending(c)
+	}
+	close(loop.goOn)
+	w.handled(w.hands("stays"))
+	w.heard(100)
+	w.ranOnly("stays")
+}
+
+// The connection comes up after the client has left, which the front has not come to: nothing of it is written.
+func TestClientLeavesUnreadWhileDialling(t *testing.T) {
+	w := start(t, policy.Up, "once")
+	leaves := w.hands("leaves")
+	goOn := <-w.dials
+	stop := w.halts.At(standin.AfterRead, 0)
+	leaves.Close()
+	w.reached(stop)
+	close(goOn)
+	w.handled(w.hands("stays"))
+	stop.Go()
+	w.heard(1)
+	w.ranOnly("stays")
+}
+
 // The client leaves while the connection for its batch job is being dialled: nothing of it is written.
 func TestClientLeavesWhileDialling(t *testing.T) {
 	w := start(t, policy.Up, "once")
