--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -41,7 +41,7 @@
 	for _, x := range w.executors {
 		capacity += x.Capacity(0)
 	}
-	rates := w.s.Rates(w.tracks, capacity)
+	rates := w.s.Rates(capacity)
 	for i, zone := range f.Zones {
 		c := &callers{w: w, zone: policy.ZoneID(i)}
 		c.Clients = standin.NewClients(zone+"-", w.tracks, standin.Habits{Rate: rates[i], Loops: l.Loops,
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -332,12 +332,17 @@
 	return own, module
 }
 
-// Rates are the batch jobs a second that come to each zone, where executors can do so much work a second in all.
-func (s *Scenario) Rates(tracks []standin.Track, capacity float64) (rates []float64) {
-	mean, total := 0.0, 0.0
-	for _, t := range tracks {
-		mean += t.Share * t.Mean
+// MeanWork is the work of a batch job on average over all tracks, in seconds.
+func (s *Scenario) MeanWork() (mean float64) {
+	for _, t := range s.Tracks {
+		mean += t.Share * time.Duration(t.Work).Seconds()
 	}
+	return mean
+}
+
+// Rates are the batch jobs a second that come to each zone, where executors can do so much work a second in all.
+func (s *Scenario) Rates(capacity float64) (rates []float64) {
+	mean, total := s.MeanWork(), 0.0
 	for _, part := range s.Load.Zones {
 		total += part
 	}
@@ -357,6 +362,6 @@
 	return standin.ExecutorSpec{ID: policy.ExecutorID(id), Zone: policy.ZoneID(number % len(f.Zones)),
 		Cell: policy.CellID(number / f.CellOf), Cores: f.Cores, Speed: speed, Places: f.Places, Queue: f.Queue, ByPriority: f.ByPriority,
 		StopsWork: f.StopsWork, ColdShare: f.ColdShare, WarmWithin: time.Duration(f.WarmWithin), FallMultiple: f.FallMultiple,
-		FallWindow: time.Duration(f.FallWindow), TellsStart: f.TellsStart, TellsEvery: time.Duration(f.TellsEvery), Reports: f.Reports,
+		FallWindow: time.Duration(f.FallWindow), MeanWork: s.MeanWork(), TellsStart: f.TellsStart, TellsEvery: time.Duration(f.TellsEvery), Reports: f.Reports,
 		ReportEvery: time.Duration(f.ReportEvery), ReportNoise: 0.1, Conns: f.Conns, ConnCost: time.Duration(f.ConnCost)}
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -94,7 +94,7 @@
 	w.tracks, w.module = s.Takes()
 	w.checker = rules.New(rules.Settings{Tracks: w.module, Slack: slack, Grace: time.Duration(s.Fleet.DrainGrace),
 		Prompt: prompt, WarmWithin: time.Duration(s.Fleet.WarmWithin), FallMultiple: s.Fleet.FallMultiple,
-		FallWindow: time.Duration(s.Fleet.FallWindow), Copies: s.Fleet.Copies})
+		FallWindow: time.Duration(s.Fleet.FallWindow), MeanWork: s.MeanWork(), Copies: s.Fleet.Copies})
 	w.result = newResult(s, seed)
 	return w
 }
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -41,7 +41,7 @@
 	for _, x := range r.executors {
 		capacity += x.Capacity(0)
 	}
-	rates := r.s.Rates(r.tracks, capacity)
+	rates := r.s.Rates(capacity)
 	for i, zone := range f.Zones {
 		c := &clients{r: r, zone: policy.ZoneID(i), until: until}
 		c.Clients = standin.NewClients(zone+"-", r.tracks, standin.Habits{Rate: rates[i], Retries: l.Retries,
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -100,7 +100,7 @@
 		memories: standin.Memories{}, firstTold: map[policy.ExecutorID]time.Duration{}, result: Result{Seed: o.Seed, Tries: map[string]int{}}}
 	r.tracks, r.module = s.Takes()
 	r.checker = rules.New(rules.Settings{Tracks: r.module, Slack: slack, Grace: time.Duration(s.Fleet.DrainGrace) + slack, Prompt: time.Hour,
-		WarmWithin: time.Duration(s.Fleet.WarmWithin), FallMultiple: busy * s.Fleet.FallMultiple, FallWindow: time.Duration(s.Fleet.FallWindow), Copies: s.Fleet.Copies})
+		WarmWithin: time.Duration(s.Fleet.WarmWithin), FallMultiple: busy * s.Fleet.FallMultiple, FallWindow: time.Duration(s.Fleet.FallWindow), MeanWork: s.MeanWork(), Copies: s.Fleet.Copies})
 	var err error
 	if r.timeline, err = os.Create(filepath.Join(o.Dir, "timeline.txt")); err != nil {
 		return Result{}, err
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -38,7 +38,8 @@
 	WarmWithin   time.Duration
 	FallMultiple float64
 	FallWindow   time.Duration
-	Copies       bool // a repeatable batch job may have two allocations out
+	MeanWork     float64 // seconds of work of a mean batch job; 0: the operators' bound for cold executors is not checked
+	Copies       bool    // a repeatable batch job may have two allocations out
 }
 
 // Broken is a rule that broke, with the lines of the trace that show it.
@@ -392,8 +393,19 @@
 	}
 }
 
-// ColdSlack is what chance is left over the budget of a cold executor, beside the batch job that tops it.
-const ColdSlack = 1.15
+// Of a cold executor: what chance is left over its budget by our own bound, beside the batch job that tops it, and by the operators',
+// where N batch jobs of mean work fill the budget: chanceRoots times the root of N, and chanceJobs more.
+const (
+	coldSlack   = 1.15
+	chanceRoots = 2
+	chanceJobs  = 2
+)
+
+// TopplesCold says whether the work that came within the window topples a cold executor, the largest piece of it being most: by our own
+// bound, which is the narrower one as long as the budget is under about 190 mean batch jobs, or by the operators'.
+func TopplesCold(sum, most, budget, mean float64) bool {
+	return sum-most > coldSlack*budget || mean > 0 && sum > budget+chanceRoots*math.Sqrt(budget*mean)+chanceJobs*mean
+}
 
 // startTold is the last start of an executor that a node has been told of.
 func (c *Checker) startTold(s Seen) time.Duration {
@@ -438,8 +450,9 @@
 			known += a.cost
 		}
 	}
-	if budget := ColdSlack * c.s.FallMultiple * s.Capacity * c.s.FallWindow.Seconds(); sum-most > budget && known >= sum*2/3 {
-		c.breaks(ColdSpared, s.At, jobKey{Nobody, ""}, "", s.Executor, "%s, cold, was sent %.2fs of work within %v where %.2fs is the most",
+	budget := c.s.FallMultiple * s.Capacity * c.s.FallWindow.Seconds()
+	if TopplesCold(sum, most, budget, c.s.MeanWork) && known >= sum*2/3 {
+		c.breaks(ColdSpared, s.At, jobKey{Nobody, ""}, "", s.Executor, "%s, cold, was sent %.2fs of work within %v where %.2fs is its budget",
 			s.Executor, sum, c.s.FallWindow, budget)
 	}
 }
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -203,3 +203,48 @@
 		t.Error("a copy where none is allowed is not seen")
 	}
 }
+
+// The operators' bound for a cold executor: N and twice the root of N and two more batch jobs of mean work, N filling its budget. It is
+// the narrower one where N is large; what is just under it is fine, the next batch job breaks the rule, whichever nodes sent them, unless
+// a third came from nodes that had not been told. With a small N our own bound still holds.
+func TestColdChance(t *testing.T) {
+	of := site
+	for _, c := range []struct {
+		name  string
+		mean  float64
+		count int
+		cost  float64
+		late  int // of every so many one comes from a node that was not told of the start; 0 for none
+		want  bool
+	}{
+		{"400 fill the budget, 442 came", 0.005, 442, 0.005, 0, false},
+		{"400 fill the budget, 443 came", 0.005, 443, 0.005, 0, true},
+		{"counted as work: 884 of half the mean", 0.005, 884, 0.0025, 0, false},
+		{"counted as work: 885 of half the mean", 0.005, 885, 0.0025, 0, true},
+		{"over it, a quarter by a node that was not told", 0.005, 460, 0.005, 4, true},
+		{"over it, half by a node that was not told", 0.005, 460, 0.005, 2, false},
+		{"no mean is known: our own bound alone", 0, 443, 0.005, 0, false},
+		{"4 fill the budget, 5 came: under both", 0.5, 5, 0.5, 0, false},
+		{"4 fill the budget, 6 came: under theirs, over our own", 0.5, 6, 0.5, 0, true},
+	} {
+		of.MeanWork = c.mean
+		checker := New(of)
+		start := at(5*ms, Started, nil)
+		start.Node = Nobody
+		untold, told := toldOf(0, policy.Up), toldFrom(6*ms, 5*ms)
+		untold.Node = 1
+		for _, s := range []Seen{untold, start, told} {
+			checker.See(s)
+		}
+		for i := range c.count {
+			s := reached(10*ms+time.Duration(i)*time.Microsecond, c.cost)
+			if c.late > 0 && i%c.late == 0 {
+				s.Node = 1
+			}
+			checker.See(s)
+		}
+		if got := len(checker.Broken()) > 0; got != c.want {
+			t.Errorf("%s: broken %v: %v", c.name, got, checker.Broken())
+		}
+	}
+}
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -38,6 +38,7 @@
 	WarmWithin   time.Duration
 	FallMultiple float64
 	FallWindow   time.Duration
+	MeanWork     float64 // seconds of work of a mean batch job
 
 	TellsStart  bool
 	TellsEvery  time.Duration // between notices of progress; 0 for none
@@ -446,7 +447,8 @@
 }
 
 // pushed says whether it falls over: more than its rule allows has come within the window. What came is judged by what
-// clients said of it, as it is not known before it runs; the one that tops the budget is not counted.
+// clients said of it, as it is not known before it runs; by our own bound the one that tops the
+// budget is not counted.
 func (e *Executor) pushed(now time.Duration, a Allocation) bool {
 	e.came = slices.DeleteFunc(e.came, func(c came) bool { return c.at+e.FallWindow < now })
 	e.came = append(e.came, came{now, a.Hint})
@@ -455,7 +457,8 @@
 		sum += c.cost
 		most = max(most, c.cost)
 	}
-	if e.FallMultiple == 0 || sum-most <= rules.ColdSlack*e.FallMultiple*e.Capacity(now)*e.FallWindow.Seconds() {
+	budget := e.FallMultiple * e.Capacity(now) * e.FallWindow.Seconds()
+	if budget == 0 || !rules.TopplesCold(sum, most, budget, e.MeanWork) {
 		return false
 	}
 	e.out = append(e.out, Fell{})
