--- a/cmd/birchlab/hunt.go
+++ b/cmd/birchlab/hunt.go
@@ -19,6 +19,7 @@
 	Nodes     int           `default:"4" help:"Nodes in a world, at most."`
 	Executors int           `default:"8" help:"Executors in a world, at most."`
 	Length    time.Duration `default:"15s" help:"How long batch jobs come in a world."`
+	Cold      bool          `help:"Draw worlds about cold executors, with 20 or 30 nodes."`
 	Parallel  int           `help:"Worlds at a time; as many as there are cores if it is left out."`
 	Keep      string        `type:"path" placeholder:"DIR" help:"Keep what breaks a rule, and what does worst, as scenarios there."`
 	Worst     int           `default:"5" help:"How many of those that do worst are named."`
@@ -63,7 +64,7 @@
 	var broken, worst []outcome
 	var against versus
 	var failed error
-	size := lab.Size{Nodes: c.Nodes, Executors: c.Executors, Length: c.Length}
+	size := lab.Size{Nodes: c.Nodes, Executors: c.Executors, Length: c.Length, Cold: c.Cold}
 	lab.Hunt(c.Seeds.first, c.Seeds.last, size, c.Parallel, func(s lab.Scenario, r lab.Result) bool {
 		done++
 		works += r.Works()
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -19,6 +19,7 @@
 	Nodes     int           // at most
 	Executors int           // at most
 	Length    time.Duration // of the time in which batch jobs come
+	Cold      bool          // worlds of 20 and 30 nodes, about cold executors
 }
 
 // Draw draws a world and its faults from a seed.
@@ -66,6 +67,9 @@
 		}
 	}
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	if size.Cold {
+		drawCold(&s)
+	}
 	return s
 }
 
