A node that starts again lets one window pass before it sends to executors cold by then

Cause: `listed` gives a process an empty account of a cold executor (e.colds[:0]), whoever sent there before. A process that starts again may have spent its part just before its end, and its next one spends it again.

Change: an executor that had started before this process (n.Started < 0, spans count from the process's start) has its part charged for one window from the process's start on. One that starts later is sent to at once.

TestColdWorlds plays six drawn worlds of the kind.

--- /dev/null
+++ b/internal/lab/cold_test.go
@@ -0,0 +1,47 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"birchstair/internal/rules"
+)
+
+// Drawn worlds of 20 and 30 nodes whose executors start again under bursts: no rule breaks.
+func TestColdWorlds(t *testing.T) {
+	Hunt(1, 6, Size{Nodes: 4, Executors: 12, Length: 5 * time.Second, Cold: true}, 0, func(s Scenario, r Result) bool {
+		if at, err := s.check(); err != nil {
+			t.Errorf("seed %d: %s: %v", r.Seed, at, err)
+		}
+		for _, b := range r.Broken {
+			t.Errorf("seed %d: %v", r.Seed, b)
+		}
+		return true
+	})
+}
+
+// All of 30 nodes are killed and start again, some times within a window, while executors are cold under a burst: what the processes before
+// them sent is charged to them.
+func TestColdNodesStartAgain(t *testing.T) {
+	s := Base()
+	second := func(at float64) Span { return Span(at * 1e9) }
+	s.Name, s.Length, s.Load.Of, s.Load.HintNoise, s.Load.DeadFor = "cold-nodes-start-again", second(4), 0.7, 0, second(0.001)
+	f := &s.Fleet
+	f.Zones, f.Nodes, f.Executors, f.Queue, f.Spread, f.ListLag = []string{"east"}, 30, 10, 10, 0, second(0.1)
+	s.Tracks = []Track{{Name: "short", Share: 1, Repeat: "repeatable", Work: second(0.2), Spread: 0.3, Quoted: second(0.2), Stretch: 2, Outer: second(3), Earnings: 1}}
+	s.Faults = []Fault{{Kind: "crash", At: second(1), For: second(0.5), Where: []string{"e0", "e1", "e2", "e3", "e4"}},
+		{Kind: "burst", At: second(1), For: second(3), Size: 2.5}}
+	for _, at := range []float64{1.9, 2.4, 2.9, 3.4} {
+		s.Faults = append(s.Faults, Fault{Kind: "node-killed", At: second(at), For: second(0.02)})
+	}
+	cold := 0
+	r := New(s, 1, Options{Trace: func(x rules.Seen) {
+		if x.What == rules.Reached {
+			cold++
+		}
+	}}).Play()
+	if cold < 50 {
+		t.Errorf("only %d batch jobs reached cold executors: this test shows nothing", cold)
+	}
+	wants(t, r)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -126,6 +126,10 @@
 			d.cold = append(d.cold, e)
 		}
 		e.coldUntil, e.inCap, e.held, e.startWait, e.colds = until, 1, 0, 0, e.colds[:0]
+		if n.Started < 0 { // Guards against a process that starts again: the one before may have spent it.
+			e.colds = append(e.colds, spend{0, Endless})
+			d.at(d.fallWindow, nil, nil)
+		}
 	}
 }
 
