TestKilling: the node's port is of an address that no connection goes out from

Cause, the likely one (the log was gone with the test): the node's port on 127.0.0.1 was let go before the node had it, and between its processes anybody's connection may take such a port; the process then ends at once. Other causes of status 1 at the start, a store that is locked or a bad file, are ruled out by the wait for the killed process and by the files, which stay as they are. Change: the port is one of 127.0.89.1, as cmd/birchstair's tests have it. The next time the log's end stands in the failure. 8 runs at a time instead of 4, beside the other tests: they mostly wait (49 s wall, 7 s CPU with 4 at a time). Lines: internal/lab/killing.go setUp.

--- a/internal/lab/killing.go
+++ b/internal/lab/killing.go
@@ -86,7 +86,8 @@
 	r.awaitReady() // before that it does not listen to signals yet
 	node.Process.Signal(syscall.SIGTERM)
 	if err := node.Wait(); err != nil {
-		r.fail("a planned end: %v", err)
+		log, _ := os.ReadFile(filepath.Join(r.Dir, "log"))
+		r.fail("a planned end: %v; its log ends with %s", err, log[max(0, len(log)-500):])
 	}
 	return r.count(), nil
 }
@@ -151,8 +152,8 @@
 			l.Close()
 		}
 	}
-	listen := func() string {
-		l, e := net.Listen("tcp", "127.0.0.1:0")
+	listenAt := func(host string) string {
+		l, e := net.Listen("tcp", host+":0")
 		if e != nil {
 			err = errors.Join(err, e)
 			return ""
@@ -160,6 +161,7 @@
 		open = append(open, l)
 		return l.Addr().String()
 	}
+	listen := func() string { return listenAt("127.0.0.1") }
 	var entries []standin.Entry
 	for i := range 3 {
 		id := policy.ExecutorID(fmt.Sprint("e", i))
@@ -175,12 +177,14 @@
 			}}
 		go x.Serve(open[i])
 	}
-	discovery, own := listen(), listen()
+	// The node's own port is free until each of its processes takes it: of an address that no connection goes out from. Guards
+	// against a connection of anybody's that has the port meanwhile, so that the next process ends at once.
+	discovery, own := listen(), listenAt("127.0.89.1")
 	if err != nil {
 		return closeAll, err
 	}
 	go (&platform.Discovery{Entries: entries, Zones: []string{"z"}}).Serve(open[3])
-	open[4].Close() // a port that is free for the node
+	open[4].Close()
 	open = open[:4]
 	r.listen, r.config, r.site = own, filepath.Join(r.Dir, "config.json"), filepath.Join(r.Dir, "site.toml")
 	var tracks []any
--- a/internal/lab/killing_test.go
+++ b/internal/lab/killing_test.go
@@ -11,13 +11,14 @@
 // Real processes, killed by SIGKILL at random points: what was acknowledged is never lost, each batch job has one final answer, and no once-only one runs
 // twice.
 func TestKilling(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "birchstair")
 	if out, err := exec.Command("go", "build", "-o", binary, "birchstair/cmd/birchstair").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	var wait sync.WaitGroup
-	free := make(chan struct{}, 4)
+	free := make(chan struct{}, 8) // they mostly wait
 	for seed := range uint64(24) {
 		wait.Go(func() {
 			free <- struct{}{}
