Real processes stopped while clients leave, and the lab's network counts a leaving from its arrival

Rig: its check stood behind the look-up of the try, which a leaving ends, so it never met an attempt that came later; that one fell under the 1 s after any end, with an excuse for stopped processes. Each attempt is held against its client's end first now, without that excuse, 0.15 s allowed for this process to read what a node wrote, and the third late one is wrong. Cause: the leaving was booked when the client closed, while a zone that was cut off or deaf held up the end on the way (zone-deaf at 8.9 s, zone-cut at 5.1 s), so no look at the node could find it. It is booked when it arrives at the node's machine now (wired.went).

--- a/internal/lab/wired.go
+++ b/internal/lab/wired.go
@@ -632,13 +632,21 @@
 		v.enter(func() {
 			if how == standin.EndBrokenOff && work.Leaves <= v.w.now {
 				v.w.result.Left++
-				v.w.see(rules.Seen{What: rules.Went, Node: t.n.id, Job: t.job})
+				v.went(t, from, l.host)
 			}
 			t.end(how, comeBack)
 		})
 	}()
 }
 
+// went books that a client's connection has ended: when that arrives at its node's machine, which may be cut off from it. Before, no
+// look there could find it.
+func (v *wired) went(t *try, from, host string) {
+	if p := v.path(from, host); !p.Lost {
+		v.w.after(p.Hold+p.Delay, func() { v.w.see(rules.Seen{What: rules.Went, Node: t.n.id, Job: t.job}) })
+	}
+}
+
 // call is a client's call.
 func (v *wired) call(from, addr string, m platform.Message, t *try) (standin.End, time.Duration) {
 	work := t.work
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -43,6 +43,7 @@
 	Finished    float64        // and that they got done
 	Late        int            // allocations to an executor that drains from nodes whose own list does not say so, long after another node was told
 	WentWaiting int            // clients that left while their batch jobs waited with nothing out
+	SentLate    int            // attempts that reached an executor too long after their clients had left
 	Views       [][]string     // what each node said of its fleet at the end
 	Wrong       []string
 }
@@ -86,6 +87,7 @@
 
 const (
 	slack     = time.Second            // on a busy machine an answer may be so late
+	lookLate  = 150 * time.Millisecond // and this process so late to read what a node wrote; later ones count, and two do no harm
 	drainSlow = 3 * time.Second        // within it every node of a fleet whose links are whole knows of a drain
 	warmUp    = 500 * time.Millisecond // after all nodes are ready
 	readyIn   = 20 * time.Second
