--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -206,6 +206,50 @@
 	kept.Compare(t, "connections.txt", all.String())
 }
 
+// The other end's end is there once it has arrived and not before, also behind bytes; bytes alone, and an end that is held up on the way, are none.
+func TestPeerEnded(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(b *bench, here, there *Conn)
+		want bool
+	}{
+		{"nothing", func(*bench, *Conn, *Conn) {}, false},
+		{"bytes", func(_ *bench, _, there *Conn) { there.Write([]byte("ab")) }, false},
+		{"the end of its sending", func(_ *bench, _, there *Conn) { there.CloseWrite() }, true},
+		{"its end, behind bytes", func(_ *bench, _, there *Conn) { there.Write([]byte("ab")); there.Close() }, true},
+		{"a break", func(_ *bench, _, there *Conn) { there.Reset() }, true},
+		{"its end, held up", func(b *bench, _, there *Conn) { b.path.Hold = time.Hour; there.Close() }, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &bench{path: Path{Delay: 10 * time.Millisecond}}
+			b.net = New(1, func(_, _ string) Path { return b.path })
+			l, err := b.net.Listen("there", "there:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			here, err := b.net.Dial(t.Context(), "here", "1", "there:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			there, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.do(b, here, there.(*Conn))
+			if here.PeerEnded() {
+				t.Errorf("%s: ended before it has arrived", c.name)
+			}
+			time.Sleep(time.Second) // on the virtual clock
+			if got := here.PeerEnded(); got != c.want {
+				t.Errorf("%s: %v", c.name, got)
+			}
+			b.net.Shut()
+			l.Close()
+			time.Sleep(2 * time.Hour)
+		})
+	}
+}
+
 // Dials that lead nowhere, and how long that takes to show.
 func TestDials(t *testing.T) {
 	var out strings.Builder
