--- a/cmd/birchlab/main.go
+++ b/cmd/birchlab/main.go
@@ -8,6 +8,8 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"birchstair/internal/scale"
 )
 
 var commands struct {
@@ -17,6 +19,7 @@
 	Shrink shrinkCmd `cmd:"" help:"Find the fewest faults and the shortest stretch that still break the same rule."`
 	Kill   killCmd   `cmd:"" help:"Kill real nodes with durable batch jobs, on loopback, and count what became of each."`
 	Fleet  fleetCmd  `cmd:"" help:"Play fleets of real processes with faults between them, on loopback."`
+	Scale  scaleCmd  `cmd:"" help:"Measure what a node costs as executors, nodes and tenants grow: real nodes among hollow ones, on loopback."`
 	Trace  traceCmd  `cmd:"" help:"Print a trace as people read it."`
 }
 
@@ -24,6 +27,13 @@
 var errBroken = errors.New("a rule broke")
 
 func main() {
+	if os.Getenv(scale.HollowEnv) != "" { // started by birchlab scale
+		if err := scale.Hollow(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "birchlab, a hollow process:", err)
+			os.Exit(2)
+		}
+		return
+	}
 	ctx := kong.Parse(&commands, kong.Name("birchlab"), kong.Description("Worlds on a virtual clock, with faults and the rules checked."),
 		kong.UsageOnError())
 	if err := ctx.Run(); err != nil {
--- a/internal/rig/proc.go
+++ b/internal/rig/proc.go
@@ -51,8 +51,8 @@
 	pool     []net.Conn
 }
 
-// claim finds a group of loopback addresses that no other run uses, 127.SLOT.x.y, and holds it for as long as the run lasts.
-func claim() (slot byte, held net.Listener, err error) {
+// Claim finds a group of loopback addresses that no other run uses, 127.SLOT.x.y, and holds it for as long as the run lasts.
+func Claim() (slot byte, held net.Listener, err error) {
 	for range 500 {
 		slot = byte(2 + rand.IntN(250))
 		if held, err = net.Listen("tcp", fmt.Sprintf("127.%d.2.1:%d", slot, hubPort)); err == nil {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -158,7 +158,7 @@
 		x := r.newExecutor(fmt.Sprint("e", i), i, f.Speed*(1+f.Spread*(2*speeds.Float64()-1)))
 		r.discovery.Change(-time.Hour+time.Duration(i), x.entry(policy.Up))
 	}
-	slot, held, err := claim()
+	slot, held, err := Claim()
 	if err != nil {
 		return fmt.Errorf("no free loopback addresses for a fleet: %w", err)
 	}
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,184 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"birchstair/internal/standin/platform"
+	"birchstair/policy"
+)
+
+// A hollow process holds many executors, or many nodes without batch jobs. It is told what to hold by one line of JSON, answers with one, and then answers
+// each line with its counts, until its input ends.
+
+// hollowJob is what a hollow process is to hold.
+type hollowJob struct {
+	Host      string // the address that its executors listen on
+	Executors []hollowExecutor
+	Work      time.Duration // that each task takes
+	Nodes     []hollowNode
+	Fleet     hollowFleet
+}
+
+type hollowExecutor struct {
+	ID     policy.ExecutorID
+	Places int
+}
+
+// hollowReady is its first answer.
+type hollowReady struct {
+	Addrs []string // of the executors, in order
+	Wrong string
+}
+
+// Counts are what a hollow process has seen since it began.
+type Counts struct {
+	Ran    int64 // tasks begun
+	Opened int64 // connections
+	In     int64 // bytes that came
+	Out    int64
+	Most   int // tasks that ran at once at one executor
+
+	Fleet fleetCounts
+}
+
+// traffic counts what passes a listener's connections.
+type traffic struct{ opened, in, out atomic.Int64 }
+
+type countedListener struct {
+	net.Listener
+	t *traffic
+}
+
+type countedConn struct {
+	net.Conn
+	t *traffic
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.t.opened.Add(1)
+	return countedConn{c, l.t}, nil
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.t.in.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.t.out.Add(int64(n))
+	return n, err
+}
+
+// Hollow is the main function of a hollow process.
+func Hollow(in io.Reader, out io.Writer) error {
+	lines, answers := json.NewDecoder(bufio.NewReader(in)), json.NewEncoder(out)
+	var job hollowJob
+	if err := lines.Decode(&job); err != nil {
+		return err
+	}
+	var t traffic
+	var ran atomic.Int64
+	var ready hollowReady
+	executors := make([]*platform.Executor, len(job.Executors))
+	for i, x := range job.Executors {
+		l, err := net.Listen("tcp", job.Host+":0")
+		if err != nil {
+			ready.Wrong = err.Error()
+			break
+		}
+		defer l.Close()
+		ready.Addrs = append(ready.Addrs, l.Addr().String())
+		executors[i] = &platform.Executor{ID: x.ID, Places: x.Places, Reports: true, Takes: func() time.Duration { return job.Work },
+			Ran: func(policy.JobID) { ran.Add(1) }}
+		go executors[i].Serve(countedListener{l, &t})
+	}
+	members, err := startMembers(job)
+	if err != nil {
+		ready.Wrong = err.Error()
+	}
+	defer members.end()
+	if err := answers.Encode(ready); err != nil || ready.Wrong != "" {
+		return errors.Join(err, errors.New(ready.Wrong))
+	}
+	for {
+		var about policy.ExecutorID // whose drain is asked for
+		if err := lines.Decode(&about); err != nil {
+			return nil // whoever started it has ended
+		}
+		c := Counts{Ran: ran.Load(), Opened: t.opened.Load(), In: t.in.Load(), Out: t.out.Load(), Fleet: members.counts(about)}
+		for _, x := range executors {
+			c.Most = max(c.Most, x.Most())
+		}
+		if err := answers.Encode(c); err != nil {
+			return nil
+		}
+	}
+}
+
+// hollow is a hollow process from its starter's side.
+type hollow struct {
+	cmd   *exec.Cmd
+	in    io.WriteCloser
+	out   *json.Decoder
+	Addrs []string
+}
+
+func startHollow(command []string, job hollowJob) (*hollow, error) {
+	h := &hollow{cmd: exec.Command(command[0], command[1:]...)}
+	h.cmd.Stderr = os.Stderr
+	h.cmd.Env = append(os.Environ(), HollowEnv+"=1")
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the run
+	out, err := h.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if h.in, err = h.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	if err := h.cmd.Start(); err != nil {
+		return nil, err
+	}
+	h.out = json.NewDecoder(bufio.NewReader(out))
+	var ready hollowReady
+	if err := errors.Join(json.NewEncoder(h.in).Encode(job), h.out.Decode(&ready)); err != nil {
+		h.end()
+		return nil, fmt.Errorf("a hollow process does not begin: %w", err)
+	}
+	if ready.Wrong != "" {
+		h.end()
+		return nil, errors.New(ready.Wrong)
+	}
+	h.Addrs = ready.Addrs
+	return h, nil
+}
+
+// counts asks for the counts, and who holds that executor as draining.
+func (h *hollow) counts(about policy.ExecutorID) (c Counts, err error) {
+	if err := json.NewEncoder(h.in).Encode(about); err != nil {
+		return c, err
+	}
+	return c, h.out.Decode(&c)
+}
+
+func (h *hollow) end() {
+	h.in.Close()
+	late := time.AfterFunc(5*time.Second, func() { h.cmd.Process.Kill() })
+	h.cmd.Wait()
+	late.Stop()
+}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -18,9 +18,20 @@
 	Takes     func() time.Duration // how long the next one takes
 	Leases    bool                 // it answers questions about leases
 	Forgetful bool                 // it says "never" to all of them, and runs an epoch twice: a planted defect
+	Places    int                  // that run at once; what comes beyond them is turned away; 0: there is no bound
+	Reports   bool                 // its answers tell its load, where there is a bound
 
-	mu    sync.Mutex
-	lease *standin.Leaser
+	mu      sync.Mutex
+	lease   *standin.Leaser
+	running int
+	most    int
+}
+
+// Most is how many ran at once at the most.
+func (e *Executor) Most() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.most
 }
 
 // Restart forgets all that it knows of leases, as its process does.
@@ -61,7 +72,9 @@
 			c.Write(e.found(m))
 			return
 		case !e.take(m):
-			c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"))
+			var a Answer
+			b, _ := a.Append(nil, standin.Say{Job: m.Job, Word: standin.NoRoom, Load: e.load()}, e.ID, "")
+			c.Write(b)
 		default:
 			if !e.run(c, m) {
 				return
@@ -86,7 +99,22 @@
 func (e *Executor) take(m Message) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.lease.Take(m.Job, m.Epoch) || e.Forgetful
+	if e.Places > 0 && e.running >= e.Places || !e.lease.Take(m.Job, m.Epoch) && !e.Forgetful {
+		return false
+	}
+	e.running++
+	e.most = max(e.most, e.running)
+	return true
+}
+
+// load is what it tells of itself.
+func (e *Executor) load() standin.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.Reports || e.Places == 0 {
+		return standin.Load{}
+	}
+	return standin.Load{Held: float64(e.running), Free: float64(e.Places - e.running), Known: true}
 }
 
 func (e *Executor) run(c net.Conn, m Message) bool {
@@ -98,16 +126,60 @@
 	result := Result(string(m.Job))
 	e.mu.Lock()
 	e.lease.Finish(m.Job, m.Epoch, []byte(result))
+	e.running--
 	e.mu.Unlock()
-	b, _ = a.Append(nil, standin.Say{Job: m.Job, Word: standin.Done}, e.ID, result)
+	b, _ = a.Append(nil, standin.Say{Job: m.Job, Word: standin.Done, Load: e.load()}, e.ID, result)
 	_, err := c.Write(b)
 	return err == nil
 }
 
-// Discovery names the same executors to all, and never anything new.
+// Discovery names the same executors to all nodes, and at once.
 type Discovery struct {
-	Entries []standin.Entry
+	Entries []standin.Entry // at the start
 	Zones   []string
+
+	mu    sync.Mutex
+	model *standin.Discovery
+	news  chan struct{} // closed with the next change
+}
+
+const never = time.Duration(1<<63 - 1) // discovery tells at once, so all that has changed may be told
+
+// list is the model behind it. It is called with d.mu held.
+func (d *Discovery) list() *standin.Discovery {
+	if d.model == nil {
+		d.model, d.news = standin.NewDiscovery(0), make(chan struct{})
+		for _, e := range d.Entries {
+			d.model.Change(0, e)
+		}
+	}
+	return d.model
+}
+
+// Change changes entries, all in one step.
+func (d *Discovery) Change(entries ...standin.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := d.list()
+	for _, e := range entries {
+		list.Change(0, e)
+	}
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// answer is what a call gets now, and what to wait for where there is nothing new.
+func (d *Discovery) answer(ask Watch, over bool) ([]byte, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	version, entries := d.list().Since(never, ask.From)
+	if ask.Whole {
+		entries = d.list().Whole(never)
+	}
+	if !ask.Whole && !over && len(entries) == 0 {
+		return nil, d.news
+	}
+	return AppendList(nil, version, ask.Whole, entries, d.Zones, time.Now()), nil
 }
 
 // Serve takes connections until the listener ends.
@@ -125,12 +197,16 @@
 				if err != nil {
 					return
 				}
-				entries := d.Entries
-				if !ask.Whole {
-					entries = nil
-					time.Sleep(ask.Hold)
+				until := time.After(ask.Hold)
+				answer, news := d.answer(ask, false)
+				for over := false; answer == nil; answer, news = d.answer(ask, over) {
+					select {
+					case <-news:
+					case <-until:
+						over = true
+					}
 				}
-				if _, err := c.Write(AppendList(nil, 1, ask.Whole, entries, d.Zones, time.Now())); err != nil {
+				if _, err := c.Write(answer); err != nil {
 					return
 				}
 			}
