birchlab scale: hollow nodes, changes in force, slopes, bounds

Need: slopes over executors, nodes, figures in a message, starts, running tasks and tenants by one command. Change: dimensions varied one at a time in turn, hollow members by the real edge and decider, their traffic counted at the transport, changes timed until the last node, the module alone, least squares, bounds by name.

--- a/cmd/birchlab/scale.go
+++ b/cmd/birchlab/scale.go
@@ -2,72 +2,94 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"birchstair/internal/scale"
 )
 
+// scaleCmd measures slopes.
 type scaleCmd struct {
 	Binary    string        `type:"existingfile" default:"bin/birchstair" help:"The node."`
 	Executors []int         `default:"12,100,400,1600,3200" help:"Hollow executors."`
-	Of        []int         `default:"1,9" help:"How many nodes the one beside them counts itself among: from six on its slice is three in so many."`
-	Rate      float64       `default:"200" help:"Starts a second, by schedule."`
-	Work      time.Duration `default:"2ms" help:"That each task takes."`
-	Span      time.Duration `default:"4s" help:"That each point is watched idle, and under load."`
+	Of        []int         `default:"1,9" help:"How many nodes the one among them counts itself among: from six on its slice is three in so many."`
+	Nodes     []int         `default:"3,9,30,100,300" help:"Nodes that talk."`
+	Real      int           `default:"1" help:"Of them, real ones; the others are members without batch jobs."`
+	Rungs     []int         `default:"1,16,64" help:"Figures in a message between nodes: classes of batch jobs that earn differently for their work."`
+	Rates     []int         `default:"50,200,800" help:"Starts a second at one node."`
+	Running   []int         `default:"100,400,800" help:"Tasks at a time at one node, of 4 s each."`
+	Tenants   []int         `default:"1,75,750" help:"Tenants, with the module alone: the platform's protocol names none."`
 	Rounds    int           `default:"3" help:"How often each point is measured, in turn."`
-	JSON      string        `name:"json" type:"path" placeholder:"FILE" help:"Write the rows there, a line each."`
+	Skip      []string      `placeholder:"DIM,..." help:"Dimensions that are left out: executors, nodes, rungs, rates, running, tenants."`
+	At        int           `default:"400" help:"Executors where another dimension is varied."`
+	Among     int           `default:"9" help:"Nodes where rungs are varied."`
+	Rate      int           `default:"200" help:"Starts a second where another dimension is varied."`
+	Work      time.Duration `default:"50ms" help:"That a task takes."`
+	Span      time.Duration `default:"3s" help:"That each point is watched idle, and under load."`
+	Sockets   int           `default:"1024" help:"A node's limits.sockets."`
+	JSON      string        `name:"json" type:"path" placeholder:"FILE" help:"Write rows and fits there, a line each."`
+	Keep      string        `type:"path" placeholder:"DIR" help:"Keep logs and configurations there."`
+}
+
+func (c *scaleCmd) sweep() (scale.Sweep, error) {
+	s := scale.Sweep{Executors: c.Executors, Of: c.Of, Nodes: c.Nodes, Real: c.Real, Rungs: c.Rungs, Rates: c.Rates, Running: c.Running, Tenants: c.Tenants, Rounds: c.Rounds,
+		BaseExecutors: c.At, BaseNodes: c.Among, BaseRate: c.Rate, Work: c.Work, Span: c.Span, Sockets: c.Sockets}
+	dims := map[string]*[]int{"executors": &s.Executors, "nodes": &s.Nodes, "rungs": &s.Rungs, "rates": &s.Rates, "running": &s.Running, "tenants": &s.Tenants}
+	for _, name := range c.Skip {
+		if dims[name] == nil {
+			return s, fmt.Errorf("--skip: %q is none of %s", name, strings.Join(slices.Sorted(maps.Keys(dims)), ", "))
+		}
+		*dims[name] = nil
+	}
+	return s, s.Check()
 }
 
 func (c *scaleCmd) Run() error {
-	binary, err := filepath.Abs(c.Binary)
+	s, err := c.sweep()
 	if err != nil {
 		return err
 	}
-	self, err := os.Executable()
-	if err != nil {
+	o := scale.Options{Settle: time.Second, Dir: c.Keep}
+	if o.Binary, err = filepath.Abs(c.Binary); err != nil {
 		return err
 	}
-	dir, err := os.MkdirTemp("", "birchlab-scale-")
+	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
-	o := scale.Options{Binary: binary, Hollow: []string{self}, Dir: dir, Rate: c.Rate, Work: c.Work, Idle: c.Span, Load: c.Span, Settle: 2 * time.Second}
-	for round := range c.Rounds {
-		for _, n := range c.Executors {
-			for _, of := range c.Of {
-				r := scale.Measure(scale.Point{Series: fmt.Sprintf("executors-of-%d", of), X: float64(n), Executors: n, Of: of, Real: 1, Seed: uint64(round + 1), Round: round}, o)
-				print1(r)
-				if c.JSON != "" {
-					if err := appendLine(c.JSON, r); err != nil {
-						return err
-					}
-				}
-			}
+	o.Hollow = []string{self}
+	if c.Keep == "" {
+		if o.Dir, err = os.MkdirTemp("", "birchlab-scale-"); err != nil {
+			return err
 		}
+		defer os.RemoveAll(o.Dir)
 	}
-	return nil
-}
-
-func print1(r scale.Row) {
-	fmt.Printf("%s %g round %d:", r.Series, r.X, r.Round)
-	if r.NotRun != "" {
-		fmt.Printf(" NOT RUN: %s\n", r.NotRun)
-		return
+	fmt.Printf("all points take about %v\n", s.Long().Round(10*time.Second))
+	var rows []scale.Row
+	wrong := 0
+	var failed error
+	write := func(v any) {
+		if c.JSON != "" && failed == nil {
+			failed = appendLine(c.JSON, v)
+		}
 	}
-	names := []string{}
-	for name := range r.Figures {
-		names = append(names, name)
+	if err := s.Run(o, func(r scale.Row) {
+		fmt.Println(r)
+		rows, wrong = append(rows, r), wrong+len(r.Wrong)
+		write(r)
+	}); err != nil {
+		return err
 	}
-	slices.Sort(names)
-	for _, n := range names {
-		fmt.Printf(" %s=%.4g", n, r.Figures[n])
+	for _, f := range scale.Fits(rows) {
+		fmt.Println(f)
+		write(f)
 	}
-	fmt.Println()
-	for _, w := range r.Wrong {
-		fmt.Println("  WRONG:", w)
+	if failed == nil && wrong > 0 {
+		failed = errBroken
 	}
+	return failed
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -27,6 +27,7 @@
 	Listen    netip.AddrPort
 	Advertise netip.AddrPort // where neighbours reach it
 	Seeds     []netip.AddrPort
+	Traffic   *Traffic // counts its traffic; nil: nobody does
 }
 
 // Members is a node's place in its fleet. Run owns it.
@@ -110,6 +111,9 @@
 	}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.LogOutput, c.Logger = string(m.o.Name), t, nil, t.logger(m.log)
+	if m.o.Traffic != nil {
+		c.Transport = count(t, m.o.Traffic)
+	}
 	c.BindAddr, c.BindPort = m.o.Listen.Addr().String(), int(m.o.Listen.Port())
 	c.AdvertiseAddr, c.AdvertisePort = m.o.Advertise.Addr().String(), int(m.o.Advertise.Port())
 	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult, c.SuspicionMaxTimeoutMult = probeSpell, probeLimit, 3, 2
@@ -118,7 +122,7 @@
 	c.Delegate, c.Events, c.Conflict = m, m, m
 	list, err := memberlist.Create(c)
 	if err != nil {
-		t.Shutdown()
+		c.Transport.Shutdown()
 	}
 	return list, err
 }
--- /dev/null
+++ b/internal/scale/bounds.go
@@ -0,0 +1,135 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"syscall"
+	"time"
+)
+
+// Bounds of a run on one machine. What goes over them is refused by name before anything is started.
+const (
+	MostExecutors = 6400
+	MostNodes     = 300
+	MostReal      = 12
+	MostTenants   = 10000
+	MostRate      = 5000
+	MostProcesses = 300
+	MostMemory    = 12 << 30
+	MostTime      = time.Hour
+	mostOf        = 1000
+	mostRungs     = 64
+)
+
+// What a hollow executor, a hollow node, a batch job in hand and a node at its own limit take at the most, by measurement and rounded up.
+const (
+	executorMemory = 64 << 10
+	memberMemory   = 4 << 20
+	jobMemory      = 128 << 10
+	nodeMemory     = 256 << 20
+	spareFiles     = 256
+)
+
+// Sweep is what is varied, one dimension at a time from a base.
+type Sweep struct {
+	Executors []int // in all; for one node alone and for one of Nine
+	Of        []int // nodes that the real one counts itself among
+	Nodes     []int // that talk, real and hollow
+	Real      int   // of them, at the most
+	Rungs     []int // figures in a message between nodes
+	Rates     []int // starts a second
+	Running   []int // tasks at a time
+	Tenants   []int // with the module alone
+	Rounds    int
+
+	BaseExecutors int // where another dimension is varied
+	BaseNodes     int // that talk, where rungs are
+	BaseRate      int
+	Work          time.Duration
+	Span          time.Duration // that each point is watched idle, and under load
+	Sockets       int           // a real node's limit
+}
+
+// Check refuses what goes over a bound, by its name.
+func (s Sweep) Check() error {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return err
+	}
+	return s.check(int(min(files.Cur, math.MaxInt32)))
+}
+
+func (s Sweep) check(files int) error {
+	for _, b := range []struct {
+		name        string
+		least, most int
+		values      []int
+	}{
+		{"executors", 1, MostExecutors, append([]int{s.BaseExecutors}, s.Executors...)},
+		{"of", 1, mostOf, s.Of},
+		{"nodes", 1, MostNodes, append([]int{s.BaseNodes}, s.Nodes...)},
+		{"real", 1, MostReal, []int{s.Real}},
+		{"rungs", 0, mostRungs, s.Rungs},
+		{"rates, starts a second", 1, MostRate, append([]int{s.BaseRate}, s.Rates...)},
+		{"tenants", 0, MostTenants, s.Tenants},
+		{"rounds", 1, 100, []int{s.Rounds}},
+		{"sockets", 64, files - spareFiles, []int{s.Sockets}},
+		{"span, in ms", 200, 60000, []int{int(s.Span.Milliseconds())}},
+		{"work, in ms", 1, 60000, []int{int(s.Work.Milliseconds())}},
+	} {
+		for _, x := range b.values {
+			if x < b.least || x > b.most {
+				return fmt.Errorf("--%s: %d is not from %d to %d", b.name, x, b.least, b.most)
+			}
+		}
+	}
+	for _, pt := range s.points(0) {
+		if err := s.fits(pt, files); err != nil {
+			return fmt.Errorf("the point %s %g: %w", pt.Series, pt.X, err)
+		}
+	}
+	if long := s.Long(); long > MostTime {
+		return fmt.Errorf("--rounds: all points would take %v, over the %v that a run may take", long.Round(time.Second), MostTime)
+	}
+	return nil
+}
+
+// fits says over which bound of the machine a point goes.
+func (s Sweep) fits(pt Point, files int) error {
+	if pt.Module {
+		return nil
+	}
+	if pt.Running > placesOf(pt.Executors) {
+		return fmt.Errorf("places: %d tasks at a time, and %d executors have %d", pt.Running, pt.Executors, placesOf(pt.Executors))
+	}
+	hollow := (pt.Executors+perHollow-1)/perHollow + min(1, pt.Hollow)
+	if n := pt.Real + hollow + 1; n > MostProcesses {
+		return fmt.Errorf("processes: %d, over %d", n, MostProcesses)
+	}
+	inHand := max(pt.Running, int(pt.Rate*2))
+	conns := pt.Real * s.Sockets / 4
+	for _, need := range []struct {
+		what string
+		n    int
+	}{
+		{"a process with hollow executors", min(pt.Executors, perHollow) + conns},
+		{"the process with hollow nodes", pt.Hollow * 8},
+		{"the process with clients", 2*inHand + 4*pt.Real},
+	} {
+		if need.n+spareFiles > files {
+			return fmt.Errorf("descriptors: %s may need %d, and RLIMIT_NOFILE is %d", need.what, need.n+spareFiles, files)
+		}
+	}
+	if memory := pt.Executors*executorMemory + pt.Hollow*memberMemory + inHand*jobMemory + pt.Real*nodeMemory; memory > MostMemory {
+		return fmt.Errorf("memory: %d MB, over %d MB", memory>>20, MostMemory>>20)
+	}
+	return nil
+}
+
+// placesOf is how many tasks so many executors run at once.
+func placesOf(executors int) (n int) {
+	for i := range executors {
+		n += places(i)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/scale/fit.go
@@ -0,0 +1,79 @@
+package scale
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Fit is a straight line through a figure's measurements in one series, by least squares.
+type Fit struct {
+	Series string
+	Figure string
+	At     float64 // the line at X = 0
+	Slope  float64
+	Spread float64 // standard error of the slope
+	Off    float64 // standard deviation of the measurements from the line
+	From   float64 // the smallest X and
+	To     float64 // the largest
+	N      int
+	Flat   bool // the slope is within twice its spread of none
+}
+
+// Fits fits each figure of each series that has measurements at two places at least.
+func Fits(rows []Row) (fits []Fit) {
+	points := map[[2]string][][2]float64{}
+	for _, r := range rows {
+		for figure, y := range r.Figures {
+			key := [2]string{r.Series, figure}
+			points[key] = append(points[key], [2]float64{r.X, y})
+		}
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(points), func(a, b [2]string) int { return cmp.Or(cmp.Compare(a[0], b[0]), cmp.Compare(a[1], b[1])) }) {
+		if f, ok := fit(points[key]); ok {
+			f.Series, f.Figure = key[0], key[1]
+			fits = append(fits, f)
+		}
+	}
+	return fits
+}
+
+func fit(points [][2]float64) (f Fit, ok bool) {
+	f.N = len(points)
+	f.From, f.To = math.Inf(1), math.Inf(-1)
+	var mx, my float64
+	for _, p := range points {
+		mx += p[0] / float64(f.N)
+		my += p[1] / float64(f.N)
+		f.From, f.To = min(f.From, p[0]), max(f.To, p[0])
+	}
+	var xx, xy float64
+	for _, p := range points {
+		xx += (p[0] - mx) * (p[0] - mx)
+		xy += (p[0] - mx) * (p[1] - my)
+	}
+	if f.N < 3 || xx == 0 {
+		return f, false
+	}
+	f.Slope = xy / xx
+	f.At = my - f.Slope*mx
+	off := 0.0
+	for _, p := range points {
+		d := p[1] - f.At - f.Slope*p[0]
+		off += d * d
+	}
+	f.Off = math.Sqrt(off / float64(f.N-2))
+	f.Spread = f.Off / math.Sqrt(xx)
+	f.Flat = math.Abs(f.Slope) <= 2*f.Spread
+	return f, true
+}
+
+func (f Fit) String() string {
+	flat := ""
+	if f.Flat {
+		flat = ", flat within its spread"
+	}
+	return fmt.Sprintf("%s: %s = %.4g + %.4g (spread %.2g) x, off by %.3g, from %g to %g, %d measurements%s", f.Series, f.Figure, f.At, f.Slope, f.Spread, f.Off, f.From, f.To, f.N, flat)
+}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -27,6 +27,7 @@
 	Work      time.Duration // that each task takes
 	Nodes     []hollowNode
 	Fleet     hollowFleet
+	Module    *moduleJob // if it is there: play the module alone, answer with its figures, and end
 }
 
 type hollowExecutor struct {
@@ -46,7 +47,7 @@
 	Opened int64 // connections
 	In     int64 // bytes that came
 	Out    int64
-	Most   int // tasks that ran at once at one executor
+	Over   int // executors that have run more tasks at once than they have places
 
 	Fleet fleetCounts
 }
@@ -92,6 +93,9 @@
 	if err := lines.Decode(&job); err != nil {
 		return err
 	}
+	if job.Module != nil {
+		return answers.Encode(job.Module.play())
+	}
 	var t traffic
 	var ran atomic.Int64
 	var ready hollowReady
@@ -109,10 +113,10 @@
 		go executors[i].Serve(countedListener{l, &t})
 	}
 	members, err := startMembers(job)
+	defer members.end()
 	if err != nil {
 		ready.Wrong = err.Error()
 	}
-	defer members.end()
 	if err := answers.Encode(ready); err != nil || ready.Wrong != "" {
 		return errors.Join(err, errors.New(ready.Wrong))
 	}
@@ -123,7 +127,9 @@
 		}
 		c := Counts{Ran: ran.Load(), Opened: t.opened.Load(), In: t.in.Load(), Out: t.out.Load(), Fleet: members.counts(about)}
 		for _, x := range executors {
-			c.Most = max(c.Most, x.Most())
+			if x.Most() > x.Places {
+				c.Over++
+			}
 		}
 		if err := answers.Encode(c); err != nil {
 			return nil
@@ -140,32 +146,41 @@
 }
 
 func startHollow(command []string, job hollowJob) (*hollow, error) {
-	h := &hollow{cmd: exec.Command(command[0], command[1:]...)}
+	h := &hollow{}
+	var ready hollowReady
+	if err := h.begin(command, job, &ready); err != nil {
+		return nil, err
+	}
+	if ready.Wrong != "" {
+		h.end()
+		return nil, errors.New(ready.Wrong)
+	}
+	h.Addrs = ready.Addrs
+	return h, nil
+}
+
+// begin starts the process and reads its first answer.
+func (h *hollow) begin(command []string, job hollowJob, answer any) error {
+	h.cmd = exec.Command(command[0], command[1:]...)
 	h.cmd.Stderr = os.Stderr
 	h.cmd.Env = append(os.Environ(), HollowEnv+"=1")
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the run
 	out, err := h.cmd.StdoutPipe()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if h.in, err = h.cmd.StdinPipe(); err != nil {
-		return nil, err
+		return err
 	}
 	if err := h.cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	h.out = json.NewDecoder(bufio.NewReader(out))
-	var ready hollowReady
-	if err := errors.Join(json.NewEncoder(h.in).Encode(job), h.out.Decode(&ready)); err != nil {
+	if err := errors.Join(json.NewEncoder(h.in).Encode(job), h.out.Decode(answer)); err != nil {
 		h.end()
-		return nil, fmt.Errorf("a hollow process does not begin: %w", err)
+		return fmt.Errorf("a hollow process does not begin: %w", err)
 	}
-	if ready.Wrong != "" {
-		h.end()
-		return nil, errors.New(ready.Wrong)
-	}
-	h.Addrs = ready.Addrs
-	return h, nil
+	return nil
 }
 
 // counts asks for the counts, and who holds that executor as draining.
--- a/internal/scale/members.go
+++ b/internal/scale/members.go
@@ -1,29 +1,149 @@
 package scale
 
 import (
+	"context"
+	"math"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchstair/internal/fleet"
+	"birchstair/internal/members"
+	"birchstair/internal/node"
 	"birchstair/policy"
 )
 
+// hollowNode is a member of the fleet without batch jobs.
 type hollowNode struct {
 	Name   string
 	Number int
 	Listen string
 }
 
+// hollowFleet is what all hollow nodes are told.
 type hollowFleet struct {
 	Seeds []string
-	Rungs int
+	Real  []string // addresses of the real nodes: the traffic with them counts
+	Rungs int      // of earnings for the work that their words have figures of
 }
 
+// fleetCounts are what the hollow nodes know and have sent to real nodes and got from them.
 type fleetCounts struct {
-	Alive  int // the fewest that one of them knows, itself too
-	Drains int // of them, how many hold the executor asked for as draining
+	Fewest     int // nodes that one of them knows to be alive, itself too, at the least
+	Drains     int // of them, how many hold the executor asked about as draining
+	PacketsIn  int64
+	PacketsOut int64
+	Streams    int64
+	BytesIn    int64
+	BytesOut   int64
+}
+
+// member is a hollow node: the real edge and the real decider, as the reducer joins them, and figures that are made up.
+type member struct {
+	mu    sync.Mutex
+	fleet *fleet.Fleet
+	edge  *members.Members
+	epoch time.Time
+	alive int
+}
+
+type hollowMembers struct {
+	all     []*member
+	traffic members.Traffic
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
 }
 
-type hollowMembers struct{}
+func startMembers(job hollowJob) (*hollowMembers, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &hollowMembers{cancel: cancel}
+	isReal := map[netip.Addr]bool{}
+	for _, text := range job.Fleet.Real {
+		a, err := netip.ParseAddr(text)
+		if err != nil {
+			return h, err
+		}
+		isReal[a] = true
+	}
+	h.traffic.Of = func(a netip.Addr) bool { return isReal[a] }
+	for _, n := range job.Nodes {
+		o, err := members.Parse(fleet.Name(n.Name), policy.NodeID(n.Number), n.Listen, "", job.Fleet.Seeds)
+		if err != nil {
+			return h, err
+		}
+		o.Traffic = &h.traffic
+		m := &member{epoch: time.Now()}
+		s := fleet.Defaults(o.Name, uint64(m.epoch.UnixMilli()), uint32(n.Number))
+		m.fleet = fleet.New(s)
+		m.edge = members.New(o, m.take, zerolog.Nop())
+		h.all = append(h.all, m)
+		h.wait.Go(func() { m.edge.Run(ctx) })
+		h.wait.Go(func() { m.talk(ctx, s.Every, job.Fleet.Rungs) })
+	}
+	return h, nil
+}
+
+func (m *member) take(ev node.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch ev := ev.(type) {
+	case node.Neighbours:
+		m.fleet.Alive(ev.Alive)
+		m.alive = len(ev.Alive)
+	case node.Hears:
+		m.fleet.Heard(time.Since(m.epoch), ev.Word)
+	case node.Garbled:
+		m.fleet.Dropped(ev.Why)
+	}
+}
 
-func startMembers(job hollowJob) (*hollowMembers, error) { return &hollowMembers{}, nil }
+// talk sends the node's words at their times.
+func (m *member) talk(ctx context.Context, every time.Duration, rungs int) {
+	ticks := time.NewTicker(every)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+		var t policy.Tally
+		for i := range min(rungs, policy.Rungs) {
+			t.Offered[i] = math.Pi / float64(i+1)
+		}
+		t.Admitted, t.Done, t.Capacity = 4, 3, 10
+		m.mu.Lock()
+		now := time.Since(m.epoch)
+		m.fleet.Old(now, true)
+		words, _ := m.fleet.Tick(now, t)
+		m.mu.Unlock()
+		for _, w := range words {
+			m.edge.Tell(w)
+		}
+	}
+}
 
-func (m *hollowMembers) counts(policy.ExecutorID) fleetCounts { return fleetCounts{} }
+// counts gives what is known; about: the executor whose drain is asked for, with none of its starts known.
+func (h *hollowMembers) counts(about policy.ExecutorID) (c fleetCounts) {
+	for i, m := range h.all {
+		m.mu.Lock()
+		if i == 0 || m.alive < c.Fewest {
+			c.Fewest = m.alive
+		}
+		if about != "" && m.fleet.Drains(about, 0, true) {
+			c.Drains++
+		}
+		m.mu.Unlock()
+	}
+	t := &h.traffic
+	c.PacketsIn, c.PacketsOut, c.Streams = t.PacketsIn.Load(), t.PacketsOut.Load(), t.StreamsIn.Load()+t.StreamsOut.Load()
+	c.BytesIn, c.BytesOut = t.BytesIn.Load(), t.BytesOut.Load()
+	return c
+}
 
-func (m *hollowMembers) end() {}
+func (h *hollowMembers) end() {
+	h.cancel()
+	h.wait.Wait()
+}
--- /dev/null
+++ b/internal/scale/module.go
@@ -0,0 +1,190 @@
+package scale
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"birchstair/policy"
+)
+
+// moduleJob plays the decision module alone on a virtual clock, as the reducer calls it: no sockets, no kernel, and tenants, which the platform's protocol has no
+// header for. Batch jobs come at a steady rate and take a fixed time.
+type moduleJob struct {
+	Executors int
+	Of        int
+	Tenants   int
+	Rate      float64
+	Work      time.Duration
+	Most      time.Duration // of CPU
+	Starts    int           // at the most; the first fifth is not counted
+}
+
+type moduleFigures struct {
+	Starts  int
+	PerUs   float64 // microseconds of CPU a start
+	Heap    int64   // bytes that its state holds
+	Handled int
+	Wrong   string
+}
+
+type moduleOut struct {
+	id policy.JobID
+	n  policy.AllocationID
+}
+
+type moduleEnd struct {
+	at time.Duration
+	moduleOut
+}
+
+type moduleEnds []moduleEnd
+
+func (e moduleEnds) Len() int           { return len(e) }
+func (e moduleEnds) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e moduleEnds) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *moduleEnds) Push(x any)        { *e = append(*e, x.(moduleEnd)) }
+func (e *moduleEnds) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (m *moduleJob) settings() policy.Settings {
+	s := policy.Settings{Seed: 7, Nodes: m.Of, WholeWeight: 1, MaxAllocations: 3, MayCancel: true, MaxComeBack: 2 * time.Second, Quantum: 4 * time.Millisecond,
+		EarnPerWork: true, ColdShare: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 4, FallWindow: 1500 * time.Millisecond, TellsStart: true,
+		Tracks: []policy.Track{{Quoted: time.Second, OuterLimit: 5 * time.Second, Earnings: 2}}}
+	for range m.Tenants {
+		s.Tenant = append(s.Tenant, policy.Tenant{QuotaPerS: m.Rate * float64(m.Of) / float64(m.Tenants)})
+	}
+	return s
+}
+
+// player is the module and what surrounds it.
+type player struct {
+	m       *moduleJob
+	d       *policy.Dispatcher
+	now     time.Duration
+	ends    moduleEnds
+	sent    map[policy.JobID]policy.AllocationID
+	out     map[moduleOut]policy.ExecutorID
+	running map[policy.ExecutorID]int
+	starts  int
+	handled int
+	next    time.Duration // when the module wants to be asked again
+}
+
+func (m *moduleJob) play() (f moduleFigures) {
+	before := heapNow()
+	p := &player{m: m, d: policy.New(m.settings()), sent: map[policy.JobID]policy.AllocationID{}, running: map[policy.ExecutorID]int{}, out: map[moduleOut]policy.ExecutorID{}}
+	var entries []policy.Entry
+	for i := range m.Executors {
+		entries = append(entries, policy.Entry{Executor: executorID(i), Zone: policy.ZoneID(i % 4), Cell: policy.CellID(i / 40), Weight: float64(places(i)), LongAgo: true})
+	}
+	p.d.Listed(0, policy.Whole, entries)
+	p.due()
+	arrivals, began, err := 0, time.Duration(0), error(nil)
+	first := 0
+	for err == nil {
+		if first == 0 && p.starts >= m.Starts/5 {
+			first = p.starts
+			began, err = cpu(os.Getpid())
+		}
+		if p.starts >= m.Starts {
+			break
+		}
+		if first > 0 && arrivals%64 == 0 {
+			at, e := cpu(os.Getpid())
+			if err = e; at-began > m.Most {
+				break
+			}
+		}
+		arrives := time.Duration(float64(arrivals) / m.Rate * 1e9)
+		p.now = min(arrives, p.next)
+		if len(p.ends) > 0 {
+			p.now = min(p.now, p.ends[0].at)
+		}
+		switch {
+		case len(p.ends) > 0 && p.ends[0].at == p.now:
+			e := heap.Pop(&p.ends).(moduleEnd)
+			p.end(e.id, e.n, policy.Handled)
+		case arrives == p.now:
+			tenant := policy.TenantID(-1)
+			if m.Tenants > 0 {
+				tenant = policy.TenantID(arrivals % m.Tenants)
+			}
+			p.d.Arrived(p.now, policy.Arrival{Job: policy.JobID(fmt.Sprint("j", arrivals)), Tenant: tenant, Work: m.Work, Budget: 5 * time.Second})
+			arrivals++
+		}
+		p.due()
+		if arrivals > 20*m.Starts {
+			err = errors.New("the module starts nothing")
+		}
+	}
+	end, e := cpu(os.Getpid())
+	if err = errors.Join(err, e); err != nil {
+		return moduleFigures{Wrong: err.Error()}
+	}
+	f.Starts, f.Handled = p.starts-first, p.handled
+	f.PerUs = float64((end - began).Nanoseconds()) / 1e3 / float64(max(1, f.Starts))
+	f.Heap = heapNow() - before
+	runtime.KeepAlive(p)
+	return f
+}
+
+func heapNow() int64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
+
+// due does what the module has due, as the reducer does.
+func (p *player) due() {
+	for {
+		switch due := p.d.Wait(p.now); due.Task {
+		case policy.PlaceJob:
+			p.does(due.Job, p.d.Place(p.now, due.Job))
+		case policy.StopJob:
+			p.end(due.Job, due.Allocation, policy.CalledOff)
+		case policy.Sleep:
+			p.next = max(due.At, p.now+1)
+			return
+		}
+	}
+}
+
+func (p *player) does(id policy.JobID, what policy.Decision) {
+	if what.Act != policy.Send {
+		return
+	}
+	n := p.sent[id]
+	p.sent[id]++
+	p.starts++
+	p.running[what.Executor]++
+	out := moduleOut{id, n}
+	p.out[out] = what.Executor
+	heap.Push(&p.ends, moduleEnd{p.now + p.m.Work, out})
+	p.d.Started(p.now, id, n)
+}
+
+// end ends an allocation, unless it has ended before.
+func (p *player) end(id policy.JobID, n policy.AllocationID, how policy.Outcome) {
+	out := moduleOut{id, n}
+	on, is := p.out[out]
+	if !is {
+		return
+	}
+	delete(p.out, out)
+	p.running[on]--
+	if how == policy.Handled {
+		p.handled++
+		p.d.Reported(on, policy.Load{Held: float64(p.running[on]), Free: float64(100 - p.running[on]), Memory: -1, Took: -1})
+		delete(p.sent, id)
+	}
+	p.does(id, p.d.Ended(p.now, id, n, how, false))
+}
--- a/internal/scale/proc.go
+++ b/internal/scale/proc.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -29,29 +30,45 @@
 	log    *os.File
 	cmd    *exec.Cmd
 	ended  chan error
-	tracks []map[string]any
+	earns  float64 // what each class earns, times this
 }
 
-// config writes the node's configuration; of: among so many nodes does it count itself.
+// config writes the node's configuration, whole or not at all.
 func (p *proc) config(pt Point, discovery string) error {
-	settings := map[string]any{"balancers": pt.Of, "my-number": p.number, "locality": 0, "areas": []string{"a", "b", "c", "d"}, "flavors": []string{"plain"},
-		"quantum-s": 0.004, "discovery": "push", "earnings-per": "work",
+	var tracks []map[string]any
+	for _, c := range classes(pt.Rungs) {
+		tracks = append(tracks, map[string]any{"name": c.name, "quoted-time-s": 10, "outer-limit-s": budget.Seconds(), "earnings": c.earns * p.earns, "repeat": "repeatable"})
+	}
+	settings := map[string]any{"balancers": pt.Of, "my-number": p.number, "locality": 0, "areas": zones, "flavors": []string{"plain"},
+		"quantum-s": 0.004, "discovery": "push", "earnings-per": "request",
 		"caps":   map[string]any{"cancel": true, "max-allocations": 3, "retry-after": true, "max-retry-after-s": 2, "conn-idle-s": 60, "dial-timeout-s": 0.1},
 		"domain": map[string]any{"tells-start": true, "report-x0": "free slots"}, "report": map[string]any{"how": "inline", "fields": []string{"active", "waiting", "x0"}},
 		"rules":       map[string]any{"cold-share": 0.3, "warm-within-s": 9, "fall-multiple": 4, "fall-s": 1.5},
-		"score-parts": map[string]any{"whole": 1}, "tracks": p.tracks}
+		"score-parts": map[string]any{"whole": 1}, "tracks": tracks}
 	text, err := json.MarshalIndent(map[string]any{"name": p.name, "listen": p.listen, "management": p.door, "discovery": discovery,
-		"seed": fmt.Sprintf("%016x", pt.Seed*1000+uint64(p.number)), "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": settings}, "", " ")
+		"seed": fmt.Sprintf("%016x", pt.Seed*1000+uint64(p.number)), "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": pt.Sockets}, "settings": settings}, "", " ")
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(p.dir, "config.json"), text, 0o600)
+	next := filepath.Join(p.dir, "config.next")
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, filepath.Join(p.dir, "config.json"))
 }
 
-func track(name string, earns float64) map[string]any {
-	return map[string]any{"name": name, "quoted-time-s": 1, "outer-limit-s": 5, "earnings": earns, "repeat": "repeatable"}
+// site writes the operator's file of a node that talks.
+func (p *proc) site(seeds []string) error {
+	if p.fleet == "" {
+		return nil
+	}
+	text := fmt.Sprintf("[fleet]\nlisten = %q\nseeds = [\"%s\"]\n", p.fleet, strings.Join(seeds, `", "`))
+	return os.WriteFile(filepath.Join(p.dir, "site.toml"), []byte(text), 0o600)
 }
 
+// reread makes the process read its configuration again.
+func (p *proc) reread() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+
 func (p *proc) begin(binary string) error {
 	args := []string{"serve"}
 	if p.fleet != "" {
@@ -117,6 +134,20 @@
 	return vars, nil
 }
 
+// shows says whether the node shows that figure at its door.
+func (p *proc) shows(name string, x int) bool {
+	vars, err := p.vars()
+	return err == nil && vars[name] == x
+}
+
+// knowsAll says whether the node knows so many to be alive.
+func (p *proc) knowsAll(nodes int) bool {
+	lines, err := operators.Call(p.door, node.ReadFleet, "", 5*time.Second)
+	return err == nil && slices.ContainsFunc(lines, func(line string) bool {
+		return strings.HasPrefix(line, "node=") && strings.Contains(line, fmt.Sprintf(" alive=%d ", nodes))
+	})
+}
+
 // cpu is the CPU time that a process has taken, user and system, by the kernel's clock of it.
 func cpu(pid int) (time.Duration, error) {
 	const sched = 2 // see clock_getcpuclockid(3): the clock's id is made of the process's
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -3,18 +3,19 @@
 // dimensions are measured in turn, round after round, so that a machine that is noisy for a while shows as spread and not as slope; each slope is fitted by
 // least squares. CPU is the process's own time, never the clock on the wall.
 //
-// scale.go holds points and their measurement, bounds.go what is refused, proc.go the real nodes, hollow.go and members.go the hollow ones, load.go the
-// clients, fit.go the slopes.
+// scale.go holds points and how they are set up, figures.go what is measured of them, bounds.go what is refused, proc.go the real nodes, hollow.go and members.go
+// the hollow ones, module.go the module alone, load.go the clients, fit.go the slopes.
 package scale
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"birchstair/internal/rig"
@@ -31,23 +32,28 @@
 	Binary string   // birchstair
 	Hollow []string // what starts a hollow process
 	Dir    string   // of its own: logs and configurations go there
-	Rate   float64  // starts a second in all
-	Work   time.Duration
-	Idle   time.Duration // that nodes are watched at rest
-	Load   time.Duration // and under load
-	Settle time.Duration // before each
+	Span   time.Duration
+	Settle time.Duration // before each stretch that counts
+	Work   time.Duration // that a task takes where none is said
 }
 
 // Point is what is measured once.
 type Point struct {
 	Series    string // which slope it belongs to
 	X         float64
+	Round     int
+	Seed      uint64
 	Executors int
 	Of        int // nodes that a real one counts itself among: from six on its slice is three in so many
 	Real      int
-	Hollow    int
-	Seed      uint64
-	Round     int
+	Hollow    int `json:",omitempty"`
+	Talk      bool
+	Rungs     int     `json:",omitempty"`
+	Rate      float64 // starts a second, of all real nodes together
+	Running   int     `json:",omitempty"` // tasks at a time that the rate is to keep
+	Sockets   int
+	Tenants   int  `json:",omitempty"`
+	Module    bool `json:",omitempty"` // the module alone
 }
 
 // Row is what came of a point.
@@ -58,35 +64,109 @@
 	NotRun  string             `json:",omitempty"` // why it could not be run
 }
 
+// Nine is the nodes that the size sets aside for control.
+const Nine = 9
+
 const (
-	readyIn     = 30 * time.Second
-	perHollow   = 1600 // executors in a hollow process
-	allPlaces   = 7700 // of all executors together
-	allOf       = 3200 // where there are so many
-	discoveryAt = "127.0.0.1:0"
+	readyIn   = 40 * time.Second
+	inForceIn = 20 * time.Second
+	perHollow = 1600 // executors in a hollow process
+	allPlaces = 7700 // of all executors together
+	allOf     = 3200 // where there are so many
+	longWork  = 4 * time.Second
 )
 
+var zones = []string{"a", "b", "c", "d"}
+
 // places is how many tasks the i-th executor runs at once: 7,700 over 3,200 executors.
 func places(i int) int { return allPlaces*(i+1)/allOf - allPlaces*i/allOf }
 
+func executorID(i int) policy.ExecutorID { return policy.ExecutorID(fmt.Sprintf("e%05d", i)) }
+
+// points are those of a round, in the order in which they are measured.
+func (s Sweep) points(round int) (points []Point) {
+	base := Point{Round: round, Seed: uint64(round + 1), Executors: s.BaseExecutors, Of: Nine, Real: 1, Rate: float64(s.BaseRate), Sockets: s.Sockets}
+	add := func(series string, x int, as func(*Point)) {
+		pt := base
+		pt.Series, pt.X = series, float64(x)
+		as(&pt)
+		points = append(points, pt)
+	}
+	for _, n := range s.Executors {
+		for _, of := range s.Of {
+			add(fmt.Sprintf("executors-of-%d", of), n, func(pt *Point) { pt.Executors, pt.Of = n, of })
+			add(fmt.Sprintf("module-executors-of-%d", of), n, func(pt *Point) { pt.Module, pt.Executors, pt.Of = true, n, of })
+		}
+	}
+	for _, n := range s.Nodes {
+		add("nodes", n, func(pt *Point) { pt.Of, pt.Talk = n, true; pt.Real = min(n, s.Real); pt.Hollow = n - pt.Real })
+	}
+	for _, n := range s.Rungs {
+		add("rungs", n, func(pt *Point) { pt.Of, pt.Talk, pt.Rungs, pt.Hollow = s.BaseNodes, true, n, s.BaseNodes-1 })
+	}
+	for _, n := range s.Rates {
+		add("rate", n, func(pt *Point) { pt.Rate = float64(n) })
+	}
+	for _, n := range s.Running {
+		add("running", n, func(pt *Point) { pt.Running, pt.Rate = n, float64(n)/longWork.Seconds() })
+	}
+	for _, n := range s.Tenants {
+		add("module-tenants", n, func(pt *Point) { pt.Module, pt.Tenants = true, n })
+	}
+	return points
+}
+
+// Long is about how long all points take.
+func (s Sweep) Long() (long time.Duration) {
+	for _, pt := range s.points(0) {
+		long += 3 * time.Second
+		if !pt.Module {
+			long += 2*s.Span + 8*time.Second
+		}
+	}
+	return time.Duration(s.Rounds) * long
+}
+
+// Run measures all points, round after round, and hands each row on as it comes.
+func (s Sweep) Run(o Options, each func(Row)) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	o.Span, o.Work = s.Span, s.Work
+	for round := range s.Rounds {
+		for _, pt := range s.points(round) {
+			each(Measure(pt, o))
+		}
+	}
+	return nil
+}
+
 // world is a point while it is measured.
 type world struct {
 	o       Options
 	pt      Point
 	dir     string
 	hollow  []*hollow // with executors
+	members *hollow   // with nodes; nil where there are none
 	nodes   []*proc
 	entries []standin.Entry
 	list    *platform.Discovery
 	lists   traffic
+	at      string // where discovery answers
+	epoch   time.Time
 	closers []func()
 	row     Row
 }
 
 // Measure measures a point. What could not be run is said in the row.
 func Measure(pt Point, o Options) Row {
-	w := &world{o: o, pt: pt, row: Row{Point: pt, Figures: map[string]float64{}}}
-	err := w.measure()
+	w := &world{o: o, pt: pt, epoch: time.Now(), row: Row{Point: pt, Figures: map[string]float64{}}}
+	var err error
+	if pt.Module {
+		err = w.module()
+	} else {
+		err = w.measure()
+	}
 	for _, c := range slices.Backward(w.closers) {
 		c()
 	}
@@ -101,13 +181,28 @@
 }
 
 func (w *world) measure() error {
-	if err := w.setUp(); err != nil {
-		return err
+	for _, step := range []func() error{w.setUp, w.idle, w.load, w.changes} {
+		if err := step(); err != nil {
+			return err
+		}
 	}
-	if err := w.idle(); err != nil {
+	return nil
+}
+
+// module plays the module alone, in a process of its own.
+func (w *world) module() error {
+	job := hollowJob{Module: &moduleJob{Executors: w.pt.Executors, Of: w.pt.Of, Tenants: w.pt.Tenants, Rate: w.pt.Rate, Work: w.o.Work, Most: time.Second, Starts: 5000}}
+	var f moduleFigures
+	h := &hollow{}
+	if err := h.begin(w.o.Hollow, job, &f); err != nil {
 		return err
 	}
-	return w.load()
+	h.end()
+	if f.Wrong != "" {
+		return errors.New(f.Wrong)
+	}
+	w.row.Figures["cpu_us_start"], w.row.Figures["heap_kb"], w.row.Figures["starts"] = f.PerUs, float64(f.Heap)/1e3, float64(f.Starts)
+	return nil
 }
 
 func (w *world) setUp() error {
@@ -120,10 +215,34 @@
 		return err
 	}
 	w.closers = append(w.closers, func() { held.Close() })
+	if err := w.startExecutors(slot); err != nil {
+		return err
+	}
+	lists, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.closers = append(w.closers, func() { lists.Close() })
+	w.at, w.list = lists.Addr().String(), &platform.Discovery{Entries: w.entries, Zones: zones, Epoch: w.epoch}
+	go w.list.Serve(countedListener{lists, &w.lists})
+	if err := w.startNodes(slot); err != nil {
+		return err
+	}
+	if w.pt.Talk {
+		return w.meet()
+	}
+	return nil
+}
+
+func (w *world) startExecutors(slot byte) error {
+	work := w.o.Work
+	if w.pt.Running > 0 {
+		work = longWork
+	}
 	for first := 0; first < w.pt.Executors; first += perHollow {
-		job := hollowJob{Host: fmt.Sprintf("127.%d.3.%d", slot, first/perHollow+1), Work: w.o.Work}
+		job := hollowJob{Host: fmt.Sprintf("127.%d.3.%d", slot, first/perHollow+1), Work: work}
 		for i := first; i < min(first+perHollow, w.pt.Executors); i++ {
-			job.Executors = append(job.Executors, hollowExecutor{policy.ExecutorID(fmt.Sprintf("e%05d", i)), places(i)})
+			job.Executors = append(job.Executors, hollowExecutor{executorID(i), places(i)})
 		}
 		h, err := startHollow(w.o.Hollow, job)
 		if err != nil {
@@ -132,25 +251,44 @@
 		w.hollow = append(w.hollow, h)
 		w.closers = append(w.closers, h.end)
 		for i, x := range job.Executors {
-			w.entries = append(w.entries, standin.Entry{Addr: h.Addrs[i], Entry: policy.Entry{Executor: x.ID, Zone: policy.ZoneID((first + i) % 4), Cell: policy.CellID((first + i) / 40),
-				State: policy.Up, Weight: float64(x.Places), LongAgo: true}})
+			w.entries = append(w.entries, standin.Entry{Addr: h.Addrs[i], Entry: policy.Entry{Executor: x.ID, Zone: policy.ZoneID((first + i) % len(zones)),
+				Cell: policy.CellID((first + i) / 40), State: policy.Up, Weight: float64(x.Places), LongAgo: true}})
 		}
 	}
-	lists, err := net.Listen("tcp", discoveryAt)
-	if err != nil {
-		return err
-	}
-	w.closers = append(w.closers, func() { lists.Close() })
-	w.list = &platform.Discovery{Entries: w.entries, Zones: []string{"a", "b", "c", "d"}}
-	go w.list.Serve(countedListener{lists, &w.lists})
+	return nil
+}
+
+const (
+	clientPort = 8081
+	doorPort   = 8082
+	fleetPort  = 7947
+)
+
+// startNodes starts the real nodes, and the hollow ones beside them, and books what a start takes.
+func (w *world) startNodes(slot byte) error {
+	var hosts, seeds []string
 	for i := range w.pt.Real {
-		ip := fmt.Sprintf("127.%d.0.%d", slot, i+1)
-		p := &proc{name: fmt.Sprint("n", i), number: i, dir: filepath.Join(w.dir, fmt.Sprint("n", i)), listen: ip + ":8081", door: ip + ":8082",
-			tracks: []map[string]any{track("batch", 2)}}
+		hosts = append(hosts, fmt.Sprintf("127.%d.0.%d", slot, i+1))
+	}
+	job := hollowJob{Fleet: hollowFleet{Real: hosts, Rungs: w.pt.Rungs}}
+	for i := range w.pt.Hollow {
+		job.Nodes = append(job.Nodes, hollowNode{fmt.Sprint("h", i), w.pt.Real + i, fmt.Sprintf("127.%d.%d.%d:%d", slot, 10+i/200, 1+i%200, fleetPort)})
+	}
+	for _, host := range hosts[:min(3, len(hosts))] {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", host, fleetPort))
+	}
+	job.Fleet.Seeds = seeds
+	began := time.Now()
+	for i, host := range hosts {
+		p := &proc{name: fmt.Sprint("n", i), number: i, dir: filepath.Join(w.dir, fmt.Sprint("n", i)), listen: fmt.Sprintf("%s:%d", host, clientPort),
+			door: fmt.Sprintf("%s:%d", host, doorPort), earns: 2}
+		if w.pt.Talk {
+			p.fleet = fmt.Sprintf("%s:%d", host, fleetPort)
+		}
 		if err := os.MkdirAll(p.dir, 0o700); err != nil {
 			return err
 		}
-		if err := errors.Join(p.config(w.pt, lists.Addr().String()), p.begin(w.o.Binary)); err != nil {
+		if err := errors.Join(p.config(w.pt, w.at), p.site(seeds), p.begin(w.o.Binary)); err != nil {
 			return err
 		}
 		w.nodes = append(w.nodes, p)
@@ -160,16 +298,43 @@
 			}
 		})
 	}
+	if len(job.Nodes) > 0 {
+		h, err := startHollow(w.o.Hollow, job)
+		if err != nil {
+			return err
+		}
+		w.members = h
+		w.closers = append(w.closers, h.end)
+	}
 	for _, p := range w.nodes {
-		if err := until(readyIn, func() bool {
-			if !p.isReady() {
+		if err := until(readyIn, func() bool { return p.isReady() && p.shows("executors_known", w.pt.Executors) }); err != nil {
+			return fmt.Errorf("node %s is not ready with %d executors: %w", p.name, w.pt.Executors, err)
+		}
+	}
+	w.row.Figures["ready_s"] = time.Since(began).Seconds()
+	w.row.Figures["list_whole_kb"] = float64(w.lists.out.Load()) / 1e3 / float64(len(w.nodes))
+	total, err := w.cpu()
+	w.row.Figures["ready_cpu_ms"] = total.Seconds() * 1e3 / float64(len(w.nodes))
+	return err
+}
+
+// meet waits until all nodes know each other.
+func (w *world) meet() error {
+	all := w.pt.Real + w.pt.Hollow
+	err := until(readyIn, func() bool {
+		for _, p := range w.nodes {
+			if !p.knowsAll(all) {
 				return false
 			}
-			vars, err := p.vars()
-			return err == nil && vars["executors_known"] == w.pt.Executors
-		}); err != nil {
-			return fmt.Errorf("node %s is not ready with %d executors: %w; its log is in %s", p.name, w.pt.Executors, err, p.dir)
 		}
+		if w.members == nil {
+			return true
+		}
+		c, err := w.members.counts("")
+		return err == nil && c.Fleet.Fewest == all
+	})
+	if err != nil {
+		return fmt.Errorf("%d nodes do not know each other: %w", all, err)
 	}
 	return nil
 }
@@ -184,128 +349,18 @@
 	return nil
 }
 
-// used is what all real nodes took over a stretch.
-type used struct {
-	cpu      time.Duration
-	vars     map[string]int // summed
-	counts   Counts
-	listsIn  int64
-	listsOut int64
-	at       time.Time
-}
-
-func (w *world) used() (u used, err error) {
-	u.vars, u.at, u.listsIn, u.listsOut = map[string]int{}, time.Now(), w.lists.in.Load(), w.lists.out.Load()
-	for _, p := range w.nodes {
-		t, err := cpu(p.cmd.Process.Pid)
-		if err != nil {
-			return u, err
-		}
-		u.cpu += t
+// String is the row in one line.
+func (r Row) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %g, round %d:", r.Series, r.X, r.Round+1)
+	if r.NotRun != "" {
+		fmt.Fprintf(&b, " NOT RUN: %s", r.NotRun)
 	}
-	for _, p := range w.nodes {
-		vars, err := p.vars()
-		if err != nil {
-			return u, fmt.Errorf("node %s: %w", p.name, err)
-		}
-		for name, x := range vars {
-			u.vars[name] += x
-		}
+	for _, name := range slices.Sorted(maps.Keys(r.Figures)) {
+		fmt.Fprintf(&b, " %s=%.4g", name, r.Figures[name])
 	}
-	for _, h := range w.hollow {
-		c, err := h.counts("")
-		if err != nil {
-			return u, err
-		}
-		u.counts.Ran += c.Ran
-		u.counts.Opened += c.Opened
-		u.counts.In += c.In
-		u.counts.Out += c.Out
-		u.counts.Most = max(u.counts.Most, c.Most)
+	for _, text := range r.Wrong {
+		fmt.Fprintf(&b, "\n  WRONG: %s", text)
 	}
-	return u, nil
-}
-
-// stand books what the nodes hold: the mean over them, and for memory the most of one.
-func (w *world) stand(when string) error {
-	for _, p := range w.nodes {
-		now, most, err := memory(p.cmd.Process.Pid)
-		if err != nil {
-			return err
-		}
-		fds, err := descriptors(p.cmd.Process.Pid)
-		if err != nil {
-			return err
-		}
-		f := w.row.Figures
-		f["rss_mb_"+when] = max(f["rss_mb_"+when], float64(now)/1e6)
-		f["peak_mb"] = max(f["peak_mb"], float64(most)/1e6)
-		f["fds_"+when] = max(f["fds_"+when], float64(fds))
-	}
-	return nil
-}
-
-func (w *world) idle() error {
-	time.Sleep(w.o.Settle)
-	from, err := w.used()
-	if err != nil {
-		return err
-	}
-	time.Sleep(w.o.Idle)
-	to, err := w.used()
-	if err != nil {
-		return err
-	}
-	nodes, span := float64(len(w.nodes)), to.at.Sub(from.at).Seconds()
-	w.row.Figures["idle_core_pct"] = 100 * (to.cpu - from.cpu).Seconds() / span / nodes
-	w.row.Figures["lists_in_bps_idle"] = float64(to.listsOut-from.listsOut) / span / nodes
-	w.row.Figures["lists_out_bps_idle"] = float64(to.listsIn-from.listsIn) / span / nodes
-	return w.stand("idle")
-}
-
-func (w *world) load() error {
-	// The first stretch opens connections and is not counted.
-	warm := load{}
-	warm.run(w.nodes, w.o.Rate, w.o.Settle, "warm")
-	from, err := w.used()
-	if err != nil {
-		return err
-	}
-	l := load{}
-	due := l.run(w.nodes, w.o.Rate, w.o.Load, "job")
-	to, err := w.used()
-	if err != nil {
-		return err
-	}
-	if err := w.stand("load"); err != nil {
-		return err
-	}
-	f := w.row.Figures
-	starts := float64(to.counts.Ran - from.counts.Ran)
-	answered := 0
-	for _, n := range l.answers {
-		answered += n
-	}
-	w.row.Wrong = append(w.row.Wrong, l.wrong...)
-	if answered+len(l.wrong) != due {
-		w.wrong("%d batch jobs were handed in, and %d answered", due, answered)
-	}
-	span := to.at.Sub(from.at).Seconds()
-	f["starts"], f["starts_ps"] = starts, starts/span
-	f["cpu_us_start"] = float64((to.cpu - from.cpu).Microseconds()) / max(starts, 1)
-	f["dials_start"] = float64(to.counts.Opened-from.counts.Opened) / max(starts, 1)
-	f["out_b_start"] = float64(to.counts.In-from.counts.In) / max(starts, 1)
-	f["in_b_start"] = float64(to.counts.Out-from.counts.Out) / max(starts, 1)
-	f["attempts_start"] = float64(to.vars["attempts"]-from.vars["attempts"]) / max(starts, 1)
-	f["handled_part"] = float64(l.answers["handled"]) / float64(due)
-	f["late_part"] = float64(l.late) / float64(due)
-	f["p50_ms"], f["p99_ms"] = l.within(0.5).Seconds()*1e3, l.within(0.99).Seconds()*1e3
-	return nil
-}
-
-// Sort puts rows in the order of their series and places.
-func Sort(rows []Row) {
-	slices.SortStableFunc(rows, func(a, b Row) int {
-		return cmp.Or(cmp.Compare(a.Series, b.Series), cmp.Compare(a.X, b.X), cmp.Compare(a.Round, b.Round))
-	})
+	return b.String()
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -137,6 +137,7 @@
 type Discovery struct {
 	Entries []standin.Entry // at the start
 	Zones   []string
+	Epoch   time.Time // at which the entries' starts count from 0; the present where it is left out
 
 	mu    sync.Mutex
 	model *standin.Discovery
@@ -179,7 +180,11 @@
 	if !ask.Whole && !over && len(entries) == 0 {
 		return nil, d.news
 	}
-	return AppendList(nil, version, ask.Whole, entries, d.Zones, time.Now()), nil
+	epoch := d.Epoch
+	if epoch.IsZero() {
+		epoch = time.Now()
+	}
+	return AppendList(nil, version, ask.Whole, entries, d.Zones, epoch), nil
 }
 
 // Serve takes connections until the listener ends.
