--- a/cmd/birchlab/scale.go
+++ b/cmd/birchlab/scale.go
@@ -28,8 +28,9 @@
 	At        int           `default:"400" help:"Executors where another dimension is varied."`
 	Among     int           `default:"9" help:"Nodes where rungs are varied."`
 	Rate      int           `default:"200" help:"Starts a second where another dimension is varied."`
-	Work      time.Duration `default:"50ms" help:"That a task takes."`
+	Work      time.Duration `default:"20ms" help:"That a task takes."`
 	Span      time.Duration `default:"3s" help:"That each point is watched idle, and under load."`
+	Settle    time.Duration `default:"1s" help:"Before each stretch that counts; under load it opens connections."`
 	Sockets   int           `default:"1024" help:"A node's limits.sockets."`
 	JSON      string        `name:"json" type:"path" placeholder:"FILE" help:"Write rows and fits there, a line each."`
 	Keep      string        `type:"path" placeholder:"DIR" help:"Keep logs and configurations there."`
@@ -53,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	o := scale.Options{Settle: time.Second, Dir: c.Keep}
+	o := scale.Options{Settle: c.Settle, Dir: c.Keep}
 	if o.Binary, err = filepath.Abs(c.Binary); err != nil {
 		return err
 	}
@@ -84,10 +85,16 @@
 	}); err != nil {
 		return err
 	}
+	flat := 0
 	for _, f := range scale.Fits(rows) {
-		fmt.Println(f)
 		write(f)
+		if f.Flat {
+			flat++
+		} else {
+			fmt.Println(f)
+		}
 	}
+	fmt.Printf("%d further slopes are within twice their spread of none\n", flat)
 	if failed == nil && wrong > 0 {
 		failed = errBroken
 	}
--- /dev/null
+++ b/internal/members/traffic_test.go
@@ -0,0 +1,60 @@
+package members
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchstair/internal/fleet"
+	"birchstair/internal/node"
+)
+
+// Two members meet and talk, and one counts what goes between them: only what goes to the neighbour that is asked about.
+func TestTraffic(t *testing.T) {
+	there := netip.MustParseAddrPort("127.77.1.1:7951")
+	var all, none Traffic
+	all.Of = func(a netip.Addr) bool { return a == there.Addr() }
+	none.Of = func(netip.Addr) bool { return false }
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	heard := make(chan node.Hears, 1)
+	member := func(name fleet.Name, number int, listen netip.AddrPort, traffic *Traffic, tell func(node.Event)) *Members {
+		m := New(Options{Name: name, Listen: listen, Advertise: listen, Seeds: []netip.AddrPort{there}, Traffic: traffic}, tell, zerolog.Nop())
+		wait.Go(func() { m.Run(ctx) })
+		return m
+	}
+	member("b", 1, there, &none, func(ev node.Event) {
+		if h, is := ev.(node.Hears); is {
+			select {
+			case heard <- h:
+			default:
+			}
+		}
+	})
+	a := member("a", 0, netip.MustParseAddrPort("127.77.1.2:7951"), &all, func(node.Event) {})
+	again := time.NewTicker(50 * time.Millisecond)
+	defer again.Stop()
+	limit := time.After(20 * time.Second)
+	for came := false; !came; {
+		select {
+		case <-again.C:
+			a.Tell(fleet.To{Name: "b", Word: fleet.Word{From: "a", Life: 1, Seq: 1}})
+		case h := <-heard:
+			came = h.Word.From == "a"
+		case <-limit:
+			t.Fatal("no word came")
+		}
+	}
+	cancel()
+	wait.Wait()
+	if all.PacketsOut.Load() == 0 || all.StreamsOut.Load() == 0 || all.BytesOut.Load() == 0 || all.BytesIn.Load() == 0 {
+		t.Errorf("packets out %d, streams out %d, bytes out %d, in %d", all.PacketsOut.Load(), all.StreamsOut.Load(), all.BytesOut.Load(), all.BytesIn.Load())
+	}
+	if none.PacketsIn.Load() != 0 || none.BytesIn.Load() != 0 || none.BytesOut.Load() != 0 {
+		t.Error("what nobody asked about was counted")
+	}
+}
--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -183,6 +183,18 @@
 	knows := func(n int) func() bool {
 		return func() bool { return w.all(func(p *proc) bool { return p.shows("executors_known", n) }) }
 	}
+	if err := w.inForce("door", doorCalls, func() error {
+		for range doorCalls {
+			for _, p := range w.nodes {
+				if _, err := p.vars(); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}, func() bool { return true }); err != nil {
+		return err
+	}
 	// One executor more on the list.
 	more := w.entries[0]
 	more.Executor = "more"
@@ -253,6 +265,9 @@
 	return w.inForce("zone_back", len(back), func() error { w.list.Change(back...); return nil }, knows(known-1))
 }
 
+// doorCalls is how often figures are asked for, to learn what that costs.
+const doorCalls = 20
+
 // burst is how many changes come in the busiest second.
 const burst = 50
 
--- a/internal/scale/module.go
+++ b/internal/scale/module.go
@@ -122,7 +122,7 @@
 		}
 		p.due()
 		if arrivals > 20*m.Starts {
-			err = errors.New("the module starts nothing")
+			err = fmt.Errorf("the module starts nothing: %d starts, %d arrivals, now %v next %v ends %d handled %d", p.starts, arrivals, p.now, p.next, len(p.ends), p.handled)
 		}
 	}
 	end, e := cpu(os.Getpid())
@@ -186,5 +186,5 @@
 		p.d.Reported(on, policy.Load{Held: float64(p.running[on]), Free: float64(100 - p.running[on]), Memory: -1, Took: -1})
 		delete(p.sent, id)
 	}
-	p.does(id, p.d.Ended(p.now, id, n, how, false))
+	p.does(id, p.d.Ended(p.now, id, n, how, how == policy.Handled))
 }
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -108,7 +108,7 @@
 		add("rate", n, func(pt *Point) { pt.Rate = float64(n) })
 	}
 	for _, n := range s.Running {
-		add("running", n, func(pt *Point) { pt.Running, pt.Rate = n, float64(n)/longWork.Seconds() })
+		add("running", n, func(pt *Point) { pt.Running, pt.Rate, pt.Of = n, float64(n)/longWork.Seconds(), 1 })
 	}
 	for _, n := range s.Tenants {
 		add("module-tenants", n, func(pt *Point) { pt.Module, pt.Tenants = true, n })
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,174 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	if os.Getenv(HollowEnv) != "" {
+		if err := Hollow(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+		return
+	}
+	dir, err := os.MkdirTemp("", "birchstair-scale-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "birchstair")
+	if out, err := exec.Command("go", "build", "-o", binary, "birchstair/cmd/birchstair").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func smallest() Sweep {
+	return Sweep{Executors: []int{16}, Of: []int{9}, Nodes: []int{4}, Tenants: []int{3}, Real: 2, Rounds: 1, BaseExecutors: 16, BaseNodes: 4, BaseRate: 60,
+		Work: 5 * time.Millisecond, Span: 400 * time.Millisecond, Sockets: 512}
+}
+
+func options(t *testing.T) Options {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{Binary: binary, Hollow: []string{self}, Dir: t.TempDir(), Settle: 200 * time.Millisecond}
+}
+
+// The run's smallest form: real nodes among hollow executors and hollow nodes. Each batch job is answered once and counted once at both ends, all executors are
+// seen, and each change is in force at all nodes, real and hollow, or the row says what was wrong.
+func TestSmallest(t *testing.T) {
+	rows := map[string]Row{}
+	if err := smallest().Run(options(t), func(r Row) {
+		t.Log(r)
+		rows[r.Series] = r
+		if r.NotRun != "" || len(r.Wrong) > 0 {
+			t.Errorf("not run: %q; wrong: %q", r.NotRun, r.Wrong)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	want := map[string][]string{
+		"executors-of-9":        {"list_s", "settings_s", "drain_s", "burst_s", "zone_gone_s", "zone_back_s", "idle_core_pct", "cpu_us_start", "files_load", "peak_mb"},
+		"module-executors-of-9": {"cpu_us_start", "heap_kb"},
+		"module-tenants":        {"cpu_us_start", "heap_kb"},
+		"nodes":                 {"list_s", "drain_s", "nodes_in_pps_idle", "nodes_out_pps_idle"},
+	}
+	for series, figures := range want {
+		for _, f := range figures {
+			if _, ok := rows[series].Figures[f]; !ok {
+				t.Errorf("%s has no %s", series, f)
+			}
+		}
+	}
+	if f := rows["nodes"].Figures; f["nodes_in_bps_load"] <= 0 || f["nodes_out_bps_load"] <= 0 {
+		t.Errorf("no words were seen between real and hollow nodes: %v", f)
+	}
+	if f := rows["executors-of-9"].Figures; f["starts_ps"] <= 0 || f["handled_part"] <= 0 || f["list_whole_kb"] <= 0 {
+		t.Errorf("nothing was started, or no list told: %v", f)
+	}
+}
+
+// A point that can't be run says why, and the others go on.
+func TestNotRun(t *testing.T) {
+	o := options(t)
+	o.Binary = filepath.Join(o.Dir, "nothing")
+	s := smallest()
+	s.Nodes = nil
+	rows := map[string]Row{}
+	if err := s.Run(o, func(r Row) { rows[r.Series] = r }); err != nil {
+		t.Fatal(err)
+	}
+	if r := rows["executors-of-9"]; !strings.Contains(r.NotRun, "nothing") || r.Figures != nil {
+		t.Errorf("%+v", r)
+	}
+	if r := rows["module-tenants"]; r.NotRun != "" || r.Figures["cpu_us_start"] <= 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// What goes over the machine's bounds is refused by the bound's name before anything is started.
+func TestBounds(t *testing.T) {
+	const files = 20000
+	if err := smallest().check(files); err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string]func(*Sweep){
+		"--executors: 100000":           func(s *Sweep) { s.Executors = []int{12, 100000} },
+		"--executors: 0":                func(s *Sweep) { s.BaseExecutors = 0 },
+		"--nodes: 301":                  func(s *Sweep) { s.Nodes = []int{301} },
+		"--nodes: -3":                   func(s *Sweep) { s.Nodes = []int{-3} },
+		"--real: 13":                    func(s *Sweep) { s.Real = 13 },
+		"--tenants: 100000":             func(s *Sweep) { s.Tenants = []int{100000} },
+		"--rungs: 65":                   func(s *Sweep) { s.Rungs = []int{65} },
+		"--rates, starts a second: 0":   func(s *Sweep) { s.Rates = []int{0} },
+		"--rounds: 0":                   func(s *Sweep) { s.Rounds = 0 },
+		"--rounds: all points would":    func(s *Sweep) { s.Rounds, s.Span = 100, time.Minute },
+		"--span":                        func(s *Sweep) { s.Span = 0 },
+		"--work":                        func(s *Sweep) { s.Work = 0 },
+		"--sockets: 30000":              func(s *Sweep) { s.Sockets = 30000 },
+		"places: 100 tasks":             func(s *Sweep) { s.Running = []int{100} },
+		"descriptors: a process":        func(s *Sweep) { s.Nodes, s.Real, s.Sockets = []int{12}, 12, 19000 },
+		"descriptors: the process with": func(s *Sweep) { s.BaseExecutors, s.Rates = 3200, []int{5000} },
+	} {
+		s := smallest()
+		change(&s)
+		if err := s.check(files); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	s := smallest()
+	s.Executors = []int{3200}
+	if err := s.check(1900); err == nil || !strings.Contains(err.Error(), "RLIMIT_NOFILE is 1900") {
+		t.Error(err)
+	}
+	pt := Point{Executors: 6400, Hollow: 300, Real: 12, Rate: 80000}
+	if err := s.fits(pt, 1<<20); err == nil || !strings.Contains(err.Error(), "memory: ") {
+		t.Error(err)
+	}
+	pt = Point{Executors: 16, Real: 299, Rate: 1}
+	if err := s.fits(pt, 1<<20); err == nil || !strings.Contains(err.Error(), "processes: 301") {
+		t.Error(err)
+	}
+	if n := placesOf(3200); n != allPlaces {
+		t.Errorf("%d places", n)
+	}
+}
+
+// A line is found with its spread; what has no slope is called flat.
+func TestFits(t *testing.T) {
+	var rows []Row
+	for i, noise := range []float64{0.5, -0.5, 0.5, -0.5, 0.5, -0.5} {
+		x := float64(i / 2)
+		rows = append(rows, Row{Point: Point{Series: "s", X: x}, Figures: map[string]float64{"grows": 3 + 2*x, "noisy": 7 + noise, "once": 1}})
+	}
+	rows = append(rows, Row{Point: Point{Series: "t", X: 1}, Figures: map[string]float64{"grows": 3}}, Row{Point: Point{Series: "s", X: 5}, NotRun: "because"})
+	got := map[string]Fit{}
+	for _, f := range Fits(rows) {
+		got[f.Series+"/"+f.Figure] = f
+	}
+	if len(got) != 3 {
+		t.Fatalf("%v", got)
+	}
+	want := Fit{Series: "s", Figure: "grows", At: 3, Slope: 2, To: 2, N: 6}
+	if diff := cmp.Diff(want, got["s/grows"], cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+		t.Error(diff)
+	}
+	if f := got["s/noisy"]; !f.Flat || f.Spread < 0.1 || f.Off < 0.4 {
+		t.Errorf("%+v", f)
+	}
+}
