birchlab scale: held batch jobs, on sockets and with the module alone

Need: what a start costs once tokens are exhausted, which light load hides. Change: series module-held-of-N and held: long tasks at 1.5 times what the first tokens can do.

--- a/cmd/birchlab/scale.go
+++ b/cmd/birchlab/scale.go
@@ -22,9 +22,10 @@
 	Rungs     []int         `default:"1,16,64" help:"Figures in a message between nodes: classes of batch jobs that earn differently for their work."`
 	Rates     []int         `default:"50,200,800" help:"Starts a second at one node."`
 	Running   []int         `default:"100,400,800" help:"Tasks at a time at one node, of 4 s each."`
+	Held      []int         `default:"100,400,800" help:"Executors, at one node of nine with more tasks of 4 s than it has tokens for."`
 	Tenants   []int         `default:"1,75,750" help:"Tenants, with the module alone: the platform's protocol names none."`
 	Rounds    int           `default:"3" help:"How often each point is measured, in turn."`
-	Skip      []string      `placeholder:"DIM,..." help:"Dimensions that are left out: executors, nodes, rungs, rates, running, tenants."`
+	Skip      []string      `placeholder:"DIM,..." help:"Dimensions that are left out: executors, nodes, rungs, rates, running, held, tenants."`
 	At        int           `default:"400" help:"Executors where another dimension is varied."`
 	Among     int           `default:"9" help:"Nodes where rungs are varied."`
 	Rate      int           `default:"200" help:"Starts a second where another dimension is varied."`
@@ -37,9 +38,9 @@
 }
 
 func (c *scaleCmd) sweep() (scale.Sweep, error) {
-	s := scale.Sweep{Executors: c.Executors, Of: c.Of, Nodes: c.Nodes, Real: c.Real, Rungs: c.Rungs, Rates: c.Rates, Running: c.Running, Tenants: c.Tenants, Rounds: c.Rounds,
+	s := scale.Sweep{Executors: c.Executors, Of: c.Of, Nodes: c.Nodes, Real: c.Real, Rungs: c.Rungs, Rates: c.Rates, Running: c.Running, Held: c.Held, Tenants: c.Tenants, Rounds: c.Rounds,
 		BaseExecutors: c.At, BaseNodes: c.Among, BaseRate: c.Rate, Work: c.Work, Span: c.Span, Sockets: c.Sockets}
-	dims := map[string]*[]int{"executors": &s.Executors, "nodes": &s.Nodes, "rungs": &s.Rungs, "rates": &s.Rates, "running": &s.Running, "tenants": &s.Tenants}
+	dims := map[string]*[]int{"executors": &s.Executors, "nodes": &s.Nodes, "rungs": &s.Rungs, "rates": &s.Rates, "running": &s.Running, "held": &s.Held, "tenants": &s.Tenants}
 	for _, name := range c.Skip {
 		if dims[name] == nil {
 			return s, fmt.Errorf("--skip: %q is none of %s", name, strings.Join(slices.Sorted(maps.Keys(dims)), ", "))
--- a/internal/scale/bounds.go
+++ b/internal/scale/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -39,6 +40,7 @@
 	Rungs     []int // figures in a message between nodes
 	Rates     []int // starts a second
 	Running   []int // tasks at a time
+	Held      []int // executors, with more long tasks than there are tokens for
 	Tenants   []int // with the module alone
 	Rounds    int
 
@@ -65,7 +67,7 @@
 		least, most int
 		values      []int
 	}{
-		{"executors", 1, MostExecutors, append([]int{s.BaseExecutors}, s.Executors...)},
+		{"executors", 1, MostExecutors, slices.Concat([]int{s.BaseExecutors}, s.Executors, s.Held)},
 		{"of", 1, mostOf, s.Of},
 		{"nodes", 1, MostNodes, append([]int{s.BaseNodes}, s.Nodes...)},
 		{"real", 1, MostReal, []int{s.Real}},
@@ -107,7 +109,10 @@
 		return fmt.Errorf("processes: %d, over %d", n, MostProcesses)
 	}
 	inHand := max(pt.Running, int(pt.Rate*2))
-	conns := pt.Real * s.Sockets / 4
+	if pt.Held {
+		inHand = int(pt.Rate * (2*longWork + s.Span).Seconds())
+	}
+	conns := pt.Real * pt.Sockets / 4
 	for _, need := range []struct {
 		what string
 		n    int
--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -116,7 +116,10 @@
 
 // load hands batch jobs in. The first stretch opens connections and brings as many tasks to run as are to; it is not counted.
 func (w *world) load() error {
-	opening := max(w.o.Settle, time.Duration(min(1, w.pt.Running))*(longWork+time.Second))
+	opening := w.o.Settle
+	if w.pt.long() {
+		opening = max(opening, longWork+time.Second)
+	}
 	l := newLoad(w.nodes, w.pt)
 	l.start("warm", opening)
 	from, err := w.see()
--- a/internal/scale/module.go
+++ b/internal/scale/module.go
@@ -20,7 +20,8 @@
 	Rate      float64
 	Work      time.Duration
 	Most      time.Duration // of CPU
-	Starts    int           // at the most; the first fifth is not counted
+	Skip      int           // starts that are not counted, the first ones
+	Starts    int           // after them, at the most
 }
 
 type moduleFigures struct {
@@ -54,10 +55,12 @@
 	return x
 }
 
+func (m *moduleJob) budget() time.Duration { return max(5*time.Second, 5*m.Work) }
+
 func (m *moduleJob) settings() policy.Settings {
 	s := policy.Settings{Seed: 7, Nodes: m.Of, WholeWeight: 1, MaxAllocations: 3, MayCancel: true, MaxComeBack: 2 * time.Second, Quantum: 4 * time.Millisecond,
 		EarnPerWork: true, ColdShare: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 4, FallWindow: 1500 * time.Millisecond, TellsStart: true,
-		Tracks: []policy.Track{{Quoted: time.Second, OuterLimit: 5 * time.Second, Earnings: 2}}}
+		Tracks: []policy.Track{{Quoted: max(time.Second, 3*m.Work), OuterLimit: m.budget(), Earnings: 2}}}
 	for range m.Tenants {
 		s.Tenant = append(s.Tenant, policy.Tenant{QuotaPerS: m.Rate * float64(m.Of) / float64(m.Tenants)})
 	}
@@ -88,16 +91,16 @@
 	p.d.Listed(0, policy.Whole, entries)
 	p.due()
 	arrivals, began, err := 0, time.Duration(0), error(nil)
-	first := 0
+	first := -1
 	for err == nil {
-		if first == 0 && p.starts >= m.Starts/5 {
+		if first < 0 && p.starts >= m.Skip {
 			first = p.starts
 			began, err = cpu(os.Getpid())
 		}
-		if p.starts >= m.Starts {
+		if p.starts >= m.Skip+m.Starts {
 			break
 		}
-		if first > 0 && arrivals%64 == 0 {
+		if first >= 0 && p.starts%16 == 0 {
 			at, e := cpu(os.Getpid())
 			if err = e; at-began > m.Most {
 				break
@@ -117,11 +120,11 @@
 			if m.Tenants > 0 {
 				tenant = policy.TenantID(arrivals % m.Tenants)
 			}
-			p.d.Arrived(p.now, policy.Arrival{Job: policy.JobID(fmt.Sprint("j", arrivals)), Tenant: tenant, Work: m.Work, Budget: 5 * time.Second})
+			p.d.Arrived(p.now, policy.Arrival{Job: policy.JobID(fmt.Sprint("j", arrivals)), Tenant: tenant, Work: m.Work, Budget: m.budget()})
 			arrivals++
 		}
 		p.due()
-		if arrivals > 20*m.Starts {
+		if arrivals > 20*(m.Skip+m.Starts) {
 			err = fmt.Errorf("the module starts nothing: %d starts, %d arrivals, now %v next %v ends %d handled %d", p.starts, arrivals, p.now, p.next, len(p.ends), p.handled)
 		}
 	}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -54,8 +54,12 @@
 	Sockets   int
 	Tenants   int  `json:",omitempty"`
 	Module    bool `json:",omitempty"` // the module alone
+	Held      bool `json:",omitempty"` // with more than there are tokens for, so that batch jobs are held
 }
 
+// long says whether its tasks take long.
+func (pt Point) long() bool { return pt.Running > 0 || pt.Held }
+
 // Row is what came of a point.
 type Row struct {
 	Point
@@ -74,6 +78,11 @@
 	allPlaces = 7700 // of all executors together
 	allOf     = 3200 // where there are so many
 	longWork  = 4 * time.Second
+
+	firstQuota = 2.0 // tokens that the module has for each executor at first
+	heldLoad   = 1.5 // of what these can do, where batch jobs are to be held
+
+	heldSockets = 8192
 )
 
 var zones = []string{"a", "b", "c", "d"}
@@ -96,6 +105,7 @@
 		for _, of := range s.Of {
 			add(fmt.Sprintf("executors-of-%d", of), n, func(pt *Point) { pt.Executors, pt.Of = n, of })
 			add(fmt.Sprintf("module-executors-of-%d", of), n, func(pt *Point) { pt.Module, pt.Executors, pt.Of = true, n, of })
+			add(fmt.Sprintf("module-held-of-%d", of), n, func(pt *Point) { pt.Module, pt.Held, pt.Executors, pt.Of = true, true, n, of })
 		}
 	}
 	for _, n := range s.Nodes {
@@ -110,18 +120,40 @@
 	for _, n := range s.Running {
 		add("running", n, func(pt *Point) { pt.Running, pt.Rate, pt.Of = n, float64(n)/longWork.Seconds(), 1 })
 	}
+	for _, n := range s.Held {
+		add("held", n, func(pt *Point) {
+			pt.Held, pt.Executors, pt.Sockets = true, n, max(s.Sockets, heldSockets)
+			pt.Rate = heldRate(n, Nine)
+		})
+	}
 	for _, n := range s.Tenants {
 		add("module-tenants", n, func(pt *Point) { pt.Module, pt.Tenants = true, n })
 	}
 	return points
 }
 
+// slice is how many executors a node uses among so many nodes, at the least.
+func slice(executors, of int) int {
+	if of < 6 {
+		return executors
+	}
+	return min(executors, (3*executors+of-1)/of)
+}
+
+// heldRate is a rate of long tasks that a node's first tokens are not enough for, so that batch jobs are held.
+func heldRate(executors, of int) float64 {
+	return heldLoad * firstQuota * float64(slice(executors, of)) / longWork.Seconds()
+}
+
 // Long is about how long all points take.
 func (s Sweep) Long() (long time.Duration) {
 	for _, pt := range s.points(0) {
 		long += 3 * time.Second
 		if !pt.Module {
 			long += 2*s.Span + 8*time.Second
+			if pt.long() {
+				long += 20 * time.Second
+			}
 		}
 	}
 	return time.Duration(s.Rounds) * long
@@ -191,7 +223,11 @@
 
 // module plays the module alone, in a process of its own.
 func (w *world) module() error {
-	job := hollowJob{Module: &moduleJob{Executors: w.pt.Executors, Of: w.pt.Of, Tenants: w.pt.Tenants, Rate: w.pt.Rate, Work: w.o.Work, Most: time.Second, Starts: 5000}}
+	job := hollowJob{Module: &moduleJob{Executors: w.pt.Executors, Of: w.pt.Of, Tenants: w.pt.Tenants, Rate: w.pt.Rate, Work: w.o.Work, Most: 2 * time.Second, Skip: 1000, Starts: 4000}}
+	if w.pt.Held {
+		job.Module.Work, job.Module.Skip = longWork, int(firstQuota)*slice(w.pt.Executors, w.pt.Of)
+		job.Module.Rate = heldRate(w.pt.Executors, w.pt.Of)
+	}
 	var f moduleFigures
 	h := &hollow{}
 	if err := h.begin(w.o.Hollow, job, &f); err != nil {
@@ -236,7 +272,7 @@
 
 func (w *world) startExecutors(slot byte) error {
 	work := w.o.Work
-	if w.pt.Running > 0 {
+	if w.pt.long() {
 		work = longWork
 	}
 	for first := 0; first < w.pt.Executors; first += perHollow {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -136,6 +136,10 @@
 	if err := s.check(1900); err == nil || !strings.Contains(err.Error(), "RLIMIT_NOFILE is 1900") {
 		t.Error(err)
 	}
+	s.Held = []int{6400}
+	if err := s.check(files); err == nil || !strings.Contains(err.Error(), "descriptors: ") {
+		t.Error(err)
+	}
 	pt := Point{Executors: 6400, Hollow: 300, Real: 12, Rate: 80000}
 	if err := s.fits(pt, 1<<20); err == nil || !strings.Contains(err.Error(), "memory: ") {
 		t.Error(err)
