--- /dev/null
+++ b/cmd/birchlab/scale.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"birchstair/internal/scale"
+)
+
+// scaleCmd measures slopes.
+type scaleCmd struct {
+	Binary    string        `type:"existingfile" default:"bin/birchstair" help:"The node."`
+	Executors []int         `default:"12,100,400,1600,3200" help:"Hollow executors."`
+	Of        []int         `default:"1,9" help:"How many nodes the one among them counts itself among: from six on its slice is three in so many."`
+	Nodes     []int         `default:"3,9,30,100,300" help:"Nodes that talk."`
+	Real      int           `default:"1" help:"Of them, real ones; the others are members without batch jobs."`
+	Rungs     []int         `default:"1,16,64" help:"Figures in a message between nodes: classes of batch jobs that earn differently for their work."`
+	Rates     []int         `default:"50,200,800" help:"Starts a second at one node."`
+	Running   []int         `default:"100,400,800" help:"Tasks at a time at one node, of 4 s each."`
+	Held      []int         `default:"100,400,800" help:"Executors, at one node of nine with more tasks of 4 s than it has tokens for."`
+	Tenants   []int         `default:"1,75,750" help:"Tenants, with the module alone: the platform's protocol names none."`
+	Rounds    int           `default:"3" help:"How often each point is measured, in turn."`
+	Skip      []string      `placeholder:"DIM,..." help:"Dimensions that are left out: executors, nodes, rungs, rates, running, held, tenants."`
+	At        int           `default:"400" help:"Executors where another dimension is varied."`
+	Among     int           `default:"9" help:"Nodes where rungs are varied."`
+	Rate      int           `default:"200" help:"Starts a second where another dimension is varied."`
+	Work      time.Duration `default:"20ms" help:"That a task takes."`
+	Span      time.Duration `default:"3s" help:"That each point is watched idle, and under load."`
+	Settle    time.Duration `default:"1s" help:"Before each stretch that counts; under load it opens connections."`
+	Sockets   int           `default:"1024" help:"A node's limits.sockets."`
+	JSON      string        `name:"json" type:"path" placeholder:"FILE" help:"Write rows and fits there, a line each."`
+	Keep      string        `type:"path" placeholder:"DIR" help:"Keep logs and configurations there."`
+}
+
+func (c *scaleCmd) sweep() (scale.Sweep, error) {
+	s := scale.Sweep{Executors: c.Executors, Of: c.Of, Nodes: c.Nodes, Real: c.Real, Rungs: c.Rungs, Rates: c.Rates, Running: c.Running, Held: c.Held, Tenants: c.Tenants, Rounds: c.Rounds,
+		BaseExecutors: c.At, BaseNodes: c.Among, BaseRate: c.Rate, Work: c.Work, Span: c.Span, Sockets: c.Sockets}
+	dims := map[string]*[]int{"executors": &s.Executors, "nodes": &s.Nodes, "rungs": &s.Rungs, "rates": &s.Rates, "running": &s.Running, "held": &s.Held, "tenants": &s.Tenants}
+	for _, name := range c.Skip {
+		if dims[name] == nil {
+			return s, fmt.Errorf("--skip: %q is none of %s", name, strings.Join(slices.Sorted(maps.Keys(dims)), ", "))
+		}
+		*dims[name] = nil
+	}
+	return s, s.Check()
+}
+
+func (c *scaleCmd) Run() error {
+	s, err := c.sweep()
+	if err != nil {
+		return err
+	}
+	o := scale.Options{Settle: c.Settle, Dir: c.Keep}
+	if o.Binary, err = filepath.Abs(c.Binary); err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	o.Hollow = []string{self}
+	if c.Keep == "" {
+		if o.Dir, err = os.MkdirTemp("", "birchlab-scale-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(o.Dir)
+	}
+	fmt.Printf("all points take about %v\n", s.Long().Round(10*time.Second))
+	var rows []scale.Row
+	wrong := 0
+	var failed error
+	write := func(v any) {
+		if c.JSON != "" && failed == nil {
+			failed = appendLine(c.JSON, v)
+		}
+	}
+	if err := s.Run(o, func(r scale.Row) {
+		fmt.Println(r)
+		rows, wrong = append(rows, r), wrong+len(r.Wrong)
+		write(r)
+	}); err != nil {
+		return err
+	}
+	flat := 0
+	for _, f := range scale.Fits(rows) {
+		write(f)
+		if f.Flat {
+			flat++
+		} else {
+			fmt.Println(f)
+		}
+	}
+	fmt.Printf("%d further slopes are within twice their spread of none\n", flat)
+	if failed == nil && wrong > 0 {
+		failed = errBroken
+	}
+	return failed
+}
