Descriptors set aside for discovery, door and neighbours; a crowd of silent clients no longer costs a 503

Seen, with a real process under the system's own limit on descriptors (64 to 256), 300 to 400 clients that say nothing, half a message, or ask once, and come again when let go: it holds for readiness, executors and the door (40 plays, the list with the first call that is answered, 1 to 6 calls for readiness, 34 to 180 descriptors). But in 7 of 18 runs of the test the one batch job handed in then got 503 or a close. The close is the page's (shut unread). The 503: gate.came took a connection back that had been let go in the same moment, and judged the budget before another silent one went in its place (server.go, came). Ruled out: the budget itself, since letGo runs under the same lock at each change.

- The reserve of 16 did not cover the process (8) and discovery (16 at most: two addresses in a move); it is 24 at least now, half of discovery's in an upgrade.
From 384 descriptors on nothing changes.
- Where nodes talk, 24 are set aside for neighbours, and the transport takes 16 of their connections at a time: memberlist took all that came.
`config check` prints what is left.

Guards taken out once: the old reserve: TestDescriptorsSetAside; clients may fill all: TestCrowdBeforeDiscovery ("too many open files", never ready); came as before: TestCameAsLetGo; streams without a bound: 32 taken, want 16.

--- /dev/null
+++ b/cmd/birchstair/crowd_test.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"birchstair/internal/node"
+	"birchstair/internal/operators"
+	"birchstair/internal/standin"
+	"birchstair/internal/standin/platform"
+	"birchstair/policy"
+)
+
+// crowd are clients that connect, say nothing, and come again as soon as they are let go.
+type crowd struct {
+	addr  string
+	stop  chan struct{}
+	wait  sync.WaitGroup
+	up    atomic.Int64 // connections that came up
+	letGo atomic.Int64 // and that the node ended
+}
+
+func (c *crowd) come(n int, first string) {
+	c.stop = make(chan struct{})
+	for range n {
+		c.wait.Go(func() {
+			for {
+				conn, err := net.Dial("tcp", c.addr)
+				if err != nil {
+					return
+				}
+				c.up.Add(1)
+				over := make(chan struct{})
+				go func() {
+					select {
+					case <-c.stop:
+					case <-over:
+					}
+					conn.Close()
+				}()
+				conn.Write([]byte(first))
+				for b := make([]byte, 512); ; {
+					if _, err := conn.Read(b); err != nil {
+						break
+					}
+				}
+				close(over)
+				c.letGo.Add(1)
+				select {
+				case <-c.stop:
+					return
+				default:
+				}
+			}
+		})
+	}
+}
+
+func (c *crowd) leave() {
+	close(c.stop)
+	c.wait.Wait()
+}
+
+// Idle clients, more than the node has descriptors, come before discovery is up and come again whenever they are let go. Once it is
+// up the node has the list with the first call that is answered, is ready, reaches executors, answers clients, and operators at the
+// door; the system's own limit on descriptors stands at the node's, so that one too many would show.
+func TestCrowdBeforeDiscovery(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "birchstair")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, c := range []struct {
+		name, first string
+		silent      bool // discovery takes connections while it is down, and says nothing
+		sockets     int
+		clients     int
+	}{
+		{"silent, discovery refuses", "", false, 64, 300},
+		{"silent, discovery is silent", "", true, 64, 300},
+		{"half a message, discovery is silent", "POST /x HTTP/1.1\r\nHost: n\r\n", true, 128, 300},
+		{"asked once, discovery is silent", "GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n", true, 256, 400},
+	} {
+		t.Run(c.name, func(t *testing.T) { crowded(t, binary, c.first, c.silent, c.sockets, c.clients) })
+	}
+}
+
+func crowded(t *testing.T, binary, first string, silent bool, sockets, clients int) {
+	work := freeListener(t)
+	var ran atomic.Int64
+	go (&platform.Executor{ID: "e", Takes: func() time.Duration { return time.Millisecond }, Ran: func(policy.JobID) { ran.Add(1) }}).Serve(work)
+	dir, listen, door, list := t.TempDir(), freePort(t), freePort(t), freePort(t)
+	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": list, "management": door,
+		"limits": map[string]any{"memory_mb": 64, "sockets": sockets},
+		"settings": map[string]any{"balancers": 1, "areas": []string{"z"}, "flavors": []string{"plain"}, "caps": map[string]any{"max-allocations": 3},
+			"domain": map[string]any{"tells-start": true},
+			"tracks": []any{map[string]any{"name": "page", "quoted-time-s": 10, "outer-limit-s": 20, "repeat": "repeatable", "earnings": 1}}}})
+	file, logFile := filepath.Join(dir, "config"), filepath.Join(dir, "log")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(logFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	var down net.Listener
+	if silent {
+		if down, err = net.Listen("tcp", list); err != nil {
+			t.Fatal(err)
+		}
+		defer down.Close()
+	}
+	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" serve", sockets), binary)
+	cmd.Env, cmd.Stderr = append(os.Environ(), "ROUTER_CONFIG="+file, "TMPDIR="+dir), log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	over := make(chan error, 1)
+	go func() { over <- cmd.Wait() }()
+	defer func() {
+		cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case err := <-over:
+			if err != nil {
+				t.Errorf("the process ended with %v", err)
+			}
+		case <-time.After(20 * time.Second):
+			cmd.Process.Kill()
+			t.Error("the process never ended")
+		}
+		text, _ := os.ReadFile(logFile)
+		if strings.Contains(string(text), "too many open files") || t.Failed() {
+			t.Errorf("its log:\n%s", text)
+		}
+	}()
+	until := func(what string, so func() bool) {
+		t.Helper()
+		for by := time.Now().Add(30 * time.Second); !so(); time.Sleep(time.Millisecond) {
+			if time.Now().After(by) {
+				t.Fatalf("never: %s", what)
+			}
+		}
+	}
+	figures := func() error {
+		_, err := operators.Call(door, node.ReadFigures, "", 5*time.Second)
+		return err
+	}
+	until("the door answers", func() bool { return figures() == nil })
+	descriptors := func() int {
+		all, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", cmd.Process.Pid))
+		return len(all)
+	}
+
+	idle := &crowd{addr: listen}
+	idle.come(clients, first)
+	defer idle.leave()
+	until("each of the crowd was let go once, on the average", func() bool { return idle.letGo.Load() >= int64(clients) })
+	most := descriptors()
+	if err := figures(); err != nil {
+		t.Errorf("the door, under the crowd: %v", err)
+	}
+
+	if silent {
+		down.Close()
+	}
+	up, err := net.Listen("tcp", list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer up.Close()
+	go (&platform.Discovery{Zones: []string{"z"}, Entries: []standin.Entry{{Addr: work.Addr().String(),
+		Entry: policy.Entry{Executor: "e", Weight: 1, LongAgo: true}}}}).Serve(up)
+	came, began := idle.letGo.Load(), time.Now()
+	asked := 0
+	until("it is ready", func() bool {
+		asked++
+		most = max(most, descriptors())
+		client := http.Client{Timeout: 10 * time.Second}
+		defer client.CloseIdleConnections()
+		a, err := client.Get("http://" + listen + "/-/ready")
+		if err != nil {
+			return false
+		}
+		a.Body.Close()
+		return a.StatusCode == http.StatusOK
+	})
+	t.Logf("ready after %v, %d calls, %d of the crowd let go meanwhile, %d descriptors", time.Since(began), asked, idle.letGo.Load()-came, most)
+	// A new connection may be closed before it is read; a client hands in once more then.
+	var status int
+	until("a batch job is answered", func() bool {
+		client := http.Client{Timeout: 20 * time.Second}
+		defer client.CloseIdleConnections()
+		ask, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/x", strings.NewReader("body"))
+		for head, text := range map[string]string{"X-Call-Id": "page-1", "X-Call-Class": "page", "X-Budget-Ms": "20000"} {
+			ask.Header.Set(head, text)
+		}
+		a, err := client.Do(ask)
+		if err != nil {
+			return false
+		}
+		a.Body.Close()
+		status = a.StatusCode
+		return true
+	})
+	if status != http.StatusOK || ran.Load() != 1 {
+		t.Errorf("status %d, ran %d times", status, ran.Load())
+	}
+	if err := figures(); err != nil {
+		t.Errorf("the door, once ready: %v", err)
+	}
+	if most = max(most, descriptors()); most > sockets {
+		t.Errorf("%d descriptors of %d", most, sockets)
+	}
+}
+
+func freeListener(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
--- a/cmd/birchstair/main.go
+++ b/cmd/birchstair/main.go
@@ -98,6 +98,7 @@
 	if own.Site != "" {
 		fmt.Printf("%s is sound: durable batch jobs are %s, nodes that talk are %s\n", own.Site, onOff[s.Durable != nil], onOff[s.Fleet != nil])
 	}
+	c.setAside(s)
 	clients, executors := c.Descriptors()
 	fmt.Printf("%s is sound: %d tracks, at most %d connections from clients and %d to executors\n",
 		os.Getenv("ROUTER_CONFIG"), len(c.Settings.Tracks), clients, executors)
--- a/cmd/birchstair/serve.go
+++ b/cmd/birchstair/serve.go
@@ -60,6 +60,7 @@
 		}
 	}
 
+	c.setAside(own)
 	fromClients, toExecutors := c.Descriptors()
 	fromFewer, toFewer := c.HalfDescriptors()
 	p := c.Settings.Policy
@@ -95,6 +96,13 @@
 			Work: c.LongestWork(), StopSpell: config.StopSpell, StopLimit: c.StopLimit()}}, more)
 }
 
+// setAside keeps descriptors for what the operator's own file turns on.
+func (t *told) setAside(own site.Site) {
+	if own.Fleet != nil {
+		t.Neighbours = members.Descriptors
+	}
+}
+
 // coldSlack is how long an allocation may be on its way after it was decided on.
 const coldSlack = 100 * time.Millisecond
 
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -256,7 +256,8 @@
 	defer g.mu.Unlock()
 	if p := g.places[c]; p != nil {
 		p.known = true
-		g.put(p, nil)
+		g.put(p, nil) // it may have been let go just before: another goes in its place
+		g.letGo(g.open - g.leaving.Len() - g.budget)
 	}
 	return g.over()
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,24 +29,31 @@
 	Cores      float64
 	Memory     int64           // bytes; over them the node is killed
 	Sockets    int             // descriptors
+	Neighbours int             // of them, those set aside for nodes that this one talks with
 	Known      json.RawMessage // the list as this node last had it, in discovery's form; may be absent
 	Settings   Settings
 
 	keys map[string]bool // that stand in the file
 }
 
-// Descriptors says how many connections of each kind the node may hold, within its descriptors and its memory.
-// What is left of the descriptors is for the log, the listener, discovery and what is just being closed.
-func (c *Config) Descriptors() (clients, executors int) { return c.split(c.Sockets, c.Memory) }
+// Descriptors says how many connections of each kind the node may hold, within its descriptors and its memory. What is set
+// aside is for the process itself, discovery, operators and neighbours: clients that fill theirs take none of it.
+func (c *Config) Descriptors() (clients, executors int) {
+	return c.split(c.Sockets, c.Memory, ownDescriptors+DiscoveryConns)
+}
 
-// HalfDescriptors says the same while another process of the node lives.
-func (c *Config) HalfDescriptors() (clients, executors int) { return c.split(c.Sockets/2, c.Memory/2) }
+// HalfDescriptors says the same while another process of the node lives. Both may not follow a move of the list at that time to where
+// nobody is, which takes most.
+func (c *Config) HalfDescriptors() (clients, executors int) {
+	return c.split(c.Sockets/2, c.Memory/2, ownDescriptors+DiscoveryConns/2)
+}
 
-func (c *Config) split(sockets int, memory int64) (clients, executors int) {
-	usable := sockets - max(leastReserve, sockets/reserve)
+func (c *Config) split(sockets int, memory int64, least int) (clients, executors int) {
+	usable := sockets - max(least, sockets/reserve) - c.Neighbours
 	if c.Management != "" {
 		usable -= 1 + DoorCallers
 	}
+	usable = max(usable, leastUsable)
 	executors = usable / 4
 	clients = (usable - executors) * 8 / 9 // the front takes an eighth more before it lets connections wait
 	return min(clients, int(memory/2/clientMemory)), executors
@@ -71,6 +78,9 @@
 // StopSpell is how long new connections go on coming after a node is told to stop, and a little more.
 const StopSpell = 500 * time.Millisecond
 
+// DiscoveryConns is how many connections to discovery there are at a time, at most.
+const DiscoveryConns = 16
+
 // DoorCallers is how many operators' calls are in hand at a time, at most.
 const DoorCallers = 8
 
@@ -87,13 +97,14 @@
 	defaultProbe   = 0.25 // seconds
 	leastQuantum   = time.Millisecond
 
-	reserve      = 16       // part of the descriptors that is held in reserve
-	leastReserve = 16       // and at least so many
-	clientMemory = 96 << 10 // what a client's connection takes at most: a body, buffers, a stack
-	quickest     = 4        // times a standard core that an executor's core may be
-	longestProbe = 10 * time.Second
-	killAfter    = 3 * time.Second
-	killGrace    = 700 * time.Millisecond
+	reserve        = 16       // part of the descriptors that is held in reserve
+	ownDescriptors = 8        // of it: the standard streams, the two by which Go waits, the listener, one just taken, one just closed
+	leastUsable    = 7        // for clients and executors, however few there are
+	clientMemory   = 96 << 10 // what a client's connection takes at most: a body, buffers, a stack
+	quickest       = 4        // times a standard core that an executor's core may be
+	longestProbe   = 10 * time.Second
+	killAfter      = 3 * time.Second
+	killGrace      = 700 * time.Millisecond
 )
 
 type fileText struct {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -118,3 +118,31 @@
 	}
 	kept.Compare(t, "read.txt", out.String())
 }
+
+// What is set aside stands beside what clients and executors may fill, however few descriptors there are: an upgrade's halves from 128
+// on, from 256 with neighbours.
+func TestDescriptorsSetAside(t *testing.T) {
+	for sockets := leastSockets; sockets <= 4096; sockets++ {
+		for _, management := range []string{"", "127.0.0.1:1"} {
+			for _, neighbours := range []int{0, 24} {
+				c := Config{Sockets: sockets, Memory: 1 << 30, Management: management, Neighbours: neighbours}
+				aside := ownDescriptors + neighbours
+				if management != "" {
+					aside += 1 + DoorCallers
+				}
+				fits := func(what string, clients, executors, discovery, most int) {
+					beyond := max(1, clients/8) // connections that wait at the front
+					if all := clients + beyond + executors + discovery + aside; clients < 1 || executors < 1 || all > most {
+						t.Errorf("%s of %d, door %q, neighbours %d: %d clients, %d executors, %d in all", what, sockets, management, neighbours, clients, executors, all)
+					}
+				}
+				clients, executors := c.Descriptors()
+				fits("all", clients, executors, DiscoveryConns, sockets)
+				if sockets >= 128 && (neighbours == 0 || sockets >= 256) {
+					clients, executors = c.HalfDescriptors()
+					fits("half", clients, executors, DiscoveryConns/2, sockets/2)
+				}
+			}
+		}
+	}
+}
--- a/internal/list/bounds_test.go
+++ b/internal/list/bounds_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"birchstair/internal/config"
 	"birchstair/internal/kept"
 	"birchstair/internal/memnet"
 	"birchstair/internal/node"
@@ -386,7 +387,7 @@
 				for _, slow := range []time.Duration{0, slowAnswer} {
 					synctest.Test(t, func(t *testing.T) {
 						span, most := longestSpan(p, slow, order.do)
-						if span > min(by, p.sum()+50*time.Millisecond) || most > MostConns {
+						if span > min(by, p.sum()+50*time.Millisecond) || most > config.DiscoveryConns {
 							t.Errorf("grace %v, pushed %v, answers in %v, %s: told after %v, %d connections", grace, pushed, slow, order.name, span, most)
 						}
 						t.Logf("grace %v, pushed %v, answers in %v, %s: told after %v, %d connections", grace, pushed, slow, order.name, span, most)
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -47,10 +47,6 @@
 	leastSpell, mostSpell   = firstSpell, 800 * time.Millisecond
 )
 
-// MostConns is how many connections to discovery there may be at a time, with those that are dialled: calls that are waited
-// for at two addresses, while the list moves.
-const MostConns = 16
-
 // Patience is how long calls may take, and how far apart they are, while discovery is silent.
 type Patience struct {
 	Seed uint64 // differs from node to node, so that many that begin at one moment don't go on calling at one moment
--- /dev/null
+++ b/internal/members/transport_test.go
@@ -0,0 +1,68 @@
+package members
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+)
+
+// Callers open many connections at a neighbours' address and say nothing: so many are taken as are set aside, and the next once one
+// of them is closed.
+func TestStreamsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		come := make(chan net.Conn, 2*mostStreams)
+		tr := &transport{come: come, streams: make(chan net.Conn), ending: make(chan struct{}), ended: make(chan struct{})}
+		go tr.take()
+		for range 2 * mostStreams {
+			c, _ := net.Pipe()
+			come <- c
+		}
+		var taken []net.Conn
+		takes := func() {
+			for {
+				synctest.Wait()
+				select {
+				case c := <-tr.StreamCh():
+					taken = append(taken, c)
+					continue
+				default:
+				}
+				return
+			}
+		}
+		for _, want := range []int{mostStreams, mostStreams + 1, mostStreams + 1} {
+			if takes(); len(taken) != want {
+				t.Errorf("%d were taken, want %d", len(taken), want)
+			}
+			taken[0].Close() // the second time it gives no place back
+		}
+		close(tr.ending)
+		close(tr.ended)
+	})
+}
+
+// The end doesn't wait for connections that are not taken.
+func TestStreamsAtTheEnd(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.77.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := free.Addr().String()
+	free.Close()
+	tr, err := newTransport(netip.MustParseAddrPort(at))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 4 {
+		c, err := net.Dial("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	(<-tr.StreamCh()).Close()
+	if err := tr.Shutdown(); err != nil {
+		t.Error(err)
+	}
+}
