--- /dev/null
+++ b/internal/service/ready_test.go
@@ -0,0 +1,157 @@
+package service_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchstair/internal/clients"
+	"birchstair/internal/config"
+	"birchstair/internal/memnet"
+	"birchstair/internal/node"
+	"birchstair/internal/service"
+	"birchstair/internal/standin"
+	"birchstair/internal/standin/platform"
+	"birchstair/policy"
+)
+
+// A whole node, of its real parts, starts while discovery is down for 8 s, answers each call in 1.5 s, or both, where lists are pushed and
+// where nodes ask: it is ready within 10 s.
+func TestReadyWithSlowDiscovery(t *testing.T) {
+	for _, ask := range []bool{false, true} {
+		for _, down := range []string{"is up", "refuses", "is silent"} {
+			synctest.Test(t, func(t *testing.T) {
+				after := readyAfter(t, ask, down)
+				if t.Logf("asked %v, discovery %s: ready after %v", ask, down, after); after > 10*time.Second {
+					t.Errorf("asked %v, discovery %s: ready after %v", ask, down, after)
+				}
+			})
+		}
+	}
+}
+
+func readyAfter(t *testing.T, ask bool, down string) time.Duration {
+	how := "push"
+	if ask {
+		how = "ask"
+	}
+	s, err := config.ReadSettings([]byte(`{"balancers":300,"areas":["z"],"flavors":["plain"],"discovery":"` + how + `","rules":{"drain-grace-s":1,"ask-within-s":8},
+		"caps":{"max-allocations":3},"tracks":[{"name":"page","quoted-time-s":20,"outer-limit-s":40,"repeat":"repeatable","earnings":1}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	over, end := context.WithCancel(context.Background())
+	network := memnet.New(1, func(string, string) memnet.Path { return memnet.Path{Delay: time.Millisecond} })
+	const listen, discovery = "127.0.0.1:80", "127.0.0.1:8500"
+	front, err := network.Listen("n", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var silent atomic.Bool
+	up := func() {
+		l, err := network.Listen("d", discovery)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go slowly(over, c, &silent)
+			}
+		}()
+	}
+	silent.Store(down == "is silent")
+	if down != "refuses" {
+		up()
+	}
+	var n atomic.Int64
+	dial := func(from string) func(context.Context, string, string) (net.Conn, error) {
+		return func(ctx context.Context, _, addr string) (net.Conn, error) {
+			c, err := network.Dial(ctx, from, fmt.Sprint(from, n.Add(1)), addr)
+			if err != nil {
+				return nil, err
+			}
+			return c, nil
+		}
+	}
+	ended, more := make(chan error, 1), make(chan node.Event)
+	began := time.Now()
+	go func() {
+		ended <- service.Run(over, service.Setup{Settings: s, Start: began, Listener: front, Discovery: discovery, Log: zerolog.Nop(),
+			ClientConns: clients.Budget{Whole: 30, Half: 15}, Module: policy.New(s.Policy), List: dial("n"),
+			Executors: func(ctx context.Context, _ node.ConnID, addr string) (net.Conn, error) {
+				return dial("x")(ctx, "", addr)
+			},
+			Limits: node.Limits{Quantum: time.Millisecond, IdleUse: time.Minute, DialLimit: time.Second, Conns: 10, HalfConns: 5, Bodies: 1 << 20,
+				Work: time.Hour, StopSpell: 10 * time.Millisecond, StopLimit: time.Second}}, more)
+	}()
+	time.AfterFunc(8*time.Second, func() {
+		silent.Store(false)
+		if down == "refuses" {
+			up()
+		}
+	})
+	client := http.Client{Transport: &http.Transport{DialContext: dial("c"), DisableKeepAlives: true}}
+	after := time.Hour
+	for time.Since(began) < 20*time.Second {
+		a, err := client.Get("http://" + listen + "/-/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Body.Close()
+		if a.StatusCode == http.StatusOK {
+			after = time.Since(began)
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	end()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	close(more)
+	network.Shut()
+	time.Sleep(time.Minute)
+	return after
+}
+
+// slowly answers calls of the list, each in 1.5 s; those that come while discovery is silent, never.
+func slowly(over context.Context, c net.Conn, silent *atomic.Bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		ask, err := platform.ReadWatch(in)
+		if err != nil {
+			return
+		}
+		if silent.Load() {
+			in.ReadByte() // until the node gives it up
+			return
+		}
+		entries := []standin.Entry{{Addr: "127.0.0.1:81", Entry: policy.Entry{Executor: "e", Weight: 1, LongAgo: true}}}
+		pause := 1500 * time.Millisecond
+		if !ask.Whole {
+			entries, pause = nil, pause+ask.Hold
+		}
+		select {
+		case <-time.After(pause):
+		case <-over.Done():
+			return
+		}
+		if _, err := c.Write(platform.AppendList(nil, 1, ask.Whole, entries, []string{"z"}, time.Now())); err != nil {
+			return
+		}
+	}
+}
