Rules: a drain binds 6 s after discovery had it and could be reached, whether it was told or not

Need: rule 3 was checked from the moment a node was told, so a node that is never told kept it in every world. By the operators' terms a change counts as told 6 s after discovery had it and could be reached. The checker hears of discovery what it has and since when (Listed), who can't reach it (Apart, Cut: zones cut off, ListLost, ListCut, a late list), and takes a process's start or standing still as a new beginning; it adds no line to kept traces. It holds in the lab's worlds, by events and on connections in memory, not in the rig.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"birchstair/internal/node"
+	"birchstair/internal/rules"
 	"birchstair/internal/standin"
 	"birchstair/policy"
 )
@@ -52,6 +53,11 @@
 		until := w.now + f.For
 		if in {
 			w.cuts[i].in = max(w.cuts[i].in, until)
+			for _, n := range w.nodes {
+				if n.zone == policy.ZoneID(i) {
+					w.checker.Apart(n.id, until)
+				}
+			}
 		}
 		if out {
 			w.cuts[i].out = max(w.cuts[i].out, until)
@@ -125,8 +131,10 @@
 		w.resetClients(f, w.now+f.For)
 	case standin.ListLate:
 		w.discovery.Late(time.Duration(f.Size * 1e9))
+		w.checker.Apart(rules.Nobody, w.now+time.Duration(w.s.Fleet.ListLag)+time.Duration(f.Size*1e9))
 	case standin.ListLost:
 		w.discovery.Silence(true)
+		w.checker.Cut(w.now, rules.Nobody, true)
 		w.tellAll(w.now + 100*time.Millisecond)
 	case standin.NodeKilled:
 		for _, n := range w.touchedNodes(f) {
@@ -214,6 +222,7 @@
 		w.tellAll(w.now)
 	case standin.ListLost:
 		w.discovery.Silence(false)
+		w.checker.Cut(w.now, rules.Nobody, false)
 		w.tellAll(w.now)
 	case standin.NodeKilled, standin.NodeRestart:
 		for _, n := range w.touchedNodes(f) {
@@ -246,6 +255,7 @@
 	case standin.NodesApart:
 		n.apart = on
 	case standin.ListCut:
+		n.w.checker.Cut(n.w.now, n.id, on)
 		if n.noList = on; !on && n.up {
 			n.news()
 		}
--- /dev/null
+++ b/internal/lab/news_test.go
@@ -0,0 +1,52 @@
+package lab
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"birchstair/internal/node"
+	"birchstair/internal/rules"
+	"birchstair/internal/standin"
+)
+
+// drained is a world in which executors drain for long.
+func drained() Scenario {
+	return troubled(func(s *Scenario) {
+		s.Length = Span(20 * time.Second)
+		s.Faults = []Fault{{Kind: standin.DrainOff, At: Span(4 * time.Second), For: Span(30 * time.Second), Where: []string{"e0", "e1", "e5"}}}
+	})
+}
+
+// A node that hears nothing more from discovery, though it could, breaks the rule that a drain binds whether it was told or not, and no
+// other; without the defect none breaks, by events and on connections in memory.
+func TestUninformed(t *testing.T) {
+	s := drained()
+	if _, err := s.check(); err != nil {
+		t.Fatal(err)
+	}
+	for seed := range uint64(2) {
+		if r := New(s, seed, Options{}).Play(); len(r.Broken) > 0 {
+			t.Errorf("seed %d breaks a rule with nothing planted: %v", seed, r.Broken[0])
+		}
+		synctest.Test(t, func(t *testing.T) {
+			if r := New(s, seed, Options{}).PlayWired(); len(r.Broken) > 0 {
+				t.Errorf("seed %d, wired, breaks a rule with nothing planted: %v", seed, r.Broken[0])
+			}
+		})
+		caught := 0
+		w := New(s, seed, Options{Most: 1000})
+		w.plant.event = changed(func(_ *World, n *sim, ev node.Arrived) []node.Event {
+			n.noList = true // and nobody says so
+			return []node.Event{ev}
+		})
+		for _, b := range w.Play().Broken {
+			if caught++; b.Rule != rules.Informed {
+				t.Errorf("seed %d: another rule broke: %v", seed, b)
+			}
+		}
+		if t.Logf("seed %d: caught %d times", seed, caught); caught == 0 {
+			t.Errorf("seed %d: not caught", seed)
+		}
+	}
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -607,7 +607,11 @@
 }
 
 // change books a change of an executor's entry; nodes hear of it in time.
-func (w *World) change(e standin.Entry) { w.tellAll(w.discovery.Change(w.now, e)) }
+func (w *World) change(e standin.Entry) {
+	at := w.discovery.Change(w.now, e)
+	w.checker.Listed(at, e.Executor, e.State)
+	w.tellAll(at)
+}
 
 func (w *World) tellAll(at time.Duration) {
 	if w.wired != nil {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -23,9 +23,10 @@
 	AtOnce                        // a batch job given up on is answered at once
 	Bound                         // what nodes tell each other is within its bounds
 	Awaited                       // nothing is sent on whose client left a while ago
+	Informed                      // a drain binds from some seconds on after discovery had it, whether it was told or not
 )
 
-var ruleNames = [...]string{"", "one answer", "no effect twice", "drain kept", "cold spared", "answered at once", "bound kept", "still awaited"}
+var ruleNames = [...]string{"", "one answer", "no effect twice", "drain kept", "cold spared", "answered at once", "bound kept", "still awaited", "informed"}
 
 func (r Rule) String() string { return ruleNames[r] }
 
@@ -75,6 +76,9 @@
 	reported  map[string]bool
 	lateTwice int
 	went      map[jobKey]time.Duration // when the client's connection ended
+	listed    map[policy.ExecutorID]listed
+	reachable map[NodeID]time.Duration // from when on a node can reach discovery again; Nobody for all
+	apart     map[NodeID]bool          // nodes that can't until further notice
 	wentWaits int
 }
 
@@ -139,8 +143,18 @@
 	limit time.Duration // the limit that it is about, or 0 for the answer at once
 }
 
+// listed is what discovery has of an executor, and since when it may tell of it.
+type listed struct {
+	state policy.State
+	at    time.Duration
+}
+
 const keptLines = 1 << 12
 
+// InformedWithin is when a change counts as told after discovery had it and could be reached, by the operators' terms. The node
+// takes the drain grace out of it: nothing is sent any more then.
+const InformedWithin = 6 * time.Second
+
 // AwaitedFor is how long after its client's end a batch job may still be sent on, whatever its track, by the operators' terms.
 const AwaitedFor = 300 * time.Millisecond
 
@@ -148,7 +162,36 @@
 func New(s Settings) *Checker {
 	return &Checker{s: s, jobs: map[jobKey]*job{}, still: map[NodeID]bool{}, works: map[WorkID][]run{},
 		nodes: map[NodeID]map[policy.ExecutorID]told{}, executors: map[policy.ExecutorID]*executor{},
-		reported: map[string]bool{}, went: map[jobKey]time.Duration{}}
+		reported: map[string]bool{}, went: map[jobKey]time.Duration{},
+		listed: map[policy.ExecutorID]listed{}, reachable: map[NodeID]time.Duration{}, apart: map[NodeID]bool{}}
+}
+
+// Listed says that discovery has an executor in a state, and tells of it from a time on. It is no thing seen by a node.
+func (c *Checker) Listed(from time.Duration, e policy.ExecutorID, state policy.State) {
+	was, known := c.listed[e]
+	if known && was.state != policy.Up && state != policy.Up {
+		return // it binds since then
+	}
+	c.listed[e] = listed{state, from}
+}
+
+// Apart says that a node, or all for Nobody, can't reach discovery until a time.
+func (c *Checker) Apart(n NodeID, until time.Duration) { c.reachable[n] = max(c.reachable[n], until) }
+
+// Cut says that a node, or all for Nobody, can't reach discovery from now on, or can again.
+func (c *Checker) Cut(now time.Duration, n NodeID, yes bool) {
+	c.apart[n] = yes
+	c.Apart(n, now)
+}
+
+// uninformed says how long ago a node should have known that an executor takes nothing new.
+func (c *Checker) uninformed(now time.Duration, n NodeID, e policy.ExecutorID) (time.Duration, bool) {
+	l, known := c.listed[e]
+	if !known || l.state == policy.Up || c.apart[n] || c.apart[Nobody] {
+		return 0, false
+	}
+	late := now - max(l.at, c.reachable[n], c.reachable[Nobody]) - InformedWithin
+	return late, late > 0
 }
 
 // Broken are the rules that broke so far, in order.
@@ -174,6 +217,7 @@
 	key := jobKey{s.Node, s.Job}
 	switch s.What {
 	case NodeStarted, NodeKilled:
+		c.Apart(s.Node, s.At)
 		delete(c.still, s.Node)
 		delete(c.nodes, s.Node)
 		for k := range c.jobs {
@@ -184,6 +228,7 @@
 		maps.DeleteFunc(c.went, func(k jobKey, _ time.Duration) bool { return k.node == s.Node })
 	case StoodStill, WentOn:
 		c.still[s.Node] = s.What == StoodStill
+		c.Apart(s.Node, s.At)
 		for k, j := range c.jobs {
 			j.excused = j.excused || k.node == s.Node
 		}
@@ -301,6 +346,10 @@
 		c.breaks(DrainKept, s.At, key, j.work, s.Executor, "%s was sent to %s %v after node %d was told that it drains or is gone",
 			s.Job, s.Executor, s.At-t.at, s.Node)
 	}
+	if late, yes := c.uninformed(s.At, s.Node, s.Executor); yes && !j.excused {
+		c.breaks(Informed, s.At, key, j.work, s.Executor, "%s was sent to %s %v after node %d could have heard for %v that it drains or is gone",
+			s.Job, s.Executor, late, s.Node, InformedWithin)
+	}
 	track := c.s.Tracks[j.track]
 	first, out := -1, 0
 	for i, a := range j.sent {
