List: backoff and hedge by their names

Names only, through internal/list: spell is backoff, calls that are waited for beside later ones are hedges.

--- a/internal/list/bounds_test.go
+++ b/internal/list/bounds_test.go
@@ -376,7 +376,7 @@
 		for _, pushed := range []bool{true, false} {
 			p := PatienceFor(grace, pushed)
 			by := told - min(grace, mostGrace)
-			fmt.Fprintf(&out, "grace %v pushed %v: hold %v, answer %v, spells up to %v, sum %v of %v\n", grace, pushed, p.hold, p.answer, p.lastSpell, p.sum(), by)
+			fmt.Fprintf(&out, "grace %v pushed %v: hold %v, answer %v, backoffs up to %v, sum %v of %v\n", grace, pushed, p.hold, p.answer, p.lastBackoff, p.sum(), by)
 			if p.sum() > by {
 				t.Errorf("grace %v, pushed %v: the sum is %v", grace, pushed, p.sum())
 			}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -20,13 +20,13 @@
 const (
 	// By the operators' page a change counts as told 6 s after discovery had it and could be reached, whatever else went
 	// wrong. The drain grace is left of that for what is on its way.
-	told       = 6 * time.Second
-	mostGrace  = 2 * time.Second // of a longer one no more is left
-	mostHold   = 2 * time.Second
-	shortHold  = 20 * time.Millisecond // the wait of a call that only asks whether discovery is back
-	firstSpell = 50 * time.Millisecond // after a call that brought nothing usable, doubled up to lastSpell
-	breath     = 20 * time.Millisecond // between calls that are answered at once; the page lets a watch go on for 200 ms
-	longest    = 4 << 20               // bytes of an answer
+	told         = 6 * time.Second
+	mostGrace    = 2 * time.Second // of a longer one no more is left
+	mostHold     = 2 * time.Second
+	shortHold    = 20 * time.Millisecond // the wait of a call that only asks whether discovery is back
+	firstBackoff = 50 * time.Millisecond // after a call that brought nothing usable, doubled up to lastBackoff
+	breath       = 20 * time.Millisecond // between calls that are answered at once; the page lets a watch go on for 200 ms
+	longest      = 4 << 20               // bytes of an answer
 
 	// By the operators' page a node is ready 10 s after its start with discovery down for 8 s of them, or slow: it may take
 	// 1.5 s to answer. So a call is waited for so long, and while the whole list is owed calls begin so far apart at most.
@@ -35,39 +35,39 @@
 	patience   = 2 * time.Second
 	owedEvery  = 400 * time.Millisecond
 	owedAnswer = 300 * time.Millisecond // and so long after a call began the next may begin beside it
-	keepEvery  = 300 * time.Millisecond // calls that are waited for beside later ones begin so far apart at least
+	hedgeEvery = 300 * time.Millisecond // calls that are waited for beside later ones begin so far apart at least
 
 	// After that, where nodes ask: fewer calls, and longer ones. Guards against a service that is slow because of the calls that
 	// were given up: it would stay so.
-	overdueSpell    = 4 * time.Second
+	overdueBackoff  = 4 * time.Second
 	overduePatience = 3 * patience
 
 	// Bounds of what is derived from the drain grace: an answer takes some time where the core is shared, and calls cost.
-	leastAnswer, mostAnswer = 100 * time.Millisecond, 500 * time.Millisecond
-	leastSpell, mostSpell   = firstSpell, 800 * time.Millisecond
+	leastAnswer, mostAnswer   = 100 * time.Millisecond, 500 * time.Millisecond
+	leastBackoff, mostBackoff = firstBackoff, 800 * time.Millisecond
 )
 
 // Patience is how long calls may take, and how far apart they are, while discovery is silent.
 type Patience struct {
 	Seed uint64 // differs from node to node, so that many that begin at one moment don't go on calling at one moment
 
-	hold      time.Duration // how long a call waits for news
-	answer    time.Duration // beyond it: after that a call is late, and the next begins beside it
-	owed      time.Duration // the same while the whole list is owed
-	lastSpell time.Duration
-	shared    bool // all nodes ask one service
+	hold        time.Duration // how long a call waits for news
+	answer      time.Duration // beyond it: after that a call is late, and the next begins beside it
+	owed        time.Duration // the same while the whole list is owed
+	lastBackoff time.Duration
+	shared      bool // all nodes ask one service
 }
 
 // PatienceFor fits it to the drain grace. Where lists are pushed, what discovery has when it is back counts as told at once,
-// whoever asks: a call that hangs, the spell after it and the next call together take no more than three quarters of the
+// whoever asks: a call that hangs, the backoff after it and the next call together take no more than three quarters of the
 // grace. Where nodes ask, calls load a service that all share, and the settings name another time.
 //
 // The wait for news is what 6 s less the grace leave beside the rest of the worst order: see sum.
 func PatienceFor(drainGrace time.Duration, pushed bool) Patience {
-	p := Patience{answer: mostAnswer, lastSpell: mostSpell, shared: !pushed}
+	p := Patience{answer: mostAnswer, lastBackoff: mostBackoff, shared: !pushed}
 	if pushed {
 		part := drainGrace / 4
-		p.answer, p.lastSpell = min(max(part, leastAnswer), mostAnswer), min(max(part, leastSpell), mostSpell)
+		p.answer, p.lastBackoff = min(max(part, leastAnswer), mostAnswer), min(max(part, leastBackoff), mostBackoff)
 	}
 	p.owed = min(p.answer, owedAnswer)
 	p.hold = min(told-min(drainGrace, mostGrace)-p.sum(), mostHold)
@@ -77,10 +77,10 @@
 // sum is the longest that a node goes without news which discovery has and could give, in the worst order of events: a watch
 // falls silent as it begins, the next call fails late, and discovery takes its time for the one after.
 func (p Patience) sum() time.Duration {
-	first := p.hold + p.answer + firstSpell
-	second := shortHold + p.answer + min(2*firstSpell, p.lastSpell)
-	if second < keepEvery {
-		second += keepEvery // calls that begin sooner are not waited for
+	first := p.hold + p.answer + firstBackoff
+	second := shortHold + p.answer + min(2*firstBackoff, p.lastBackoff)
+	if second < hedgeEvery {
+		second += hedgeEvery // calls that begin sooner are not waited for
 	}
 	return first + second + shortHold + slowAnswer
 }
@@ -130,7 +130,7 @@
 		again: make(chan struct{}, 1), follow: make(chan string, 1), news: make(chan news), dial: dial}
 }
 
-// Watch cuts a spell between two calls short.
+// Watch cuts a backoff between two calls short.
 func (w *Watcher) Watch() {
 	select {
 	case w.again <- struct{}{}:
@@ -210,7 +210,7 @@
 
 // run watches one address. After each answer the next watch begins soon, so that it is one watch to discovery,
 // and not so soon that one whose calls don't wait would take all of the core. After a call that brought nothing
-// usable it begins again with a spell in between.
+// usable it begins again with a backoff in between.
 //
 // A call that is late is waited for beside the next ones: discovery may be slow, and then giving up each call would bring
 // nothing ever; or its connection may be dead, and then only another call brings anything. Whichever brings something first
@@ -220,14 +220,14 @@
 	defer client.CloseIdleConnections()
 	var (
 		version int64
-		known   bool          // the version counts
-		lost    bool          // the last call brought nothing
-		spell   = firstSpell  // after the next one that brings nothing
-		took    time.Duration // what the last answer took beyond its call's wait
+		known   bool           // the version counts
+		lost    bool           // the last call brought nothing
+		backoff = firstBackoff // after the next one that brings nothing
+		took    time.Duration  // what the last answer took beyond its call's wait
 
 		out     []*call
 		current *call // the one that is not late yet; nil between two
-		kept    time.Time
+		hedged  time.Time
 		began   = time.Now()
 		ends    = make(chan ended)
 		next    = time.NewTimer(time.Hour) // the current call is late, or the next one is due
@@ -258,23 +258,23 @@
 		if !w.brought(ctx, news{from, update{}, err}) {
 			return false
 		}
-		pause := spell
+		pause := backoff
 		switch {
 		case known:
 		case w.overdue(began):
-			pause = overdueSpell
+			pause = overdueBackoff
 		default:
 			pause = max(0, min(pause, owedEvery-time.Since(call)))
 		}
 		beginIn(pause/2 + time.Duration(chance.Float64()*float64(pause-pause/2)))
-		spell = min(2*spell, w.lastSpell)
+		backoff = min(2*backoff, w.lastBackoff)
 		return true
 	}
 	begin()
 	for {
 		again := w.again
 		if current != nil {
-			again = nil // it cuts a spell short, and no call
+			again = nil // it cuts a backoff short, and no call
 		}
 		select {
 		case <-ctx.Done():
@@ -287,8 +287,8 @@
 				continue
 			}
 			late := current
-			if late.began.Sub(kept) >= keepEvery {
-				kept = late.began
+			if late.began.Sub(hedged) >= hedgeEvery {
+				hedged = late.began
 			} else {
 				giveUp(late)
 			}
@@ -330,7 +330,7 @@
 				took = all - e.hold
 			}
 			out, current = nil, nil
-			version, known, lost, spell = e.version, true, false, firstSpell
+			version, known, lost, backoff = e.version, true, false, firstBackoff
 			if !w.brought(ctx, news{from, e.update, nil}) {
 				return
 			}
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -220,16 +220,16 @@
 	kept.Compare(t, "silence.txt", asked.String()+told.String())
 }
 
-// What a hang, the spell after it and the next call take together, for drain grace after drain grace.
+// What a hang, the backoff after it and the next call take together, for drain grace after drain grace.
 func TestPatience(t *testing.T) {
 	var out strings.Builder
 	for _, grace := range []time.Duration{50, 150, 400, 1000, 1500, 2000, 10000} {
 		grace *= time.Millisecond
 		for _, pushed := range []bool{true, false} {
 			p := PatienceFor(grace, pushed)
-			fmt.Fprintf(&out, "grace %v pushed %v: answer %v, spells up to %v, together %v\n", grace, pushed, p.answer, p.lastSpell,
-				2*(shortHold+p.answer)+p.lastSpell)
-			if whole := 2*(shortHold+p.answer) + p.lastSpell; pushed && grace >= 400*time.Millisecond && whole > grace {
+			fmt.Fprintf(&out, "grace %v pushed %v: answer %v, backoffs up to %v, together %v\n", grace, pushed, p.answer, p.lastBackoff,
+				2*(shortHold+p.answer)+p.lastBackoff)
+			if whole := 2*(shortHold+p.answer) + p.lastBackoff; pushed && grace >= 400*time.Millisecond && whole > grace {
 				t.Errorf("%v is over the grace %v", whole, grace)
 			}
 		}
