The rig's rule 4 saw no node as told of a start; it does now, and prints the most a cold one got

Symptom: 20 real processes with executors that start again under a burst: the checker's largest sum for a cold executor by nodes that were told is 0, whatever they send.

Ruled out: no work for cold executors (the timeline and the stand-ins have it); lists that come too late.

Cause: `restart` in internal/rig/ends.go told the checker of the start by the time at which that was seen, some microseconds after the one that executor and list bear. So no node's news ever was of that start, and rule 4 could not break in the rig.

Change: Seen.Start says when it started, where that is not when it was seen. Checker.ColdMost is the most that came from nodes that were told, against the budget; birchlab fleet prints it, and how many executors fell over. Lab worlds are as they were.

--- a/cmd/birchlab/fleet.go
+++ b/cmd/birchlab/fleet.go
@@ -119,6 +119,9 @@
 	if r.Late > 0 {
 		fmt.Printf("  %d allocations to executors that drain, from nodes that nobody told\n", r.Late)
 	}
+	if r.ColdMost > 0 {
+		fmt.Printf("  a cold executor was sent %.2f of its budget at the most; %d fell over\n", r.ColdMost, r.Fell)
+	}
 	if r.WentWaiting > 0 {
 		fmt.Printf("  %d clients left while their batch jobs waited\n", r.WentWaiting)
 	}
--- a/internal/rig/ends.go
+++ b/internal/rig/ends.go
@@ -161,6 +161,7 @@
 				s.c.Close()
 			}
 		case standin.Fell:
+			r.result.Fell++
 			r.note("%s fell over", x.ID)
 		}
 	}
@@ -210,7 +211,7 @@
 	r := x.r
 	x.does(x.Start(r.now()))
 	delete(r.firstTold, x.ID)
-	r.see(rules.Seen{What: rules.Started, Node: rules.Nobody, Executor: x.ID})
+	r.see(rules.Seen{What: rules.Started, Node: rules.Nobody, Executor: x.ID, Start: x.Started}) // as the list says it, or no node would count as told
 	r.change(x.entry(policy.Up))
 }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -41,6 +41,8 @@
 	Allocations int            // that reached an executor
 	Work        float64        // seconds of work that reached executors
 	Finished    float64        // and that they got done
+	Fell        int            // executors that were pushed over while cold, whoever did
+	ColdMost    float64        // the most work that came to a cold one, by the rules' checker and against its own budget
 	Late        int            // allocations to an executor that drains from nodes whose own list does not say so, long after another node was told
 	WentWaiting int            // clients that left while their batch jobs waited with nothing out
 	Views       [][]string     // what each node said of its fleet at the end
@@ -257,7 +259,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.checker.Pass(r.now())
-	r.result.WentWaiting = r.checker.WentWaiting()
+	r.result.WentWaiting, r.result.ColdMost = r.checker.WentWaiting(), busy*r.checker.ColdMost()
 	for _, b := range r.checker.Broken() {
 		if text := b.String(); !slices.Contains(r.result.Wrong, text) {
 			r.wrong("%s", text)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -77,6 +78,7 @@
 	lateTwice int
 	went      map[jobKey]time.Duration // when the client's connection ended
 	wentWaits int
+	coldMost  float64
 }
 
 type jobKey struct {
@@ -161,6 +163,10 @@
 // WentWaiting is how many clients left while their batch jobs waited with nothing out.
 func (c *Checker) WentWaiting() int { return c.wentWaits }
 
+// ColdMost is the most work that came to a cold executor within the window, two thirds from nodes that had been told of its start,
+// as a part of its budget.
+func (c *Checker) ColdMost() float64 { return c.coldMost }
+
 // See takes in a thing seen, and says which rules broke by it or by the time that passed before it. Things come in the
 // order of their times.
 func (c *Checker) See(s Seen) []Broken {
@@ -217,7 +223,7 @@
 	case Answered:
 		c.answered(key, s)
 	case Started:
-		c.executors[s.Executor] = &executor{start: s.At, cold: true}
+		c.executors[s.Executor] = &executor{start: cmp.Or(s.Start, s.At), cold: true}
 	case Reached:
 		c.reached(key, s)
 	case Ran:
@@ -451,7 +457,11 @@
 		}
 	}
 	budget := c.s.FallMultiple * s.Capacity * c.s.FallWindow.Seconds()
-	if TopplesCold(sum, most, budget, c.s.MeanWork) && known >= sum*2/3 {
+	if known < sum*2/3 {
+		return
+	}
+	c.coldMost = max(c.coldMost, sum/budget)
+	if TopplesCold(sum, most, budget, c.s.MeanWork) {
 		c.breaks(ColdSpared, s.At, jobKey{Nobody, ""}, "", s.Executor, "%s, cold, was sent %.2fs of work within %v where %.2fs is its budget",
 			s.Executor, sum, c.s.FallWindow, budget)
 	}
--- a/internal/rules/seen.go
+++ b/internal/rules/seen.go
@@ -35,7 +35,7 @@
 	LastByte                // and its last byte has left
 	Over                    // Node has been told that Allocation of Job is over; Proof: it provably never ran
 	Answered                // Node has given Job its Final answer
-	Started                 // Executor has started, cold
+	Started                 // Executor has started, cold; at Start, where that is not when it was seen
 	Reached                 // an allocation of Node has reached Executor: Cost against the Capacity it has now
 	Ran                     // Executor has begun on Work, for Job of Node
 	Fell                    // Executor has fallen over
