A node that starts again uses a quarter of its part of a cold executor for one window, not nothing

Change: the process before can have spent 0.8 of the budget at the most, as work counts a quarter more than it is; the rest, hintMargin - 1 of the new process's part, is left for it. The line stands in withinCold, and a look is due when the window ends; the account of `listed` is as it was before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -126,10 +126,6 @@
 			d.cold = append(d.cold, e)
 		}
 		e.coldUntil, e.inCap, e.held, e.startWait, e.colds = until, 1, 0, 0, e.colds[:0]
-		if n.Started < 0 { // Guards against a process that starts again: the one before may have spent it.
-			e.colds = append(e.colds, spend{0, Endless})
-			d.at(d.fallWindow, nil, nil)
-		}
 	}
 }
 
@@ -283,6 +279,9 @@
 	// One that is smaller than its kind, or was slower before its start, takes less.
 	part := d.warmth(e, now) * min(1, max(e.size, e.weight)/k.size)
 	budget := d.coldWork * part * float64(k.parallel) / max(k.pace, d.pace(e, now))
+	if e.started < 0 && now < d.fallWindow { // Guards against a process that starts again:
+		budget *= hintMargin - 1 // the one before may have spent all but what the margin on work leaves over.
+	}
 	e.colds = slices.DeleteFunc(e.colds, func(s spend) bool { return s.at+d.fallWindow <= now })
 	for _, s := range e.colds {
 		budget -= s.work.Seconds()
--- a/policy/setup.go
+++ b/policy/setup.go
@@ -26,6 +26,7 @@
 	d.tick = d.interval
 	d.shareCold(s.FallMultiple)
 	d.spreadAsks(s.AskWithin)
+	d.at(d.fallWindow, nil, nil) // a process that starts again may send more to cold executors from then on
 	for _, t := range s.Tenant {
 		d.tenants = append(d.tenants, tenant{perS: t.QuotaPerS / float64(s.Nodes)})
 	}
