--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -241,7 +242,7 @@
 			e := w.entries[i%len(w.entries)]
 			e.Weight += float64(1 + i)
 			w.list.Change(e)
-			time.Sleep(time.Second / burst)
+			time.Sleep(cmp.Or(w.o.Burst, time.Second) / burst)
 		}
 		more.State = policy.Gone
 		w.list.Change(more)
--- a/internal/scale/members.go
+++ b/internal/scale/members.go
@@ -56,6 +56,9 @@
 	wait    sync.WaitGroup
 }
 
+// joinEvery lies between the joins of two hollow nodes.
+const joinEvery = 20 * time.Millisecond
+
 func startMembers(job hollowJob) (*hollowMembers, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &hollowMembers{cancel: cancel}
@@ -68,7 +71,7 @@
 		isReal[a] = true
 	}
 	h.traffic.Of = func(a netip.Addr) bool { return isReal[a] }
-	for _, n := range job.Nodes {
+	for i, n := range job.Nodes {
 		o, err := members.Parse(fleet.Name(n.Name), policy.NodeID(n.Number), n.Listen, "", job.Fleet.Seeds)
 		if err != nil {
 			return h, err
@@ -79,7 +82,13 @@
 		m.fleet = fleet.New(s)
 		m.edge = members.New(o, m.take, zerolog.Nop())
 		h.all = append(h.all, m)
-		h.wait.Go(func() { m.edge.Run(ctx) })
+		h.wait.Go(func() {
+			select { // one after another, as nodes of a rollout come: all at once they would take each other for dead
+			case <-ctx.Done():
+			case <-time.After(time.Duration(i) * joinEvery):
+				m.edge.Run(ctx)
+			}
+		})
 		h.wait.Go(func() { m.talk(ctx, s.Every, job.Fleet.Rungs) })
 	}
 	return h, nil
