Making room among connections looks at no executor but one

Change: connections that rest stand in one list, the longest first; of those since one moment that are their executor's first, the one dialled first goes, as before.

--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"container/list"
 	"slices"
 	"time"
 
@@ -43,6 +44,7 @@
 	rested  bool           // it has been up and at rest
 	heard   bool           // something of its executor came for that allocation
 	restsAt time.Duration
+	place   *list.Element // among those that rest
 	wroteAt time.Duration
 	askedAt time.Duration // when the module decided on the allocation
 }
@@ -53,10 +55,9 @@
 }
 
 func (n *Node) closeResting(e *executor) {
-	for _, c := range e.rest {
-		n.closeConn(c)
+	for len(e.rest) > 0 {
+		n.closeConn(n.resting.risen(e, 0))
 	}
-	e.rest = e.rest[:0]
 }
 
 // send puts an allocation on its way.
@@ -97,8 +98,7 @@
 		n.closeResting(e)
 		return nil
 	}
-	e.rest = e.rest[:len(e.rest)-1]
-	return c
+	return n.resting.risen(e, len(e.rest)-1)
 }
 
 // restUse is how long a connection may have rested and still be used: less than the settings' idle time, and less than
@@ -142,20 +142,11 @@
 
 // makeRoom closes the connection that has rested longest.
 func (n *Node) makeRoom() bool {
-	var oldest *conn
-	for _, e := range n.executors {
-		if len(e.rest) == 0 {
-			continue
-		}
-		if c := e.rest[0]; oldest == nil || c.restsAt < oldest.restsAt ||
-			c.restsAt == oldest.restsAt && c.id < oldest.id {
-			oldest = c
-		}
-	}
+	oldest := n.resting.oldest()
 	if oldest == nil {
 		return false
 	}
-	oldest.to.rest = slices.Delete(oldest.to.rest, 0, 1)
+	n.resting.risen(oldest.to, 0)
 	n.closeConn(oldest)
 	return true
 }
@@ -203,7 +194,7 @@
 		return
 	}
 	c.state, c.rested, c.restsAt = resting, true, n.now
-	c.to.rest = append(c.to.rest, c)
+	n.resting.rests(c)
 }
 
 // unlink parts a connection and the batch job whose allocation it carries.
@@ -299,7 +290,7 @@
 	}
 	delete(n.conns, c.id)
 	if i := slices.Index(c.to.rest, c); i >= 0 {
-		c.to.rest = slices.Delete(c.to.rest, i, i+1)
+		n.resting.risen(c.to, i)
 		if rest := n.now - c.restsAt; rest > n.limits.DialLimit { // else it was closed with the answer
 			n.tooLong(rest)
 		}
--- a/internal/node/reducer.go
+++ b/internal/node/reducer.go
@@ -67,6 +67,7 @@
 	limits    Limits
 	executors map[policy.ExecutorID]*executor
 	conns     map[ConnID]*conn
+	resting   restings
 	lastConn  ConnID
 	probing   int           // probes out
 	shortRest time.Duration // so long a connection may rest and still be used, by what was seen to break
