A start looks at few executors of its slice, whatever its size

Need: CPU a start grew with the slice. Profile before, lab, 6 s of 9 nodes that talk at load 0.6, of all CPU: at 800 executors pick 38%, bestPace 10%, making room 13%, askKeepers 2%; at 3,200 pick 40%, bestPace 28%, making room 17%, askKeepers 5%, the slice picked anew and held jobs among next's 5%. Change: policy/index.go files executors with an open token by the most that its age can grow at, in steps, by age in each, and the slice by pace. pick and bestPace walk them with bounds and stop when no other can be better; the formulas stand in policy.go as they were, a candidate is weighed by them. Those asked and those silent stand in short lists; the slice is picked anew only if what it hangs on has changed; mean quotas are reckoned once for all that come into the slice together; a long first list is sorted once. Place asks for the best pace only if the executor found is not quick enough.

--- a/policy/books.go
+++ b/policy/books.go
@@ -61,6 +61,7 @@
 func (d *Dispatcher) knowKind(id KindID, weight float64) {
 	if d.kinds[id] == nil {
 		d.kinds[id] = &kind{pace: 1, parallel: 1, size: weight}
+		d.newShelf(id, d.kinds[id])
 	}
 }
 
@@ -71,16 +72,26 @@
 	return crc32.ChecksumIEEE(b) * 0x9e3779b1
 }
 
-// enlist puts a new executor where its rank belongs: a list of hundreds that grows is not sorted anew.
-func (d *Dispatcher) enlist(e *executor) {
-	d.byID[e.id], d.bySum[e.sum] = e, e
-	i, _ := slices.BinarySearchFunc(d.ranked, e, func(a, b *executor) int {
-		if a.rank == b.rank {
-			return cmp.Compare(a.id, b.id)
+// byRank is the order of executors by their rank at this node, the highest first.
+func byRank(a, b *executor) int {
+	if a.rank == b.rank {
+		return cmp.Compare(a.id, b.id)
+	}
+	return cmp.Compare(b.rank, a.rank)
+}
+
+// enlist puts new executors where their ranks belong: a list of hundreds that grows by few is not sorted anew.
+func (d *Dispatcher) enlist() {
+	if fresh := d.fresh; len(fresh) > 8 {
+		d.ranked = append(d.ranked, fresh...)
+		slices.SortFunc(d.ranked, byRank)
+	} else {
+		for _, e := range fresh {
+			i, _ := slices.BinarySearchFunc(d.ranked, e, byRank)
+			d.ranked = slices.Insert(d.ranked, i, e)
 		}
-		return cmp.Compare(b.rank, a.rank)
-	})
-	d.ranked = slices.Insert(d.ranked, i, e)
+	}
+	d.fresh = nil
 }
 
 // dropGone drops executors that are gone, those that a whole list does not name among them, once nothing of ours is
@@ -90,6 +101,7 @@
 		for _, e := range d.ranked {
 			if e.listed != d.lists {
 				e.up, e.gone, d.anyGone = false, true, true
+				d.touch(e)
 			}
 		}
 	}
@@ -145,6 +157,18 @@
 	}
 }
 
+// Closing tells that this node ends: all in hand must be over by then, and what can't be gets its answer at
+// once.
+func (d *Dispatcher) Closing(now, by time.Duration) {
+	d.closing = by
+	for _, j := range d.jobs {
+		d.closeBy(j)
+	}
+	for _, j := range slices.Concat(d.held, d.heldLate) {
+		d.at(now, j, nil)
+	}
+}
+
 // ---- Held batch jobs, in the order of their keys, late ones apart ----
 
 func byKey(a, b *job) int { return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.id, b.id)) }
@@ -206,6 +230,25 @@
 
 // ---- Tokens ----
 
+// send books that an allocation of j goes out to e.
+func (d *Dispatcher) send(j *job, e *executor, now time.Duration) Decision {
+	d.unhold(j)
+	// A late batch job waits because others go first, not for want of tokens: its time until then counts.
+	e.ourWait += max(0, min(now, j.quotedAt-j.work)-j.heldAt)
+	if len(e.out) == 0 {
+		e.news = now
+	}
+	s := &shot{job: j, n: AllocationID(j.sent), on: e, zone: e.zone, cell: e.cell, sentAt: now}
+	d.take(e, s)
+	if now < e.coldUntil {
+		e.colds = append(e.colds, spend{now, j.coldWork()})
+	}
+	j.sent++
+	j.turn++
+	d.lookAt(now+d.lookAfter, s)
+	return Decision{Act: Send, Executor: e.id}
+}
+
 // take uses the oldest free token.
 func (d *Dispatcher) take(e *executor, s *shot) {
 	e.free = e.free[1:]
@@ -217,6 +260,7 @@
 	}
 	e.out = append(e.out, s)
 	s.job.out = append(s.job.out, s)
+	d.touch(e)
 }
 
 // release frees a token. Late: the batch job did not start there at once.
@@ -227,11 +271,64 @@
 		e.free = append(e.free, now)
 	}
 	d.freed = true
+	d.touch(e)
+}
+
+// mean is that of quotas.
+type mean struct{ sum, count int }
+
+func (m mean) of(none int) int {
+	if m.count == 0 {
+		return none
+	}
+	return (m.sum + m.count/2) / m.count
+}
+
+func (m mean) with(quota int) mean { return mean{m.sum + quota, m.count + 1} }
+
+// quotas reckons the kinds' mean quotas, once for all executors that come into the slice together.
+func (d *Dispatcher) quotas(means map[KindID]mean) {
+	if len(means) > 0 {
+		return
+	}
+	means[AnyKind] = mean{} // reckoned, though none is met yet
+	for _, e := range d.met {
+		if e.up {
+			means[e.kind] = means[e.kind].with(e.quota)
+		}
+	}
+}
+
+// meet takes an executor among those met.
+func (d *Dispatcher) meet(e *executor) {
+	d.mets++
+	e.metAs = d.mets
+	d.met = append(d.met, e)
+	d.touch(e)
+}
+
+// leaveGone takes those that are gone from among those met, once nothing of ours is there.
+func (d *Dispatcher) leaveGone() {
+	d.met = slices.DeleteFunc(d.met, func(e *executor) bool {
+		drop := e.gone && e.taken == 0
+		if drop {
+			e.metAs = 0
+		}
+		return drop
+	})
+}
+
+// mute lets nothing go to an executor until it answers.
+func (d *Dispatcher) mute(e *executor, silences int) {
+	e.mute, e.silences = true, silences
+	d.stale, d.moved = true, true
+	d.watch(e)
 }
 
 // step moves a quota.
 func (d *Dispatcher) step(e *executor, by int, now time.Duration) {
 	e.quota += by
+	d.touch(e)
 	if by > 0 {
 		if e.taken+len(e.free) < e.quota {
 			e.free = append(e.free, now)
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -99,6 +99,7 @@
 			continue
 		}
 		e.runs, e.works, e.silences = in.Runs, in.Works, in.Silences
+		d.touch(e)
 		if in.HeldFor > 0 || in.InCap > 0 {
 			e.held, e.inCap = now+in.HeldFor, max(1, in.InCap)
 			d.at(e.held, nil, nil)
@@ -111,5 +112,5 @@
 			d.step(e, 1, now)
 		}
 	}
-	d.stale, d.freed = true, true
+	d.stale, d.moved, d.freed = true, true, true
 }
--- /dev/null
+++ b/policy/index_test.go
@@ -0,0 +1,535 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// ---- The scan that the index stands for ----
+
+// scanned is pick as a pass over all candidates.
+func (d *Dispatcher) scanned(j *job, now time.Duration, asking bool) *executor {
+	late, crosses, home := d.late(j, now), d.crosses(j), false
+	var best *executor
+	bestSide, bestAge := 0, 0.0
+	for i, e := range d.candidates(j) {
+		if !d.usable(e, now) || !d.fits(e, j, now) {
+			continue
+		}
+		side := d.abroad(e)
+		if crosses {
+			side = 1 - side
+		}
+		home = home || side == 0
+		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
+			continue
+		}
+		taken := len(j.out) > 0 && j.out[0].on == e || best != nil && side > bestSide
+		if taken || !d.cleared(e, now, asking) || !d.open(e, j, now) {
+			continue
+		}
+		pace := d.pace(e, now)
+		wait := d.waitAt(e, pace, now)
+		queue := wait
+		if j.track.repeat == OnceOnly {
+			queue = max(wait, times(j.track.meanWork, (e.load-1)*pace))
+		}
+		if !late && now+times(queue+times(j.work, pace), j.margin) > j.quotedAt {
+			continue
+		}
+		age := e.weight * float64(now-e.free[0]) / (pace * (d.shortestQuoted + wait).Seconds())
+		if best == nil || side < bestSide || age > bestAge {
+			best, bestSide, bestAge = e, side, age
+		}
+	}
+	if bestSide > 0 && home && !crosses && now-j.heldAt < d.patience(j) {
+		return nil
+	}
+	return best
+}
+
+// scannedPace is bestPace as a pass over all candidates.
+func (d *Dispatcher) scannedPace(j *job, now time.Duration) float64 {
+	best := math.Inf(1)
+	for _, e := range d.candidates(j) {
+		if e.up && d.fits(e, j, now) {
+			best = min(best, d.pace(e, now))
+		}
+	}
+	if math.IsInf(best, 1) {
+		return 1
+	}
+	return best
+}
+
+// scannedSlice is the slice as reslice picks it, without its tokens.
+func (d *Dispatcher) scannedSlice(now time.Duration) (slice []*executor) {
+	size := len(d.ranked)
+	if d.many() {
+		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
+		if d.mayTell {
+			size = max(size, 3*leastSlice)
+		}
+	}
+	for _, e := range d.cold {
+		if !e.gone && now < e.coldUntil && d.usable(e, now) {
+			slice = append(slice, e)
+		}
+	}
+	counts := make([]int, 2*len(d.needs))
+	for _, e := range d.ranked {
+		near := false
+		for i, need := range d.needs {
+			n := &counts[d.abroad(e)*len(d.needs)+i]
+			if now >= e.coldUntil && d.usable(e, now) && (need == AnyKind || need == e.kind) && *n < size {
+				near = true
+				*n++
+			}
+		}
+		if near {
+			slice = append(slice, e)
+		}
+	}
+	return slice
+}
+
+// ---- Drawn worlds ----
+
+// drawn is a dispatcher to which chance happens.
+type drawn struct {
+	*Dispatcher
+	t     *testing.T
+	r     *rand.Rand
+	seed  uint64
+	now   time.Duration
+	ids   []ExecutorID
+	kinds map[ExecutorID]KindID
+	jobs  int
+	check int // comparisons
+	found map[string]int
+}
+
+func drawWorld(t *testing.T, seed uint64) *drawn {
+	r := rand.New(rand.NewPCG(seed, 7))
+	s := base
+	s.Seed, s.Nodes = uint32(seed), [...]int{1, 3, 8, 30}[r.IntN(4)]
+	s.Node = r.IntN(s.Nodes)
+	yes := func() bool { return r.IntN(2) == 0 }
+	s.MayTell, s.MayCopy, s.MayProbe, s.LiveWeights, s.TellsStart = yes(), yes(), yes(), yes(), r.IntN(4) > 0
+	s.EarnPerWork, s.MarksAgain = yes(), yes()
+	if yes() {
+		s.CrossZonePrice = 0.5 * r.Float64()
+	}
+	if yes() {
+		s.TellsEvery = time.Second
+	}
+	s.Tracks = nil
+	for range 1 + r.IntN(3) {
+		t := Track{Repeat: Repeat(r.IntN(3)), Group: Group(r.IntN(3)), GroupWindow: time.Duration(r.IntN(4000)) * time.Millisecond,
+			Quoted: time.Duration(50+r.IntN(900)) * time.Millisecond, Stretch: float64(r.IntN(3)), OuterLimit: time.Duration(1+r.IntN(8)) * time.Second,
+			Earnings: 1 + 4*r.Float64(), Kind: KindID(r.IntN(3) - 1)}
+		if yes() {
+			t.LateEarnings = r.Float64()
+		}
+		s.Tracks = append(s.Tracks, t)
+	}
+	w := &drawn{Dispatcher: New(s), t: t, r: r, seed: seed, kinds: map[ExecutorID]KindID{}, found: map[string]int{}}
+	var entries []Entry
+	for i := range 2 + r.IntN(50) {
+		w.ids = append(w.ids, ExecutorID(fmt.Sprint("e", i)))
+		entries = append(entries, w.entry(w.ids[i], true))
+	}
+	w.Listed(0, Whole, entries)
+	return w
+}
+
+func (w *drawn) entry(id ExecutorID, calm bool) Entry {
+	if _, ok := w.kinds[id]; !ok || w.r.IntN(30) == 0 {
+		w.kinds[id] = KindID(w.r.IntN(2))
+	}
+	sum := len(id) + int(id[len(id)-1])
+	n := Entry{Executor: id, Zone: ZoneID(sum % 3), Kind: w.kinds[id], Cell: CellID(sum % 5), LongAgo: true, Weight: 1}
+	if w.r.IntN(3) > 0 {
+		n.Weight = [...]float64{0.5, 1, 2, 3 * w.r.Float64()}[w.r.IntN(4)]
+	}
+	if !calm {
+		n.State = [...]State{Up, Up, Up, Draining, Gone}[w.r.IntN(5)]
+		if w.r.IntN(3) == 0 {
+			n.LongAgo, n.Started = false, w.now-time.Duration(w.r.IntN(9000))*time.Millisecond
+		}
+		if w.r.IntN(20) == 0 {
+			n.Zone = ZoneID(w.r.IntN(3))
+		}
+	}
+	return n
+}
+
+// compare holds every answer of the index against the scan's.
+func (w *drawn) compare() {
+	d, ids := w.Dispatcher, []JobID{}
+	for id := range d.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		j := d.jobs[id]
+		w.compareJob(j, "")
+		if j.ran == nil && len(j.out) > 0 { // as elsewhere asks
+			j.ran = j.out[0]
+			w.compareJob(j, "moved ")
+			j.ran = nil
+		}
+	}
+	for _, e := range d.slice {
+		if e.asked && !slices.Contains(d.askeds, e) {
+			w.t.Fatalf("seed %d, %v: a place of %s was asked for and is not awaited", w.seed, w.now, e.id)
+		}
+	}
+	for _, e := range d.met {
+		if (e.probing || e.mute) && !slices.Contains(d.watched, e) {
+			w.t.Fatalf("seed %d, %v: %s is asked for a sign of life and not watched", w.seed, w.now, e.id)
+		}
+	}
+}
+
+func (w *drawn) compareJob(j *job, as string) {
+	d := w.Dispatcher
+	for _, asks := range [...]bool{false, true} {
+		if asks && !(d.mayTell && d.many()) {
+			continue
+		}
+		got, want := d.pick(j, w.now, asks), d.scanned(j, w.now, asks)
+		w.check++
+		if got != want {
+			w.t.Fatalf("seed %d, %v: %s%s asking=%v: the index gives %v, the scan %v", w.seed, w.now, as, j.id, asks, name(got), name(want))
+		}
+		if want != nil {
+			w.found[w.sort(j, want, as, asks)]++
+		}
+	}
+	if got, want := d.bestPace(j, w.now), d.scannedPace(j, w.now); got != want {
+		w.t.Fatalf("seed %d, %v: %s%s: the index gives a pace of %v, the scan %v", w.seed, w.now, as, j.id, got, want)
+	}
+}
+
+func (w *drawn) sort(j *job, e *executor, as string, asks bool) string {
+	switch d := w.Dispatcher; {
+	case asks:
+		return "of a keeper"
+	case d.inGroup(j):
+		return "in a dedup group"
+	case w.now < e.coldUntil:
+		return "cold"
+	case d.crosses(j) && d.abroad(e) > 0:
+		return "crossing"
+	case d.late(j, w.now):
+		return "late"
+	case len(j.out) > 0 && as == "":
+		return "a copy"
+	case d.mayTell && d.many():
+		return "with a place"
+	case e.inCap > 0:
+		return "under a cap"
+	case len(e.out) >= d.kinds[e.kind].parallel:
+		return "full of ours"
+	}
+	return "plain"
+}
+
+func name(e *executor) ExecutorID {
+	if e == nil {
+		return "none"
+	}
+	return e.id
+}
+
+// run does what is due, and compares before and after some of it.
+func (w *drawn) run() {
+	for range 2000 {
+		if w.r.IntN(3) == 0 {
+			w.compare()
+		}
+		due := w.Wait(w.now)
+		switch due.Task {
+		case PlaceJob:
+			w.Place(w.now, due.Job)
+		case StopJob:
+			w.Ended(w.now, due.Job, due.Allocation, [...]Outcome{CalledOff, NotSent, Handled}[w.r.IntN(3)], false)
+		case Tell:
+			if w.r.IntN(3) > 0 {
+				w.Heard(w.now, due.Node, [...]Word{Lend, Lend, Later}[w.r.IntN(3)], due.Sum)
+			}
+		case Probe:
+			if w.r.IntN(3) > 0 {
+				w.Probed(w.now, due.Executor, w.r.IntN(4) > 0, Load{Held: 1, Free: float64(w.r.IntN(3))})
+			}
+		case Sleep:
+			if w.r.IntN(4) == 0 { // picked anew, or found to be as it was
+				w.reslice(w.now)
+				if want := w.scannedSlice(w.now); !slices.Equal(w.slice, want) {
+					w.t.Fatalf("seed %d, %v: a slice of %d, picked anew it has %d", w.seed, w.now, len(w.slice), len(want))
+				}
+			}
+			return
+		}
+	}
+	w.t.Fatalf("seed %d: it never sleeps", w.seed)
+}
+
+// happen lets something happen.
+func (w *drawn) happen() {
+	var shots []*shot
+	for _, e := range w.met {
+		shots = append(shots, e.out...)
+	}
+	var s *shot
+	if len(shots) > 0 {
+		s = shots[w.r.IntN(len(shots))]
+	}
+	switch what := w.r.IntN(20); {
+	case what < 8:
+		w.jobs++
+		in := Arrival{Job: JobID(fmt.Sprint("j", w.jobs)), Track: TrackID(w.r.IntN(len(w.tracks))), Tenant: -1,
+			Budget: time.Duration(w.r.IntN(8000)) * time.Millisecond, Again: w.r.IntN(4) == 0}
+		if w.r.IntN(4) > 0 {
+			in.Work = time.Duration(1+w.r.IntN(600)) * time.Millisecond
+		}
+		w.Arrived(w.now, in)
+	case what < 11 && s != nil:
+		w.Started(w.now, s.id, s.n)
+	case what < 15 && s != nil:
+		how := [...]Outcome{Handled, Handled, Handled, Handled, Handled, Handled, Errored, NoRoom, TooSlow, NoRoute, Cut, NotSent}[w.r.IntN(12)]
+		w.Ended(w.now, s.id, s.n, how, how == Handled)
+	case what == 15 && s != nil:
+		w.Progressed(w.now, s.id, s.n, w.r.Float64())
+	case what == 16 && s != nil:
+		w.Reported(s.on.id, Load{Held: float64(w.r.IntN(4)), Free: float64(w.r.IntN(4))})
+	case what == 17:
+		var entries []Entry
+		for range 1 + w.r.IntN(4) {
+			id := w.ids[w.r.IntN(len(w.ids))]
+			if w.r.IntN(10) == 0 {
+				id = ExecutorID(fmt.Sprint("f", w.r.IntN(20)))
+				w.ids = append(w.ids, id)
+			}
+			entries = append(entries, w.entry(id, w.r.IntN(2) == 0))
+		}
+		w.Listed(w.now, Changes, entries)
+	case what == 18 && s != nil && w.r.IntN(4) == 0:
+		w.Left(w.now, s.id)
+	case what == 19:
+		w.rare()
+	}
+}
+
+// rare does what seldom happens, and makes ages that tie.
+func (w *drawn) rare() {
+	switch w.r.IntN(6) {
+	case 0:
+		w.ColdFrom(w.now, w.now+time.Duration(w.r.IntN(2000))*time.Millisecond)
+	case 1:
+		w.Cut(CutLine{Rung: w.r.IntN(3) * 16, Part: w.r.Float64(), Wait: w.r.Float64()})
+	case 2:
+		if w.r.IntN(10) == 0 {
+			w.Listed(w.now, Whole, []Entry{w.entry(w.ids[0], true), w.entry(w.ids[len(w.ids)-1], true)})
+		}
+	default:
+		for _, e := range w.met {
+			for i := range e.free {
+				e.free[i] = w.now / 2
+			}
+			if w.r.IntN(2) == 0 {
+				e.runs, e.works, e.startWait = 0, 0, 0
+			}
+			w.touch(e)
+		}
+	}
+}
+
+// The index gives what a scan of all candidates does, in drawn worlds at moments between all that happens.
+func TestIndexGivesWhatScanDoes(t *testing.T) {
+	checks, found := 0, map[string]int{}
+	for seed := range uint64(150) {
+		w := drawWorld(t, seed)
+		for range 250 {
+			if w.r.IntN(4) > 0 {
+				w.now += time.Duration(w.r.IntN(60)) * time.Millisecond
+			}
+			if w.r.IntN(60) == 0 {
+				w.now += 2 * time.Second
+			}
+			w.happen()
+			if w.r.IntN(3) == 0 {
+				w.compare()
+			}
+			w.run()
+		}
+		checks += w.check
+		for what, n := range w.found {
+			found[what] += n
+		}
+	}
+	t.Log(checks, "comparisons; found:", found)
+	for _, what := range [...]string{"of a keeper", "in a dedup group", "cold", "crossing", "late", "a copy", "with a place", "under a cap", "full of ours", "plain"} {
+		if found[what] < 20 {
+			t.Errorf("%s: compared only %d times", what, found[what])
+		}
+	}
+}
+
+// ---- Steady load ----
+
+// steady is a dispatcher under steady load, with executors that do as foretold, nearly.
+type steady struct {
+	*Dispatcher
+	r      *rand.Rand
+	now    time.Duration
+	queue  steadyHeap
+	gap    time.Duration
+	starts int
+	jobs   int
+	order  int
+	paces  map[ExecutorID]float64
+}
+
+type steadyItem struct {
+	at    time.Duration
+	order int
+	what  int // 0: a batch job comes; 1: one has begun; 2: one is done; 3: what is due
+	job   JobID
+	n     AllocationID
+}
+
+type steadyHeap []steadyItem
+
+func (h steadyHeap) Len() int { return len(h) }
+func (h steadyHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h steadyHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *steadyHeap) Push(x any)   { *h = append(*h, x.(steadyItem)) }
+func (h *steadyHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// newSteady loads executors of two places each to that part, or with so many batch jobs a second.
+func newSteady(executors int, load, perS float64) *steady {
+	s := base
+	s.LiveWeights = false
+	s.Tracks = slices.Clone(base.Tracks)
+	s.Tracks[1].Kind = AnyKind
+	w := &steady{Dispatcher: New(s), r: rand.New(rand.NewPCG(1, uint64(executors))), paces: map[ExecutorID]float64{}}
+	var entries []Entry
+	for i := range executors {
+		id := ExecutorID(fmt.Sprint("e", i))
+		w.paces[id] = 0.8 + 0.4*w.r.Float64()
+		entries = append(entries, Entry{Executor: id, Zone: ZoneID(i % 4), LongAgo: true, Weight: 1})
+	}
+	w.Listed(0, Whole, entries)
+	if perS == 0 {
+		perS = load * float64(executors) * 2 / 0.3
+	}
+	w.gap = time.Duration(1e9 / perS)
+	w.push(steadyItem{at: time.Millisecond})
+	return w
+}
+
+func (w *steady) push(it steadyItem) {
+	w.order++
+	it.order = w.order
+	heap.Push(&w.queue, it)
+}
+
+func (w *steady) work(id JobID) time.Duration {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(id) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return 100*time.Millisecond + time.Duration(h>>8%400)*time.Millisecond
+}
+
+func (w *steady) decided(id JobID, what Decision) {
+	if what.Act != Send {
+		return
+	}
+	w.starts++
+	n := AllocationID(w.Dispatcher.jobs[id].sent - 1)
+	w.push(steadyItem{at: w.now + time.Millisecond, what: 1, job: id, n: n})
+	ran := time.Duration(float64(w.work(id)) * w.paces[what.Executor] * (0.6 + 0.8*w.r.Float64()))
+	w.push(steadyItem{at: w.now + 2*time.Millisecond + ran, what: 2, job: id, n: n})
+}
+
+// run goes on until so many more have been started.
+func (w *steady) run(starts int) {
+	for most := w.starts + starts; w.starts < most; {
+		it := heap.Pop(&w.queue).(steadyItem)
+		w.now = it.at
+		switch it.what {
+		case 0:
+			w.jobs++
+			id := JobID(fmt.Sprint("j", w.jobs))
+			w.Arrived(w.now, Arrival{Job: id, Track: TrackID(w.jobs % 2), Tenant: -1, Work: w.work(id), Budget: 5 * time.Second})
+			w.push(steadyItem{at: w.now + w.gap})
+		case 1:
+			w.Started(w.now, it.job, it.n)
+		case 2:
+			w.decided(it.job, w.Ended(w.now, it.job, it.n, Handled, true))
+		}
+		for {
+			due := w.Wait(w.now)
+			if due.Task == Sleep {
+				if due.At < w.queue[0].at {
+					w.push(steadyItem{at: due.At, what: 3})
+				}
+				break
+			}
+			if due.Task == PlaceJob {
+				w.decided(due.Job, w.Place(w.now, due.Job))
+			}
+		}
+	}
+}
+
+// What is looked at for a start does not grow with the slice: a scan looks at each of its executors for every pick.
+func TestLooksDoNotGrowWithSlice(t *testing.T) {
+	for _, c := range [...]struct {
+		name       string
+		load, perS float64
+	}{{"load 0.6", 0.6, 0}, {"load 0.95", 0.95, 0}, {"30 a second", 0, 30}} {
+		per := map[int]float64{}
+		for _, n := range [...]int{12, 3200} {
+			w := newSteady(n, c.load, c.perS)
+			w.run(3 * n)
+			looks, weighed, filed, from := w.looks, w.weighed, w.filed, w.starts
+			w.run(4000)
+			starts := float64(w.starts - from)
+			per[n] = float64(w.looks-looks) / starts
+			t.Logf("%s, %d executors: %.1f looks for a start, %.1f of them in full, %.1f filings", c.name, n, per[n],
+				float64(w.weighed-weighed)/starts, float64(w.filed-filed)/starts)
+		}
+		if per[3200] > 1.3*per[12]+64 {
+			t.Errorf("%s: %.1f looks for a start at 12 executors, %.1f at 3200", c.name, per[12], per[3200])
+		}
+	}
+}
+
+func BenchmarkStart(b *testing.B) {
+	for _, load := range [...]float64{0, 0.6, 0.95} {
+		for _, n := range [...]int{12, 200, 800, 3200} {
+			b.Run(fmt.Sprintf("load=%v/executors=%d", load, n), func(b *testing.B) {
+				w := newSteady(n, load, 30*(1-math.Ceil(load)))
+				w.run(3 * n)
+				b.ResetTimer()
+				w.run(b.N)
+			})
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,15 +70,6 @@
 
 // ---- The list ----
 
-// spreadAsks lets many nodes ask one after another: the list's service doesn't grow with them. Until then the
-// copy at hand serves; the last asks while that still counts.
-func (d *Dispatcher) spreadAsks(within time.Duration) {
-	d.askEvery = within / 8
-	if d.many() {
-		d.askAt = times(within/2, float64(d.node)/float64(d.nodes))
-	}
-}
-
 // Listed tells what discovery brought.
 func (d *Dispatcher) Listed(now time.Duration, what ListKind, entries []Entry) {
 	d.asking = false
@@ -93,8 +84,9 @@
 	for _, n := range entries {
 		d.listed(now, n)
 	}
+	d.enlist()
 	d.dropGone(what != Changes)
-	d.stale, d.freed = true, true
+	d.stale, d.moved, d.freed = true, true, true
 	d.zoneLoads(now)
 }
 
@@ -102,14 +94,17 @@
 	e := d.byID[n.Executor]
 	fresh := e == nil
 	if fresh {
-		e = &executor{id: n.Executor, started: n.Started, news: now, rank: d.rankOf(n.Executor)}
+		e = &executor{id: n.Executor, started: n.Started, news: now, rank: d.rankOf(n.Executor), place: -1}
 		e.sum = Sum(crc32.ChecksumIEEE([]byte(n.Executor)))
 		e.keeper = d.keeperOf(e.sum)
 		// The nodes that carry a cold executor follow its number: all reckon the same ones, without asking.
 		place := (int(d.node) + d.nodes - int(e.sum%Sum(d.nodes))) % d.nodes
 		e.carried = place < d.carriers
-		d.enlist(e)
+		d.fresh = append(d.fresh, e)
+		d.byID[e.id], d.bySum[e.sum] = e, e
 	}
+	d.touch(e)
+	d.rezoned = d.rezoned || e.place >= 0 && (e.zone != n.Zone || e.kind != n.Kind)
 	d.knowKind(n.Kind, max(n.Weight, 1e-3))
 	restarted := !n.LongAgo && (fresh || n.Started > e.started)
 	e.zone, e.kind, e.cell, e.listed = n.Zone, n.Kind, n.Cell, d.lists
@@ -133,7 +128,9 @@
 // own zone and beyond it, for each bound kind. Guards against many nodes, whose least quotas add up to a jam.
 func (d *Dispatcher) reslice(now time.Duration) {
 	size := len(d.ranked)
-	d.stale = false
+	if d.stale = false; !d.moved && now < d.sliceTo { // it would come out the same
+		return
+	}
 	d.lateSlice = max(1, (lateSharers*size+d.nodes-1)/d.nodes)
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
@@ -141,12 +138,14 @@
 			size = max(size, 3*leastSlice)
 		}
 	}
-	d.slice = d.slice[:0]
+	was := d.startSlice()
+	defer func() { d.endSlice(was) }()
 	// Cold ones that this node carries stand beside the others, whatever their rank: they do part of their work.
 	d.cold = slices.DeleteFunc(d.cold, func(e *executor) bool { return e.gone || now >= e.coldUntil })
+	means := map[KindID]mean{}
 	for _, e := range d.cold {
-		if d.usable(e, now) {
-			d.grant(e, now)
+		if d.standsTo(e, now); d.usable(e, now) {
+			d.grant(e, now, means)
 		}
 	}
 	counts := make([]int, 2*len(d.needs))
@@ -156,6 +155,7 @@
 			break
 		}
 		near := false
+		d.standsTo(e, now)
 		for i, need := range d.needs {
 			n := &counts[d.abroad(e)*len(d.needs)+i]
 			if now < e.coldUntil || !d.usable(e, now) || need != AnyKind && need != e.kind || *n >= size {
@@ -167,31 +167,23 @@
 			}
 		}
 		if near {
-			d.grant(e, now)
+			d.grant(e, now, means)
 		}
 	}
 }
 
 // grant takes an executor into the slice and gives it its first tokens: its slice's mean quota, or the
 // design's start. Their ages are strewn so that nodes don't start on the same one.
-func (d *Dispatcher) grant(e *executor, now time.Duration) {
+func (d *Dispatcher) grant(e *executor, now time.Duration, means map[KindID]mean) {
 	d.slice = append(d.slice, e)
 	if e.quota > 0 {
 		return
 	}
-	sum, count := 0, 0
-	for _, o := range d.met {
-		if o.up && o.kind == e.kind {
-			sum += o.quota
-			count++
-		}
-	}
-	e.quota = firstQuota
-	if count > 0 {
-		e.quota = (sum + count/2) / count
-	}
-	e.quota = cmp.Or(e.known, e.quota)
-	d.met = append(d.met, e)
+	d.quotas(means)
+	m := means[e.kind]
+	e.quota = cmp.Or(e.known, m.of(firstQuota))
+	means[e.kind] = m.with(e.quota)
+	d.meet(e)
 	for range e.quota {
 		e.free = append(e.free, now-times(d.interval, d.chance()))
 	}
@@ -398,18 +390,6 @@
 	return j.quoted()
 }
 
-// Closing tells that this node ends: all in hand must be over by then, and what can't be gets its answer at
-// once.
-func (d *Dispatcher) Closing(now, by time.Duration) {
-	d.closing = by
-	for _, j := range d.jobs {
-		d.closeBy(j)
-	}
-	for _, j := range slices.Concat(d.held, d.heldLate) {
-		d.at(now, j, nil)
-	}
-}
-
 // hold puts j among the held ones: least slack to the quoted time over what is earned for the work goes
 // first, late ones after all others.
 func (d *Dispatcher) hold(j *job, now time.Duration) {
@@ -448,17 +428,17 @@
 	if j.cut || now >= j.limitAt-d.quantum || j.sent >= j.track.allocations || !d.mayRepeat(j, now) {
 		return d.giveUp(j)
 	}
-	best := d.bestPace(j, now) * j.need
-	lastStart := j.quotedAt - times(j.work, best)
-	if j.track.late > 0 {
-		// Not to the outer limit: who has waited half of it with nothing out is told to come back instead.
-		lastStart = min(j.limitAt, j.heldAt+d.heldFor(j)) - times(j.work, best)
+	to, lastStart := d.pick(j, now, false), time.Duration(0)
+	if to != nil {
+		lastStart = d.lastStart(j, d.pace(to, now))
 	}
-	if now > lastStart {
-		return d.giveUp(j)
+	if to == nil || now > lastStart { // else there is time for the quickest as well
+		if lastStart = d.lastStart(j, d.bestPace(j, now)); now > lastStart {
+			return d.giveUp(j)
+		}
 	}
-	if e := d.pick(j, now, false); e != nil {
-		return d.send(j, e, now)
+	if to != nil {
+		return d.send(j, to, now)
 	}
 	d.waited = d.waited || !j.heldLate
 	next := min(max(lastStart, now)+d.quantum, j.limitAt-d.quantum)
@@ -472,6 +452,16 @@
 	return Decision{Act: Hold}
 }
 
+// lastStart is when an executor of that pace must begin on j at the latest.
+func (d *Dispatcher) lastStart(j *job, pace float64) time.Duration {
+	end := j.quotedAt
+	if j.track.late > 0 {
+		// Not to the outer limit: who has waited half of it with nothing out is told to come back instead.
+		end = min(j.limitAt, j.heldAt+d.heldFor(j))
+	}
+	return end - times(j.work, pace*j.need)
+}
+
 // below says whether j earns less for its work than the cut line: what the fleet has no capacity for.
 // Guards against low earners taken here while dearer ones find no token elsewhere.
 func (d *Dispatcher) below(j *job) bool {
@@ -494,9 +484,14 @@
 	return Decision{Act: BreakOff}
 }
 
+// inGroup says whether j may only be repeated in its dedup group.
+func (d *Dispatcher) inGroup(j *job) bool {
+	return j.ran != nil && j.track.repeat == Tagged && j.track.group != GroupAll
+}
+
 // candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
 func (d *Dispatcher) candidates(j *job) []*executor {
-	if j.ran != nil && j.track.repeat == Tagged && j.track.group != GroupAll {
+	if d.inGroup(j) {
 		return d.ranked
 	}
 	return d.slice
@@ -507,64 +502,59 @@
 // and ages at its weight in the list, over its pace and the wait there: many nodes have one token at least
 // each.
 func (d *Dispatcher) pick(j *job, now time.Duration, asking bool) *executor {
-	late, crosses, home := d.late(j, now), d.crosses(j), false
-	var best *executor
-	bestSide, bestAge := 0, 0.0
-	for i, e := range d.candidates(j) {
-		if !d.usable(e, now) || !d.fits(e, j, now) {
-			continue
-		}
-		side := d.abroad(e)
-		if crosses {
-			side = 1 - side
-		}
-		home = home || side == 0
-		// Late ones must not fill the places of those still to come: they go where nothing of ours is out, and,
-		// where they may be held for long, where few nodes send theirs.
-		if late && (len(e.out) > 0 || i >= d.lateSlice && j.track.late > 0) {
-			continue
-		}
-		taken := len(j.out) > 0 && j.out[0].on == e || best != nil && side > bestSide
-		if taken || !d.cleared(e, now, asking) || !d.open(e, j, now) {
-			continue
-		}
-		pace := d.pace(e, now)
-		wait := d.waitAt(e, pace, now)
-		queue := wait
-		if j.track.repeat == OnceOnly {
-			// What can't be taken back counts the list's news as well: its like, held over one a core, go first.
-			queue = max(wait, times(j.track.meanWork, (e.load-1)*pace))
+	if !d.mayRepeat(j, now) || !d.openTo(j, now, asking) {
+		return nil
+	}
+	late, crosses := d.late(j, now), d.crosses(j)
+	w := wish{job: j, now: now, late: late, asks: asking, mostPace: j.mostPace(now, late)}
+	if !d.inGroup(j) && d.atLeast(j.track.kind, now) > w.mostPace {
+		return nil
+	}
+	for side := range 2 {
+		if side > 0 && !crosses && now-j.heldAt < d.patience(j) && d.anyNear(j, now) {
+			return nil
 		}
-		if !late && now+times(queue+times(j.work, pace), j.margin) > j.quotedAt {
-			continue
+		var best *executor
+		w.far, w.least = side > 0 != crosses, -1
+		for e := range d.likely(&w) {
+			age := d.age(e, &w)
+			if age > w.least || age == w.least && best != nil && d.ahead(e, best, j) {
+				best, w.least = e, age
+			}
 		}
-		age := e.weight * float64(now-e.free[0]) / (pace * (d.shortestQuoted + wait).Seconds())
-		if best == nil || side < bestSide || age > bestAge {
-			best, bestSide, bestAge = e, side, age
+		if best != nil {
+			return best
 		}
 	}
-	if bestSide > 0 && home && !crosses && now-j.heldAt < d.patience(j) {
-		return nil
-	}
-	return best
+	return nil
 }
 
-func (d *Dispatcher) send(j *job, e *executor, now time.Duration) Decision {
-	d.unhold(j)
-	// A late batch job waits because others go first, not for want of tokens: its time until then counts.
-	e.ourWait += max(0, min(now, j.quotedAt-j.work)-j.heldAt)
-	if len(e.out) == 0 {
-		e.news = now
-	}
-	s := &shot{job: j, n: AllocationID(j.sent), on: e, zone: e.zone, cell: e.cell, sentAt: now}
-	d.take(e, s)
-	if now < e.coldUntil {
-		e.colds = append(e.colds, spend{now, j.coldWork()})
-	}
-	j.sent++
-	j.turn++
-	d.lookAt(now+d.lookAfter, s)
-	return Decision{Act: Send, Executor: e.id}
+// age is that of e's oldest free token, or -1 where w's batch job may not take it now.
+func (d *Dispatcher) age(e *executor, w *wish) float64 {
+	j, now := w.job, w.now
+	d.weighed++
+	if !d.usable(e, now) || !d.fits(e, j, now) {
+		return -1
+	}
+	// Late ones must not fill the places of those still to come: they go where nothing of ours is out, and,
+	// where they may be held for long, where few nodes send theirs.
+	if w.late && (len(e.out) > 0 || j.track.late > 0 && d.among(e, j) >= d.lateSlice) {
+		return -1
+	}
+	if len(j.out) > 0 && j.out[0].on == e || !d.cleared(e, now, w.asks) || !d.open(e, j, now) {
+		return -1
+	}
+	pace := d.pace(e, now)
+	wait := d.waitAt(e, pace, now)
+	queue := wait
+	if j.track.repeat == OnceOnly {
+		// What can't be taken back counts the list's news as well: its like, held over one a core, go first.
+		queue = max(wait, times(j.track.meanWork, (e.load-1)*pace))
+	}
+	if !w.late && now+times(queue+times(j.work, pace), j.margin) > j.quotedAt {
+		return -1
+	}
+	return e.weight * float64(now-e.free[0]) / (pace * (d.shortestQuoted + wait).Seconds())
 }
 
 // ---- News of allocations ----
@@ -603,6 +593,7 @@
 	}
 	i := slices.Index(e.out, j)
 	e.out = slices.Delete(e.out, i, i+1)
+	d.touch(e)
 	est := times(j.work, d.pace(e, now))
 	switch how {
 	case Handled:
@@ -615,7 +606,7 @@
 			e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
 		}
 		if d.probes && (how == NoRoute || how == Cut) {
-			e.mute, d.stale, e.silences = true, true, max(1, e.silences) // until it answers
+			d.mute(e, max(1, e.silences)) // until it answers
 			d.askLoad(e, now, 0)
 		}
 		// One may be the network's or the batch job's; a second, with no sign of life between, is the executor's.
@@ -650,7 +641,7 @@
 }
 
 func (d *Dispatcher) handled(j *shot, e *executor, now time.Duration) {
-	e.alive(now)
+	d.alive(e, now)
 	if j.curt {
 		j.tenant.need = max(j.tenant.need-needStep, 0)
 	}
@@ -684,7 +675,8 @@
 		d.note("%s held back for %v %s", e.id, span.Round(time.Millisecond), why)
 	}
 	e.held, e.inCap = now+span, 1
-	d.stale = true
+	d.stale, d.moved = true, true
+	d.touch(e)
 	d.at(e.held, nil, nil)
 }
 
@@ -787,13 +779,15 @@
 	for _, e := range d.givens {
 		if e.given {
 			e.given = false
+			d.touch(e)
 			d.tell(now, e.keeper, Back, e.sum)
 		}
 	}
 	d.givens = d.givens[:0]
-	for _, e := range d.slice {
-		if e.asked && e.queued && len(d.held)+len(d.heldLate)+len(d.copies) == 0 {
+	for _, e := range d.askedOnes() {
+		if e.place >= 0 && e.queued && len(d.held)+len(d.heldLate)+len(d.copies) == 0 {
 			e.asked = false
+			d.touch(e)
 			d.tell(now, e.keeper, Never, e.sum)
 		}
 	}
@@ -817,6 +811,7 @@
 		e.keeper = d.keeperOf(e.sum)
 	}
 	j.asked, e.asked, e.queued, e.askedAt = e, true, false, now
+	d.awaits(e)
 	d.at(now+d.shortestQuoted/4, nil, nil)
 	word := Want
 	if d.late(j, now) {
@@ -828,22 +823,25 @@
 // unanswered finds the executors and keepers that have not answered. A silent executor is asked again, the
 // more rarely the longer; for a keeper the next node in line stands in, then none does.
 func (d *Dispatcher) unanswered(now time.Duration) {
-	for _, e := range d.met {
-		if e.probing && now-e.probed-d.stood >= d.shortestQuoted {
+	for _, e := range d.silentOnes() {
+		if e.metAs == 0 {
+			continue
+		} else if e.probing && now-e.probed-d.stood >= d.shortestQuoted {
 			if e.probing = false; !e.mute {
 				d.note("%s held back until it answers a probe", e.id)
 			}
-			e.mute, d.stale, e.silences = true, true, min(e.silences+1, mostSilences)
+			d.mute(e, min(e.silences+1, mostSilences))
 			d.at(now+d.longestMean()*time.Duration(e.silences), nil, nil)
 		} else if e.mute {
 			d.askLoad(e, now, d.longestMean()*time.Duration(e.silences))
 		}
 	}
-	for _, e := range d.slice {
-		if !e.asked || e.queued || now-e.askedAt < d.shortestQuoted/4 {
+	for _, e := range d.askedOnes() {
+		if e.place < 0 || e.queued || now-e.askedAt < d.shortestQuoted/4 {
 			continue
 		}
 		e.asked, e.lent = false, 0
+		d.touch(e)
 		if first := d.keeperOf(e.sum); e.keeper == first {
 			e.keeper, e.firstAt = d.keeperOf((e.sum^e.sum>>16)*0x9e3779b1>>8), now+2*d.interval
 		} else {
@@ -866,6 +864,7 @@
 		d.freed, d.wants, e.queued = true, true, word == Later
 		if word == Lend {
 			e.asked, e.given = false, true
+			d.touch(e)
 			d.givens = append(d.givens, e)
 		}
 	case Want, WantLate:
@@ -918,8 +917,9 @@
 // ---- The interval ----
 
 func (d *Dispatcher) everyInterval(now time.Duration) {
-	d.met = slices.DeleteFunc(d.met, func(e *executor) bool { return e.gone && e.taken == 0 })
+	d.leaveGone()
 	for _, e := range d.met {
+		d.touch(e) // what was seen grows old
 		for _, j := range e.out {
 			if !j.running && d.tellsStart {
 				e.workerWait += max(0, now-max(j.sentAt, now-d.interval)-d.quantum)
@@ -935,6 +935,7 @@
 		e.asked = e.asked && now-e.askedAt <= d.interval
 	}
 	d.keepInterval(now)
+	d.forgetPlaces()
 	d.waited, d.freed, d.stale, d.wants = len(d.held) > 0, true, true, true
 	d.averages()
 }
@@ -1041,8 +1042,8 @@
 		return !j.copied
 	})
 	for _, list := range [...][]*job{d.held, d.heldLate, d.copies} {
-		for _, j := range list[:min(len(list), 2*len(d.slice))] {
-			if d.freed && d.pick(j, now, false) != nil {
+		for _, j := range list[:min(len(list), int(flag(d.freed))*2*len(d.slice))] {
+			if d.pick(j, now, false) != nil {
 				return j
 			}
 		}
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -31,7 +31,8 @@
 	}
 	e := s.on
 	s.running, s.startedAt, s.shareAt = true, now, now
-	e.alive(now)
+	d.alive(e, now)
+	d.touch(e)
 	s.startedLate = d.took(s) > d.lookAfter
 	d.queued(e, s, d.took(s))
 	if k := d.kinds[e.kind]; now >= e.coldUntil {
@@ -44,12 +45,13 @@
 func (d *Dispatcher) Progressed(now time.Duration, id JobID, n AllocationID, share float64) {
 	if s := d.out(id, n); s != nil {
 		s.share, s.shareAt = share, now
-		s.on.alive(now)
+		d.alive(s.on, now)
 	}
 }
 
 // alive books a sign of life, which is as good as an answer to a probe.
-func (e *executor) alive(now time.Duration) {
+func (d *Dispatcher) alive(e *executor, now time.Duration) {
+	d.moved = d.moved || e.mute
 	e.news, e.broke, e.mute, e.silences, e.turned = now, false, false, 0, 0
 }
 
@@ -112,6 +114,7 @@
 // queued books an allocation's wait at the executor.
 func (d *Dispatcher) queued(e *executor, s *shot, wait time.Duration) {
 	wait = max(0, wait-d.quantum)
+	d.touch(e)
 	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
 	e.workerWait += wait
 	d.zoneWait(e, wait)
@@ -184,6 +187,7 @@
 	}
 	e.runs = e.runs*fade + ran.Seconds()
 	e.works = e.works*fade + j.work.Seconds()
+	d.touch(e)
 	k := d.kinds[e.kind]
 	k.pace += 0.05 * min(1, j.work.Seconds()) * (ran.Seconds()/j.work.Seconds() - k.pace)
 	k.pace = max(k.pace, 0.05)
@@ -219,10 +223,15 @@
 // bestPace is the pace of the quickest executor that may take j at all, or a standard one's where there is none.
 func (d *Dispatcher) bestPace(j *job, now time.Duration) float64 {
 	best := math.Inf(1)
-	for _, e := range d.candidates(j) {
-		if e.up && d.fits(e, j, now) {
-			best = min(best, d.pace(e, now))
+	switch {
+	case d.inGroup(j):
+		for _, e := range d.ranked {
+			if e.up && d.fits(e, j, now) {
+				best = min(best, d.pace(e, now))
+			}
 		}
+	case d.mayRepeat(j, now):
+		best = d.quickest(j.track.kind, now)
 	}
 	if math.IsInf(best, 1) {
 		return 1
@@ -280,7 +289,7 @@
 // ColdFrom tells from when on cold executors are this process's to use: another process of this node has their budget
 // until then.
 func (d *Dispatcher) ColdFrom(now, at time.Duration) {
-	d.coldFrom, d.stale, d.freed = at, true, true
+	d.coldFrom, d.stale, d.moved, d.freed = at, true, true, true
 	if at != Endless {
 		d.at(max(at, now), nil, nil)
 	}
@@ -296,9 +305,11 @@
 	prompt := e.probing
 	e.probing = false
 	if !answered && prompt && e.broke { // it is there, or its machine is: the next break will tell
+		d.moved = d.moved || e.mute
 		e.mute, d.stale = false, true
 	}
 	if answered {
+		d.moved = d.moved || e.mute
 		d.stale, d.freed = d.stale || e.mute, true
 		e.news, e.mute, e.silences = now, false, 0
 		if k := d.kept[e.sum]; k != nil && load.Free >= 0.5 && now-k.lentAt >= d.shortestQuoted {
@@ -312,6 +323,7 @@
 func (d *Dispatcher) askLoad(e *executor, now, within time.Duration) {
 	if d.probes && !e.probing && (e.probed == 0 || now-e.probed >= within) {
 		e.probing, e.probed = true, now
+		d.watch(e)
 		d.words = append(d.words, Due{Task: Probe, Executor: e.id})
 		d.at(now+d.shortestQuoted, nil, nil)
 	}
--- a/policy/setup.go
+++ b/policy/setup.go
@@ -11,7 +11,7 @@
 	d := &Dispatcher{
 		seed: s.Seed, node: NodeID(s.Node), nodes: s.Nodes, zone: s.Zone,
 		kinds: map[KindID]*kind{}, byID: map[ExecutorID]*executor{}, jobs: map[JobID]*job{},
-		bySum: map[Sum]*executor{}, kept: map[Sum]*keep{}, mayTell: s.MayTell, mayCopy: s.MayCopy, probes: s.MayProbe, marks: s.MarksAgain,
+		index: index{until: pile{by: byUntil}}, bySum: map[Sum]*executor{}, kept: map[Sum]*keep{}, mayTell: s.MayTell, mayCopy: s.MayCopy, probes: s.MayProbe, marks: s.MarksAgain,
 		perWork: s.EarnPerWork, overage: s.OverageEarnings, crossPrice: s.CrossZonePrice,
 		wholeWeight: s.WholeWeight, trackWeight: s.TrackWeight,
 		maxAllocations: s.MaxAllocations, mayCancel: s.MayCancel, comeBack: s.MaxComeBack,
@@ -32,6 +32,15 @@
 	return d
 }
 
+// spreadAsks lets many nodes ask one after another: the list's service doesn't grow with them. Until then the
+// copy at hand serves; the last asks while that still counts.
+func (d *Dispatcher) spreadAsks(within time.Duration) {
+	d.askEvery = within / 8
+	if d.many() {
+		d.askAt = times(within/2, float64(d.node)/float64(d.nodes))
+	}
+}
+
 // add takes up a track as it is from now on, with what is known of the one that it comes from.
 func (d *Dispatcher) add(c Change) {
 	t := &track{repeat: c.Repeat, group: c.Group, groupWindow: c.GroupWindow, allocations: cmp.Or(c.Allocations, d.maxAllocations),
@@ -78,7 +87,8 @@
 		}
 	}
 	d.derive()
-	d.worst, d.stale, d.freed = nil, true, true
+	d.worst, d.stale, d.moved, d.freed = nil, true, true, true
+	d.touchAll(d.ranked) // their rates hang on the quoted times
 	d.tick = min(d.tick, now+d.interval)
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,6 +35,7 @@
 	stale       bool // the slice must be picked anew
 	waited      bool // batch jobs were held in this interval
 	freed       bool // a token has come free since the last look
+	index
 
 	perWork        bool
 	overage        float64
@@ -124,6 +125,7 @@
 	size     float64 // by the list's weights, fading
 	places   float64 // by reports, fading
 	parallel int     // places, by reports or the most batch jobs of ours running at once
+	shelf    *shelf  // its part of the index
 }
 
 // executor is what this node knows of one executor.
@@ -180,6 +182,17 @@
 	queued  bool // the keeper has none free yet
 	given   bool // a place was given
 	lent    int  // places to give back
+
+	// Where the index has it.
+	place   int // in the slice; -1: not in it
+	metAs   int // its turn among those met; 0: not among them
+	touched bool
+	watched bool
+	isAsked bool
+	group   *group
+	places  [allPiles]place
+	rate    float64 // at which its tokens age at the most, while its kind's pace keeps to the limit
+	limit   float64
 }
 
 // keep is what this node keeps for all: an executor's places.
