The index's tests find a zone that has moved; two touches that others cover are out

Cause: breaking the guards one by one, two of seventeen broke no test: a touch after a start's wait, which the callers make already, and the flag that an executor of the slice has another zone than when it was picked. Change: the touch and its like in learn are out; TestMovedHome.

--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -162,7 +162,7 @@
 		if w.r.IntN(3) == 0 {
 			n.LongAgo, n.Started = false, w.now-time.Duration(w.r.IntN(9000))*time.Millisecond
 		}
-		if w.r.IntN(20) == 0 {
+		if w.r.IntN(4) == 0 {
 			n.Zone = ZoneID(w.r.IntN(3))
 		}
 	}
@@ -382,6 +382,28 @@
 	}
 }
 
+// An executor that the list has moved to the own zone counts as there before the slice is picked anew.
+func TestMovedHome(t *testing.T) {
+	s := base
+	s.CrossZonePrice = 0.25
+	d := New(s)
+	d.Listed(0, Whole, []Entry{{Executor: "far", Zone: 1, LongAgo: true, Weight: 1}, {Executor: "moves", Zone: 1, LongAgo: true, Weight: 1}})
+	now := time.Second
+	for d.Wait(now).Task != Sleep {
+	}
+	e := d.byID["moves"]
+	e.free = nil
+	d.touch(e)
+	d.Arrived(now, Arrival{Job: "j", Tenant: -1, Work: 100 * time.Millisecond, Budget: 5 * time.Second})
+	if got := d.pick(d.jobs["j"], now, false); got == nil || got.id != "far" {
+		t.Fatal("with both in another zone: ", name(got))
+	}
+	d.Listed(now, Changes, []Entry{{Executor: "moves", Zone: 0, LongAgo: true, Weight: 1}})
+	if got, want := d.pick(d.jobs["j"], now, false), d.scanned(d.jobs["j"], now, false); got != want || want != nil {
+		t.Fatalf("with one at home: %s, the scan %s", name(got), name(want))
+	}
+}
+
 // ---- Steady load ----
 
 // steady is a dispatcher under steady load, with executors that do as foretold, nearly.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,7 +4,7 @@
 // and asks three things: Place (where to send this batch job, or not yet, or never), Ended (what to do after
 // this outcome) and Wait (how long to wait, or what has fallen due). Plain values come back; their types
 // stand in types.go. Times are spans since the start. What is kept in mind stands in state.go, its upkeep in
-// books.go and seen.go, the start in setup.go.
+// books.go and seen.go, the start in setup.go, and in index.go in what order executors are looked at.
 //
 // The design decides the ordinary path: batch jobs are held until an executor has a free token under its
 // quota, they take the oldest free token of their slice, and quotas move by single steps. Beside it stand six
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -114,7 +114,6 @@
 // queued books an allocation's wait at the executor.
 func (d *Dispatcher) queued(e *executor, s *shot, wait time.Duration) {
 	wait = max(0, wait-d.quantum)
-	d.touch(e)
 	e.startWait = (e.startWait + wait) / 2 // quick to follow: a jam must be seen before it is fed
 	e.workerWait += wait
 	d.zoneWait(e, wait)
@@ -187,7 +186,6 @@
 	}
 	e.runs = e.runs*fade + ran.Seconds()
 	e.works = e.works*fade + j.work.Seconds()
-	d.touch(e)
 	k := d.kinds[e.kind]
 	k.pace += 0.05 * min(1, j.work.Seconds()) * (ran.Seconds()/j.work.Seconds() - k.pace)
 	k.pace = max(k.pace, 0.05)
