Groups of the index by side, not zone; nothing is looked for while no token is open

Cause: groups by zone had a step for each few executors: 946 bounds of steps for a start at 3,200 executors in four zones and load 0.6. And with a token released that may not be used, each held job was asked for once. Change: a group is of one side; for a dedup group by zone a candidate's zone is judged when it is weighed. next stops where no open token is filed. What is empty is seen by the steps themselves: no count beside them that a panic of the module could leave wrong.

--- a/policy/index.go
+++ b/policy/index.go
@@ -16,7 +16,7 @@
 // by its age. The slice is filed by pace as well: by how much of it was seen, and then by what was.
 
 const (
-	rateSteps = 512       // steps of the rate for each factor of e
+	rateSteps = 256       // steps of the rate for each factor of e
 	paceSteps = 16        // even steps of how much of a pace was seen
 	paceTails = 24        // and halvings below the first of them
 	hair      = 1 + 1e-9  // room for rounding: what is as good must not be cut off
@@ -155,7 +155,7 @@
 
 // sort is what all of a group have alike.
 type sort struct {
-	zone    ZoneID
+	far     bool
 	inSlice bool
 	load    int
 	keeper  int
@@ -166,7 +166,6 @@
 type group struct {
 	sort
 	shelf *shelf
-	open  int
 	steps map[int]*step
 	list  []*step // those that are not empty
 	heads []head  // and what a bound for each is reckoned from
@@ -192,6 +191,7 @@
 	touched []*executor
 	spare   []*executor // the slice as it was before, for its memory
 	looks   int         // executors looked at, for tests
+	bounds  int         // steps whose bounds were
 	weighed int         // and those weighed in full
 	filed   int         // times that an open token was filed
 	moved   bool        // what the slice hangs on has changed
@@ -271,9 +271,6 @@
 	s := d.kinds[e.kind].shelf
 	d.filePace(e, s)
 	old := e.places[byAge].in
-	if old != nil {
-		e.group.open--
-	}
 	if len(e.free) == 0 || e.gone || e.inCap > 0 && e.taken >= e.inCap {
 		if old != nil {
 			e.unfile(byAge)
@@ -283,7 +280,7 @@
 		}
 		return
 	}
-	of := sort{zone: e.zone, inSlice: e.place >= 0, load: loaded, keeper: cleared, scaled: e.works <= 1 && len(e.out) < s.most}
+	of := sort{far: d.abroad(e) > 0, inSlice: e.place >= 0, load: loaded, keeper: cleared, scaled: e.works <= 1 && len(e.out) < s.most}
 	if len(e.out) == 0 {
 		of.load = idle
 		if of.inSlice && e.place < d.lateSlice {
@@ -307,13 +304,11 @@
 		// What it was reckoned with still holds, and little has changed: most of those that only grow older stay.
 		rate, to := d.rateOf(e, s, now)
 		if to == Endless && rate <= e.rate && rate >= e.rate*(1-drift) && e.tight(k)*(1+3*drift) >= e.rate*e.group.scale() {
-			e.group.open++
 			return
 		}
 	}
 	d.filed++
 	e.group = s.group(of)
-	e.group.open++
 	if part := e.works / (e.works + 1); of.scaled {
 		e.limit = k * (1 + min(mostDrift, drift/part))
 		s.tops.put(e, order(e.limit))
@@ -468,6 +463,7 @@
 		oldest := -1.0
 		for g := range d.suiting(w) {
 			scale := g.scale()
+			d.bounds += len(g.heads)
 			for i, h := range g.heads {
 				if age := scale * h.oldest(w.now); !(age <= oldest) {
 					first, oldest = g.list[i], age
@@ -505,7 +501,7 @@
 				continue
 			}
 			for _, g := range s.groups {
-				if g.open > 0 && d.suits(g, w) && !yield(g) {
+				if len(g.list) > 0 && d.suits(g, w) && !yield(g) {
 					return
 				}
 			}
@@ -515,18 +511,15 @@
 
 // suits says whether a group's executors may be candidates at all.
 func (d *Dispatcher) suits(g *group, w *wish) bool {
-	if (d.crossPrice > 0 && g.zone != d.zone) != w.far {
-		return false
-	}
 	keeper := cleared
 	if w.asks {
 		keeper = unasked
 	}
-	if g.keeper != keeper {
+	if g.far != w.far || g.keeper != keeper {
 		return false
 	}
 	if d.inGroup(w.job) {
-		return g.zone == w.ran.zone && (!w.late || g.load != loaded)
+		return !w.late || g.load != loaded
 	}
 	return g.inSlice && (!w.late || g.load == spare || g.load == idle && w.track.late == 0)
 }
@@ -564,7 +557,7 @@
 			continue
 		}
 		for _, g := range s.groups {
-			if g.open > 0 && g.inSlice && (g.keeper == unasked) == asks && g.keeper != awaited {
+			if len(g.list) > 0 && g.inSlice && (g.keeper == unasked) == asks && g.keeper != awaited {
 				return true
 			}
 		}
@@ -572,6 +565,14 @@
 	return false
 }
 
+// anyOpen says whether any token is open at all, to whatever is held.
+func (d *Dispatcher) anyOpen(now time.Duration) bool {
+	d.refile(now)
+	return slices.ContainsFunc(d.shelves, func(s *shelf) bool {
+		return slices.ContainsFunc(s.groups, func(g *group) bool { return len(g.list) > 0 && g.keeper == cleared })
+	})
+}
+
 // ahead says whether a stands before b among j's candidates.
 func (d *Dispatcher) ahead(a, b *executor, j *job) bool {
 	if d.inGroup(j) {
