--- a/policy/index.go
+++ b/policy/index.go
@@ -794,3 +794,11 @@
 	slices.SortFunc(d.askeds, func(a, b *executor) int { return a.place - b.place })
 	return d.askeds
 }
+
+// candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
+func (d *Dispatcher) candidates(j *job) []*executor {
+	if d.inGroup(j) {
+		return d.ranked
+	}
+	return d.slice
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,6 +70,15 @@
 
 // ---- The list ----
 
+// spreadAsks lets many nodes ask one after another: the list's service doesn't grow with them. Until then the
+// copy at hand serves; the last asks while that still counts.
+func (d *Dispatcher) spreadAsks(within time.Duration) {
+	d.askEvery = within / 8
+	if d.many() {
+		d.askAt = times(within/2, float64(d.node)/float64(d.nodes))
+	}
+}
+
 // Listed tells what discovery brought.
 func (d *Dispatcher) Listed(now time.Duration, what ListKind, entries []Entry) {
 	d.asking = false
@@ -492,14 +501,6 @@
 	return j.ran != nil && j.track.repeat == Tagged && j.track.group != GroupAll
 }
 
-// candidates are the slice's executors, or, for what may only be repeated in its dedup group, all of them.
-func (d *Dispatcher) candidates(j *job) []*executor {
-	if d.inGroup(j) {
-		return d.ranked
-	}
-	return d.slice
-}
-
 // pick finds the executor with the oldest free token that j may take now, or, asking, whose keeper is to be
 // asked for a place. A token is passed over where its executor can't answer in time, unless j is late anyway,
 // and ages at its weight in the list, over its pace and the wait there: many nodes have one token at least
--- a/policy/setup.go
+++ b/policy/setup.go
@@ -33,15 +33,6 @@
 	return d
 }
 
-// spreadAsks lets many nodes ask one after another: the list's service doesn't grow with them. Until then the
-// copy at hand serves; the last asks while that still counts.
-func (d *Dispatcher) spreadAsks(within time.Duration) {
-	d.askEvery = within / 8
-	if d.many() {
-		d.askAt = times(within/2, float64(d.node)/float64(d.nodes))
-	}
-}
-
 // add takes up a track as it is from now on, with what is known of the one that it comes from.
 func (d *Dispatcher) add(c Change) {
 	t := &track{repeat: c.Repeat, group: c.Group, groupWindow: c.GroupWindow, allocations: cmp.Or(c.Allocations, d.maxAllocations),
--- /dev/null
+++ b/policy/sizes_test.go
@@ -0,0 +1,38 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// What is larger than any installation is served: 100,000 tenants without shares, and a list of 100,000 executors.
+func TestSizes(t *testing.T) {
+	d := New(Settings{Nodes: 9, Node: 4, Quantum: time.Millisecond, MaxAllocations: 2, OverageEarnings: 0.5,
+		Tenant: make([]Tenant, 100_000),
+		Tracks: []Track{{Quoted: time.Second, OuterLimit: 2 * time.Second, Stretch: 2, Earnings: 1, Kind: AnyKind}}})
+	list := make([]Entry, 100_000)
+	for i := range list {
+		list[i] = Entry{Executor: ExecutorID(fmt.Sprint("e", i)), State: Up, Weight: 1, LongAgo: true}
+	}
+	d.Listed(0, Whole, list)
+	now := time.Duration(0)
+	d.Wait(now) // the slice is picked
+	for i := range 20 {
+		id := JobID(fmt.Sprint(i))
+		now += 300 * time.Millisecond
+		d.Arrived(now, Arrival{Job: id, Tenant: TenantID(5000 * i), Work: 100 * time.Millisecond, Budget: 2 * time.Second})
+		if got := d.Place(now, id); got.Act != Send {
+			t.Fatalf("batch job %d: %+v", i, got)
+		}
+		d.Started(now, id, 0)
+		d.Ended(now+100*time.Millisecond, id, 0, Handled, true)
+		for due := d.Wait(now + 100*time.Millisecond); due.Task != 0; due = d.Wait(now + 100*time.Millisecond) {
+		}
+	}
+	d.Listed(now, Whole, nil) // and all of them gone at once
+	d.Arrived(now, Arrival{Job: "late", Tenant: 1, Work: 100 * time.Millisecond, Budget: 2 * time.Second})
+	if got := d.Place(now, "late"); got.Act != Hold {
+		t.Fatalf("with no executor left: %+v", got)
+	}
+}
