List: what is still owed after 10 s is asked for 1.3 to 2.3 s apart, within the 6 s at each grace

By reading overdueBackoff; a new order in TestNewsInTime plays it (2.75 s where nodes ask, 1.83 s pushed; with 5 s for 2 s it fails at 5.38 s on the first grace).

--- a/internal/list/bounds_test.go
+++ b/internal/list/bounds_test.go
@@ -31,6 +31,7 @@
 	size    int
 	changed chan struct{} // closed when it grows
 	at      *memnet.Listener
+	moved   bool      // it is reached where nobody was before, and where it was nobody is
 	lost    bool      // nothing gets through to it
 	silent  bool      // calls that come now are never answered
 	anew    bool      // its versions begin anew: it makes nothing of those that it is asked for
@@ -103,10 +104,12 @@
 			id = fmt.Sprint(n)
 			d.open++
 			d.most = max(d.most, d.open)
+			if (addr == at) == d.moved {
+				addr = "nowhere"
+			} else {
+				addr = at
+			}
 		})
-		if addr != at {
-			addr = "nowhere"
-		}
 		c, err := d.net.Dial(ctx, "n", id, addr)
 		if err != nil {
 			d.do(func() { d.open-- })
@@ -311,6 +314,14 @@
 		w.Follow(at)
 		return time.Now().Add(-time.Second)
 	}},
+	{"half-open, moved to where it comes up 15 s later", func(d *service, w *Watcher) time.Time {
+		d.halfOpen()
+		d.do(func() { d.lost = true })
+		w.Follow("127.0.0.1:8501")
+		time.Sleep(15 * time.Second)
+		d.do(func() { d.lost, d.moved = false, true })
+		return time.Now()
+	}},
 	{"moved there, back while it is cut off", func(d *service, w *Watcher) time.Time {
 		w.Follow("nowhere:1")
 		d.halfOpen()
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -39,7 +39,7 @@
 
 	// After that, where nodes ask: fewer calls, and longer ones. Guards against a service that is slow because of the calls that
 	// were given up: it would stay so.
-	overdueBackoff  = 4 * time.Second
+	overdueBackoff  = 2 * time.Second
 	overduePatience = 3 * patience
 
 	// Bounds of what is derived from the drain grace: an answer takes some time where the core is shared, and calls cost.
