--- a/cmd/birchstair/crowd_test.go
+++ b/cmd/birchstair/crowd_test.go
@@ -76,10 +76,7 @@
 // up the node has the list with the first call that is answered, is ready, reaches executors, answers clients, and operators at the
 // door; the system's own limit on descriptors stands at the node's, so that one too many would show.
 func TestCrowdBeforeDiscovery(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "birchstair")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	binary := program(t)
 	for _, c := range []struct {
 		name, first string
 		silent      bool // discovery takes connections while it is down, and says nothing
