Rule 4 takes places from reports that tell of none waiting: the others swing by a place and more

Cause: `Reported` (seen.go) takes held less waiting and free for the places. Each is told a tenth off, so with six held and four waiting the sum swings by a place, and one report comes with all answers until the next: the fading mean runs after it (1.71 to 2.64 seen at four nodes, 2 true). Rounded to 3, rule 4's budget is half as much again.

Change: kind.sure is the same mean over reports that tell of none waiting, which are exact to a tenth of the places; surePlaces goes by it. All else goes by `places` as before.

--- a/policy/books.go
+++ b/policy/books.go
@@ -64,11 +64,11 @@
 	}
 }
 
-// surePlaces are a kind's places, for rule 4: by reports or by what ran beside each other for long enough. Guards against the
-// notice of a start that passes that of the end before it, by which an executor with one place looks as if it had two.
+// surePlaces are a kind's places, for rule 4: by reports that are exact enough, or by what ran beside each other for long enough. Guards
+// against the notice of a start that passes that of the end before it, by which an executor with one place looks as if it had two.
 func (k *kind) surePlaces() float64 {
-	if k.places > 0 {
-		return max(1, math.Round(k.places))
+	if k.sure > 0 {
+		return max(1, math.Round(k.sure))
 	}
 	return float64(max(1, min(k.parallel, k.together)))
 }
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -72,6 +73,10 @@
 	}
 	k.places += (places - k.places) * (1 - fade)
 	k.parallel = max(1, int(k.places+0.5))
+	if load.Waiting < 0.5 { // how many wait is told roughly: where many do, the rest swings
+		k.sure = cmp.Or(k.sure, places)
+		k.sure += (places - k.sure) * (1 - fade)
+	}
 }
 
 // weigh books what the list weighs an executor.
--- a/policy/state.go
+++ b/policy/state.go
@@ -124,6 +124,7 @@
 	size     float64 // by the list's weights, fading
 	places   float64 // by reports, fading
 	parallel int     // places, by reports or the most batch jobs of ours running at once
+	sure     float64 // places, by reports that tell of none waiting, fading
 	together int     // the most of ours that ran beside each other for half of a running time
 }
 
