A client that sends much at once and goes is seen to leave behind up to 2 MiB

Symptom, by a probe on loopback: after 96 and 128 KiB of early bytes the close was seen by the last look, after 192 KiB and more it never was. Ruled out: the state of the socket is asked and right; the close itself had not arrived. At fault: clients.watched.runAhead stops at 80 KiB, then the socket's buffer fills and the system can't take the end that comes behind it. Change: beyond its own 80 KiB a connection reads ahead from 2 MiB that all connections share, a piece of 4 KiB at a time, and gives them back when its bytes are taken or it is closed; memory stays bounded. Where those are taken it is as before, and TestGoneUnread plays that too. Without it TestGoneUnread's row of 1 MiB and TestFarAheadStays fail; without the giving back both fail as well.

--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -251,6 +251,7 @@
 		{"it closes behind a byte of its next message", "P", func(c *net.TCPConn) { c.Close() }},
 		{"it closes behind a whole one", job("never-1"), func(c *net.TCPConn) { c.Close() }},
 		{"it closes behind more than is read ahead", strings.Repeat("a", longestRun+8<<10), func(c *net.TCPConn) { c.Close() }},
+		{"it closes behind far more, and nobody else does so", strings.Repeat("a", 1<<20), func(c *net.TCPConn) { c.Close() }},
 	} {
 		t.Run(leave.title, func(t *testing.T) {
 			c, h := halted(t, 10)
@@ -261,11 +262,16 @@
 				t.Fatal("it has gone before it left")
 			}
 			stop := h.On(1, standin.AfterRead, 0)
+			far := len(leave.early) >= 1<<20
 			if len(leave.early) > longestRun {
 				stop.Go()
 			}
+			if !far {
+				c.front.gate.spare.Store(0) // as where others have taken it
+			}
 			io.WriteString(from, leave.early)
 			switch {
+			case far:
 			case len(leave.early) > longestRun:
 				c.until("all that is read ahead is", func() bool {
 					done := false
@@ -286,6 +292,9 @@
 			if got, want := c.out.String(), "  left: wait-1\n"; got != want || len(c.told) > 0 {
 				t.Errorf("told %q and %d more, not %q", got, len(c.told), want)
 			}
+			if far {
+				c.until("what it took of the spare bytes is given back", func() bool { return c.front.gate.spare.Load() == spareRun })
+			}
 		})
 	}
 }
@@ -317,6 +326,37 @@
 	}
 }
 
+// A client that stays has sent far more of its next messages than a connection's own part of the reading ahead: each is answered, in its
+// order.
+func TestFarAheadStays(t *testing.T) {
+	c, _ := halted(t, 10)
+	from := c.dial()
+	io.WriteString(from, job("wait-0"))
+	if c.arrives().Client.Gone() {
+		t.Fatal("it has gone")
+	}
+	const next = 40
+	go func() {
+		for i := range next {
+			io.WriteString(from, job(fmt.Sprint("handled-", i+1), "Content-Length: 30000")+strings.Repeat("b", 30000))
+		}
+	}()
+	c.until("it is read far ahead", func() bool { return c.front.gate.spare.Load() <= spareRun-10*30000 })
+	c.front.Answer(node.Answer{Job: "wait-0", Result: []byte("the result")})
+	c.answer(from)
+	for i := range next {
+		if j := c.arrives(); string(j.ID) != fmt.Sprint("handled-", i+1) || len(j.Body) != 30000 {
+			t.Fatalf("%s with %d bytes is the next after %d", j.ID, len(j.Body), i)
+		}
+		c.answer(from)
+	}
+	if got := strings.Count(c.out.String(), "answer: 200 \"the result\"\n"); got != next+1 {
+		t.Errorf("%d answers of %d", got, next+1)
+	}
+	from.Close()
+	c.until("what it took of the spare bytes is given back", func() bool { return c.front.gate.spare.Load() == spareRun })
+}
+
 // Nobody takes batch jobs any more: what comes whole at that moment is pushed back, and what comes on a connection that was
 // never read is as well.
 func TestEnd(t *testing.T) {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"birchstair/internal/node"
@@ -91,6 +92,7 @@
 	net.Listener
 	all               Budget
 	budget, most, few int
+	spare             atomic.Int64 // bytes that may be read ahead beyond what each connection may
 
 	mu        sync.Mutex
 	room      *sync.Cond
@@ -120,6 +122,7 @@
 	g := &gate{all: all, places: map[net.Conn]*place{},
 		strangers: list.New(), resting: list.New(), leaving: list.New()}
 	g.room = sync.NewCond(&g.mu)
+	g.spare.Store(spareRun)
 	g.halve(false)
 	return g
 }
@@ -152,7 +155,7 @@
 		g.mu.Unlock()
 		c, err := g.Listener.Accept()
 		if err == nil {
-			return &watched{Conn: c}, nil
+			return &watched{Conn: c, spare: &g.spare}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) { // else it is to look again
 			return nil, err
@@ -223,6 +226,7 @@
 			g.put(p, g.resting)
 		}
 	case http.StateClosed, http.StateHijacked:
+		p.conn.closed()
 		g.put(p, nil)
 		delete(g.places, c)
 		g.open--
--- a/internal/clients/watched.go
+++ b/internal/clients/watched.go
@@ -13,7 +13,9 @@
 
 const (
 	lookSpell  = time.Millisecond          // a last read, where the system can't say whether a message has arrived
-	longestRun = longestHead + longestBody // bytes that are read ahead while an answer is due
+	longestRun = longestHead + longestBody // bytes that are read ahead while an answer is due, on each connection
+	spareRun   = 2 << 20                   // and beyond that on all together
+	aheadPiece = 4 << 10
 )
 
 // watched is a client's connection. It follows the framing of what is read, is let go without a message being lost that
@@ -35,6 +37,8 @@
 	waits *caller // for its answer; nil while none is due
 	early bool    // net/http asked for one byte, to see the client leave, got it, and looks no further
 	ahead *ahead
+	spare *atomic.Int64 // what is left of spareRun
+	ended bool          // it is closed: nobody reads it any more
 }
 
 // going says whether a connection is let go.
@@ -53,6 +57,7 @@
 	over  chan struct{} // closed when nobody reads ahead any more
 	stop  bool          // it is to end,
 	done  bool          // and has; both under the connection's lock
+	spare int64         // taken of what all connections have together; until done the reader's own
 }
 
 // mayGo says whether no batch job can be lost with the connection.
@@ -237,14 +242,17 @@
 // against batch jobs that wait for nobody, and against the next one of the same connection, which would be sent on later.
 func (c *watched) runAhead(a *ahead) {
 	defer close(a.over)
-	piece := make([]byte, 4<<10)
-	for a.err == nil && len(a.bytes) < longestRun {
+	piece := make([]byte, aheadPiece)
+	for a.err == nil && (len(a.bytes) < longestRun || c.takeSpare(a)) {
 		n, err := c.Conn.Read(piece)
 		a.bytes, a.err = append(a.bytes, piece[:n]...), err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a.done = true
+	if c.ended {
+		c.giveBack(a)
+	}
 	c.limit()
 	switch {
 	case a.stop && errors.Is(a.err, os.ErrDeadlineExceeded):
@@ -276,10 +284,38 @@
 	if a.err != nil {
 		return 0, a.err, true
 	}
+	c.giveBack(a)
 	c.ahead = nil
 	return 0, nil, false
 }
 
+// takeSpare lets one more piece be read ahead beyond what each connection may. Guards against a client that sends much at once and
+// goes: its end comes behind all that, and what nobody reads may fill the socket before it.
+func (c *watched) takeSpare(a *ahead) bool {
+	if c.spare.Add(-aheadPiece) < 0 {
+		c.spare.Add(aheadPiece)
+		return false
+	}
+	a.spare += aheadPiece
+	return true
+}
+
+// giveBack gives back what was taken of it. It is called with the lock, once the reading ahead is done.
+func (c *watched) giveBack(a *ahead) {
+	c.spare.Add(a.spare)
+	a.spare = 0
+}
+
+// closed notes that nobody reads the connection any more.
+func (c *watched) closed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	if c.ahead != nil && c.ahead.done {
+		c.giveBack(c.ahead)
+	}
+}
+
 // CloseWrite ends the sending, as net/http does before it closes.
 func (c *watched) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
