Nothing is filed for held batch jobs where none is held

Change: it asks only where something is held; the test holds that question against the scan as well.

--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -208,6 +208,9 @@
 		if got != want {
 			w.t.Fatalf("seed %d, %v: %s%s asking=%v: the index gives %v, the scan %v", w.seed, w.now, as, j.id, asks, name(got), name(want))
 		}
+		if want != nil && !asks && !d.anyOpen(w.now) {
+			w.t.Fatalf("seed %d, %v: %s%s may go to %s, and no token is said to be open", w.seed, w.now, as, j.id, want.id)
+		}
 		if want != nil {
 			w.found[w.sort(j, want, as, asks)]++
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1041,7 +1041,7 @@
 		j.copied = d.wantsCopy(j, now)
 		return !j.copied
 	})
-	d.freed = d.freed && d.anyOpen(now)
+	d.freed = d.freed && len(d.held)+len(d.heldLate)+len(d.copies) > 0 && d.anyOpen(now)
 	for _, list := range [...][]*job{d.held, d.heldLate, d.copies} {
 		for _, j := range list[:min(len(list), int(flag(d.freed))*2*len(d.slice))] {
 			if d.pick(j, now, false) != nil {
