The rig tells a node to end once it answers: a newborn one ends by the signal

Cause: the run was over 65 ms after that node had been started again; SIGTERM came before it listens for signals, which by docs/design/crossings.md ends it with nothing taken.

--- a/internal/rig/proc.go
+++ b/internal/rig/proc.go
@@ -195,14 +195,17 @@
 	}
 }
 
-func (p *proc) isReady() bool {
+func (p *proc) isReady() bool { return p.says() == http.StatusOK }
+
+// says is the status by which the node says whether it is ready; 0 where it answers nothing.
+func (p *proc) says() int {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	answer, err := c.Get("http://" + p.listen + "/-/ready")
 	if err != nil {
-		return false
+		return 0
 	}
 	answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
+	return answer.StatusCode
 }
 
 // view is what the node says of its fleet.
@@ -259,16 +262,22 @@
 	p.pool = nil
 }
 
-// stopWell ends the process as a planned end does, and waits for it.
+// stopWell ends the process as a planned end does, and waits for it. One that has just been started is told once it answers: until it
+// listens for signals it ends by the signal itself, with nothing taken (docs/design/crossings.md).
 func (p *proc) stopWell() error {
 	p.r.mu.Lock()
 	up, ended := p.up, p.ended
 	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGTERM)
 	p.r.mu.Unlock()
 	if !up {
 		return nil
 	}
+	for until := time.Now().Add(readyIn); p.says() == 0 && len(ended) == 0 && time.Now().Before(until); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	p.r.mu.Lock()
+	p.signal(syscall.SIGTERM)
+	p.r.mu.Unlock()
 	select {
 	case err := <-ended:
 		ended <- err
