Held on sockets: nothing but tokens keeps tasks out, and the node stands still

Need: the row that misses most is shown on the real process, not by the module alone. Change: the held points give a node 16,384 descriptors and 1,024 MB; TestFarOver: 100,000 tenants and a list of 100,000 entries are served or turned down in words; a run that is cut off takes its folder with it.

--- a/cmd/birchlab/scale.go
+++ b/cmd/birchlab/scale.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"maps"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"birchstair/internal/scale"
@@ -69,6 +71,13 @@
 			return err
 		}
 		defer os.RemoveAll(o.Dir)
+		cut := make(chan os.Signal, 1)
+		signal.Notify(cut, os.Interrupt, syscall.SIGTERM)
+		go func() {
+			<-cut
+			os.RemoveAll(o.Dir)
+			os.Exit(2) // and with it all that was started
+		}()
 	}
 	fmt.Printf("all points take about %v\n", s.Long().Round(10*time.Second))
 	var rows []scale.Row
--- a/internal/scale/bounds.go
+++ b/internal/scale/bounds.go
@@ -22,12 +22,11 @@
 	mostRungs     = 64
 )
 
-// What a hollow executor, a hollow node, a batch job in hand and a node at its own limit take at the most, by measurement and rounded up.
+// What a hollow executor, a hollow node and a batch job in hand take at the most, by measurement and rounded up.
 const (
 	executorMemory = 64 << 10
 	memberMemory   = 4 << 20
 	jobMemory      = 128 << 10
-	nodeMemory     = 256 << 20
 	spareFiles     = 256
 )
 
@@ -125,7 +124,7 @@
 			return fmt.Errorf("descriptors: %s may need %d, and RLIMIT_NOFILE is %d", need.what, need.n+spareFiles, files)
 		}
 	}
-	if memory := pt.Executors*executorMemory + pt.Hollow*memberMemory + inHand*jobMemory + pt.Real*nodeMemory; memory > MostMemory {
+	if memory := pt.Executors*executorMemory + pt.Hollow*memberMemory + inHand*jobMemory + pt.Real*pt.Memory<<20; memory > MostMemory {
 		return fmt.Errorf("memory: %d MB, over %d MB", memory>>20, MostMemory>>20)
 	}
 	return nil
--- a/internal/scale/proc.go
+++ b/internal/scale/proc.go
@@ -46,7 +46,7 @@
 		"rules":       map[string]any{"cold-share": 0.3, "warm-within-s": 9, "fall-multiple": 4, "fall-s": 1.5},
 		"score-parts": map[string]any{"whole": 1}, "tracks": tracks}
 	text, err := json.MarshalIndent(map[string]any{"name": p.name, "listen": p.listen, "management": p.door, "discovery": discovery,
-		"seed": fmt.Sprintf("%016x", pt.Seed*1000+uint64(p.number)), "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": pt.Sockets}, "settings": settings}, "", " ")
+		"seed": fmt.Sprintf("%016x", pt.Seed*1000+uint64(p.number)), "limits": map[string]any{"cores": 1, "memory_mb": pt.Memory, "sockets": pt.Sockets}, "settings": settings}, "", " ")
 	if err != nil {
 		return err
 	}
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -55,6 +55,7 @@
 	Rate      float64 // starts a second, of all real nodes together
 	Running   int     `json:",omitempty"` // tasks at a time that the rate is to keep
 	Sockets   int
+	Memory    int  // a real node's limit, in MB
 	Tenants   int  `json:",omitempty"`
 	Module    bool `json:",omitempty"` // the module alone
 	Held      bool `json:",omitempty"` // with more than there are tokens for, so that batch jobs are held
@@ -86,7 +87,9 @@
 	firstQuota = 2.0 // tokens that the module has for each executor at first
 	heldLoad   = 1.5 // of what these can do, where batch jobs are to be held
 
-	heldSockets = 8192
+	nodeMemory  = 192 // MB, the configuration's default
+	heldSockets = 16384
+	heldMemory  = 1024 // a node takes as many clients as half of it holds at 96 KB each
 )
 
 var zones = []string{"a", "b", "c", "d"}
@@ -98,7 +101,7 @@
 
 // points are those of a round, in the order in which they are measured.
 func (s Sweep) points(round int) (points []Point) {
-	base := Point{Round: round, Seed: uint64(round + 1), Executors: s.BaseExecutors, Of: Nine, Real: 1, Rate: float64(s.BaseRate), Sockets: s.Sockets}
+	base := Point{Round: round, Seed: uint64(round + 1), Executors: s.BaseExecutors, Of: Nine, Real: 1, Rate: float64(s.BaseRate), Sockets: s.Sockets, Memory: nodeMemory}
 	add := func(series string, x int, as func(*Point)) {
 		pt := base
 		pt.Series, pt.X = series, float64(x)
@@ -126,7 +129,7 @@
 	}
 	for _, n := range s.Held {
 		add("held", n, func(pt *Point) {
-			pt.Held, pt.Executors, pt.Sockets = true, n, max(s.Sockets, heldSockets)
+			pt.Held, pt.Executors, pt.Sockets, pt.Memory = true, n, max(s.Sockets, heldSockets), heldMemory
 			pt.Rate = heldRate(n, Nine)
 		})
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -5,12 +5,16 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"birchstair/internal/standin"
+	"birchstair/policy"
 )
 
 var binary string
@@ -140,11 +144,11 @@
 	if err := s.check(files); err == nil || !strings.Contains(err.Error(), "descriptors: ") {
 		t.Error(err)
 	}
-	pt := Point{Executors: 6400, Hollow: 300, Real: 12, Rate: 80000}
+	pt := Point{Executors: 6400, Hollow: 300, Real: 12, Memory: 192, Rate: 80000}
 	if err := s.fits(pt, 1<<20); err == nil || !strings.Contains(err.Error(), "memory: ") {
 		t.Error(err)
 	}
-	pt = Point{Executors: 16, Real: 299, Rate: 1}
+	pt = Point{Executors: 16, Real: 299, Memory: 1, Rate: 1}
 	if err := s.fits(pt, 1<<20); err == nil || !strings.Contains(err.Error(), "processes: 301") {
 		t.Error(err)
 	}
@@ -153,6 +157,43 @@
 	}
 }
 
+// A list of 100,000 entries, and 100,000 tenants, far over what is planned: served, or turned down in words, and no crash.
+func TestFarOver(t *testing.T) {
+	if f := (&moduleJob{Executors: 16, Of: 9, Tenants: 100000, Rate: 100, Work: time.Millisecond, Most: 10 * time.Second, Starts: 200}).play(); f.Wrong != "" || f.Starts == 0 {
+		t.Errorf("100,000 tenants: %+v", f)
+	}
+	o := options(t)
+	w := &world{o: o, pt: Point{Series: "far-over", Executors: 4, Of: 9, Real: 1, Sockets: 512, Memory: 192}, epoch: time.Now(), row: Row{Figures: map[string]float64{}}}
+	defer func() {
+		for _, c := range slices.Backward(w.closers) {
+			c()
+		}
+		if len(w.row.Wrong) > 0 {
+			t.Error(w.row.Wrong)
+		}
+	}()
+	if err := w.setUp(); err != nil {
+		t.Fatal(err)
+	}
+	p := w.nodes[0]
+	var all []standin.Entry
+	for i := range 100000 {
+		all = append(all, standin.Entry{Addr: "127.0.0.1:1", Entry: policy.Entry{Executor: executorID(i), Zone: policy.ZoneID(i % len(zones)), Weight: 1, LongAgo: true}})
+	}
+	w.list.Change(all...)
+	if err := until(readyIn, func() bool {
+		log, err := os.ReadFile(filepath.Join(p.dir, "log"))
+		return p.shows("executors_known", len(all)) || err == nil && strings.Contains(string(log), "the list could not be had")
+	}); err != nil {
+		t.Errorf("a list of %d is neither served nor turned down: %v", len(all), err)
+	}
+	if vars, err := p.vars(); err != nil {
+		t.Error(err)
+	} else {
+		t.Logf("of %d executors %d are known", len(all), vars["executors_known"])
+	}
+}
+
 // A line is found with its spread; what has no slope is called flat.
 func TestFits(t *testing.T) {
 	var rows []Row
