Held batch jobs look at the executors that the easiest of them could use

Need: docs/CAPACITY.md names a start's cost while batch jobs are held as the row that misses its limit most. Ruled out by the profile: dialling (6%), the front (6%), the pass for each arrival (6%). Tests: each held one that a scan would send is let through in drawn worlds (54,809 left out, 4,365 that may go); fails with the earliest quoted time in place of the latest, and without the look for the own zone. TestLooksWhereHeld: 2,003 weighed, 160,803 without the guard, and fails.

--- a/policy/index.go
+++ b/policy/index.go
@@ -201,6 +201,7 @@
 	askeds  []*executor
 	mets    int         // executors met so far
 	fresh   []*executor // that have no rank yet
+	takers  []takers    // of the list that is looked through
 }
 
 // newShelf makes room in the index for a kind.
--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -169,9 +169,31 @@
 	return n
 }
 
+// compareTakers looks for batch jobs that could go and that takers leave out, however few are held.
+func (w *drawn) compareTakers() {
+	d := w.Dispatcher
+	for _, list := range [...][]*job{d.held, d.heldLate, d.copies} {
+		d.takers = d.takers[:0]
+		d.fileTakers(list, w.now)
+		for _, j := range list {
+			to := d.scanned(j, w.now, false)
+			switch may := d.mayGo(j, w.now); {
+			case to != nil && !may:
+				w.t.Fatalf("seed %d, %v: %s may go to %s, and is left out", w.seed, w.now, j.id, to.id)
+			case to != nil:
+				w.found["held that may go"]++
+			case !may:
+				w.found["held and left out"]++
+			}
+		}
+		d.takers = d.takers[:0]
+	}
+}
+
 // compare holds every answer of the index against the scan's.
 func (w *drawn) compare() {
 	d, ids := w.Dispatcher, []JobID{}
+	w.compareTakers()
 	for id := range d.jobs {
 		ids = append(ids, id)
 	}
@@ -382,7 +404,8 @@
 		}
 	}
 	t.Log(checks, "comparisons; found:", found)
-	for _, what := range [...]string{"of a keeper", "in a dedup group", "cold", "crossing", "late", "a copy", "with a place", "under a cap", "full of ours", "plain"} {
+	for _, what := range [...]string{"of a keeper", "in a dedup group", "cold", "crossing", "late", "a copy", "with a place", "under a cap", "full of ours", "plain",
+		"held that may go", "held and left out"} {
 		if found[what] < 20 {
 			t.Errorf("%s: compared only %d times", what, found[what])
 		}
@@ -550,6 +573,57 @@
 	}
 }
 
+// Where all executors are full and their further tokens are of no use yet, as many batch jobs are held: what is weighed in full when one is
+// done grows with the slice. Each held one would look at each open token else, which is the square of it.
+func TestLooksWhereHeld(t *testing.T) {
+	per := map[int]int{}
+	for _, n := range [...]int{100, 400} {
+		s := base
+		s.Tracks = []Track{{Quoted: 300 * time.Millisecond, Stretch: 1.2, OuterLimit: 60 * time.Second, Earnings: 1, Kind: AnyKind}}
+		d, now := New(s), time.Second
+		var entries []Entry
+		for i := range n {
+			entries = append(entries, Entry{Executor: ExecutorID(fmt.Sprint("e", i)), LongAgo: true, Weight: 1})
+		}
+		d.Listed(0, Whole, entries)
+		for _, e := range entries {
+			d.Reported(e.Executor, Load{Held: 1}) // one place
+		}
+		sent := []JobID{}
+		settle := func() {
+			for due := d.Wait(now); due.Task != Sleep; due = d.Wait(now) {
+				if due.Task != PlaceJob {
+					continue
+				}
+				if to := d.Place(now, due.Job); to.Act == Send {
+					sent = append(sent, due.Job)
+					if len(d.byID[to.Executor].out) == 1 { // it has a place only
+						d.Started(now, due.Job, 0)
+					}
+				}
+			}
+		}
+		for i := range 2 * n {
+			d.Arrived(now, Arrival{Job: JobID(fmt.Sprint("j", i)), Tenant: -1, Work: 4 * time.Second, Budget: 60 * time.Second})
+			settle()
+		}
+		if len(sent) != n || len(d.held) != n {
+			t.Fatalf("%d executors: %d are out, %d held", n, len(sent), len(d.held))
+		}
+		now += time.Millisecond
+		weighed := d.weighed
+		d.Ended(now, sent[n/2], 0, Handled, true)
+		settle()
+		per[n] = d.weighed - weighed
+		if t.Logf("%d executors: %d weighed when one is done", n, per[n]); len(sent) == n || len(sent) > n+2 {
+			t.Errorf("%d executors: %d were sent then", n, len(sent)-n)
+		}
+	}
+	if per[400] > 5*per[100] || per[400] > 8*400 {
+		t.Errorf("weighed when one is done: %v", per)
+	}
+}
+
 func BenchmarkStart(b *testing.B) {
 	for _, load := range [...]float64{0, 0.6, 0.95} {
 		for _, n := range [...]int{12, 200, 800, 3200} {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1047,8 +1047,10 @@
 	})
 	d.freed = d.freed && len(d.held)+len(d.heldLate)+len(d.copies) > 0 && d.anyOpen(now)
 	for _, list := range [...][]*job{d.held, d.heldLate, d.copies} {
-		for _, j := range list[:min(len(list), int(flag(d.freed))*2*len(d.slice))] {
-			if d.pick(j, now, false) != nil {
+		list = list[:min(len(list), int(flag(d.freed))*2*len(d.slice))]
+		d.findTakers(list, now)
+		for _, j := range list {
+			if d.mayGo(j, now) && d.pick(j, now, false) != nil {
 				return j
 			}
 		}
--- /dev/null
+++ b/policy/takers.go
@@ -0,0 +1,108 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// fewHeld is how many batch jobs are looked at one by one; with more of them, what none could use is left out first.
+const fewHeld = 8
+
+// takers are the executors that some of many held batch jobs of a class could go to, late ones or the others, found by the
+// easiest that there could be of them: a pass over the open tokens once, and not for each. They decide nothing: what they
+// leave out pick would not find either. Guards against a cost with the square of the slice, where tokens are open and of no
+// use yet: their executors are full, and as many batch jobs are held.
+type takers struct {
+	track *track
+	late  bool
+	easy  job // as easy as any of them
+	found []*executor
+	ends  time.Duration // the easiest can't be done before it
+	wait  time.Duration // nor does any wait less there
+	pace  float64       // or is done quicker
+}
+
+// ease makes the easiest as easy as j at least.
+func (t *takers) ease(j *job) {
+	easy := &t.easy
+	easy.work, easy.margin = min(easy.work, j.work), min(easy.margin, j.margin)
+	easy.quotedAt, easy.hinted = max(easy.quotedAt, j.quotedAt), easy.hinted || j.hinted
+}
+
+// alone says whether j is looked at by itself: its candidates are others than those of its class.
+func (d *Dispatcher) alone(j *job) bool { return d.inGroup(j) || len(j.out) > 0 }
+
+// findTakers finds them for a list of held batch jobs, where they are many.
+func (d *Dispatcher) findTakers(list []*job, now time.Duration) {
+	d.takers = d.takers[:0]
+	if len(list) > fewHeld {
+		d.fileTakers(list, now)
+	}
+}
+
+func (d *Dispatcher) fileTakers(list []*job, now time.Duration) {
+	for _, j := range list {
+		if d.alone(j) {
+			continue
+		}
+		late := d.late(j, now)
+		if t := d.takersOf(j.track, late); t != nil {
+			t.ease(j)
+			continue
+		}
+		d.takers = append(d.takers, takers{track: j.track, late: late,
+			easy: job{track: j.track, work: j.work, hinted: j.hinted, margin: j.margin, quotedAt: j.quotedAt}})
+	}
+	for i := range d.takers {
+		d.findFor(&d.takers[i], now)
+	}
+}
+
+func (d *Dispatcher) findFor(t *takers, now time.Duration) {
+	easy := &t.easy
+	t.ends, t.wait, t.pace = Endless, Endless, math.Inf(1)
+	w := wish{job: easy, now: now, late: t.late, mostPace: easy.mostPace(now, t.late), least: math.Inf(-1)}
+	for _, w.far = range [...]bool{false, true} {
+		for e := range d.likely(&w) {
+			if d.age(e, &w) <= -1 {
+				continue
+			}
+			t.found = append(t.found, e)
+			pace := d.pace(e, now)
+			wait := d.waitAt(e, pace, now)
+			t.wait, t.pace = min(t.wait, wait), min(t.pace, pace)
+			t.ends = min(t.ends, now+times(wait+times(easy.work, pace), easy.margin))
+		}
+	}
+}
+
+func (d *Dispatcher) takersOf(track *track, late bool) *takers {
+	for i := range d.takers {
+		if t := &d.takers[i]; t.track == track && t.late == late {
+			return t
+		}
+	}
+	return nil
+}
+
+// mayGo says whether pick may find something for j, of the list that takers were found for last: where it says no, it finds nothing.
+func (d *Dispatcher) mayGo(j *job, now time.Duration) bool {
+	if len(d.takers) == 0 || d.alone(j) {
+		return true
+	}
+	w := wish{job: j, now: now, late: d.late(j, now)}
+	t := d.takersOf(j.track, w.late)
+	if len(t.found) == 0 || !w.late && j.quotedAt < max(t.ends, now+times(t.wait+times(j.work, t.pace), j.margin)) {
+		return false
+	}
+	crosses, other := d.crosses(j), false
+	for _, e := range t.found {
+		if d.age(e, &w) > -1 {
+			if (d.abroad(e) > 0) == crosses {
+				return true
+			}
+			other = true
+		}
+	}
+	return other && (crosses || now-j.heldAt >= d.patience(j) || !d.anyNear(j, now))
+}
