Tests' processes have addresses of their own: no port is let go and found again

Symptom: in a run of TestUpgrade (30 asked for, load 18 to 31, stopped after 8 that passed, 1 that failed by a reset, and this one) "the old one is killed" hung: all clients timed out after 10 s each, nobody took connections. The logs left behind say why: the new process had ended with "management: listen tcp 127.0.88.1:45781: bind: address already in use", and the test had its yes from the other test's node that had the port. So the old one was killed with no heir. Cause: freePort let the port go before the process took it, and all tests on the machine drew from one address. Change: platform.Unused: the address goes by the test process's number, and a port is given once; used by cmd/birchstair's tests and by TestKilling, which drew a port in the same way. Ruled out: a fault of the hand-over (log of the old one: a newer one has started, and no yes of it).

--- a/cmd/birchstair/serve_test.go
+++ b/cmd/birchstair/serve_test.go
@@ -20,6 +20,7 @@
 
 	"birchstair/internal/kept"
 	"birchstair/internal/site"
+	"birchstair/internal/standin/platform"
 )
 
 // executor stands in for one: a batch job is done when its body says so, and "wait" when the test says so.
@@ -49,14 +50,13 @@
 	listen string
 }
 
-// freePort is a port that is free, of an address that no connection goes out from: else another test's may take it meanwhile.
+// freePort is an address and port that is nobody's but this test's.
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.88.1:0")
+	addr, err := platform.Unused()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 func newConfiguration(t *testing.T, discovery string) configuration {
--- a/internal/lab/killing.go
+++ b/internal/lab/killing.go
@@ -152,8 +152,8 @@
 			l.Close()
 		}
 	}
-	listenAt := func(host string) string {
-		l, e := net.Listen("tcp", host+":0")
+	listen := func() string {
+		l, e := net.Listen("tcp", "127.0.0.1:0")
 		if e != nil {
 			err = errors.Join(err, e)
 			return ""
@@ -161,7 +161,6 @@
 		open = append(open, l)
 		return l.Addr().String()
 	}
-	listen := func() string { return listenAt("127.0.0.1") }
 	var entries []standin.Entry
 	for i := range 3 {
 		id := policy.ExecutorID(fmt.Sprint("e", i))
@@ -177,15 +176,15 @@
 			}}
 		go x.Serve(open[i])
 	}
-	// The node's own port is free until each of its processes takes it: of an address that no connection goes out from. Guards
-	// against a connection of anybody's that has the port meanwhile, so that the next process ends at once.
-	discovery, own := listen(), listenAt("127.0.89.1")
+	discovery := listen()
+	if err != nil {
+		return closeAll, err
+	}
+	own, err := platform.Unused()
 	if err != nil {
 		return closeAll, err
 	}
 	go (&platform.Discovery{Entries: entries, Zones: []string{"z"}}).Serve(open[3])
-	open[4].Close()
-	open = open[:4]
 	r.listen, r.config, r.site = own, filepath.Join(r.Dir, "config.json"), filepath.Join(r.Dir, "site.toml")
 	var tracks []any
 	for _, t := range killingTracks {
