The new process says yes at the door once the old one has ceded

Cause: the new process's yes at the door did not wait for the old one to hear its own. A platform that ends the old one by that yes may reach it first; told to end without an heir it lets resting connections go at once, not after 0.4 s, and some of them have their next message on the wire by then. Change: check says "not ready" until the old one has ceded, is gone, or 2 s are over; with the 2 s for its state, within the 6 s for a yes. The front's readiness and taking connections are as before.

--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -60,7 +60,9 @@
 	r := Reply{Caller: ev.Caller}
 	switch ev.Order {
 	case Check:
-		if !n.said || n.stopping {
+		// Guards against a platform that ends the elder by this yes before the elder knows of its heir: it would let clients'
+		// connections go at once, some of them under their next message.
+		if !n.said || n.yields && n.now < n.yieldBy || n.stopping {
 			r.No = "not ready"
 		}
 	case ReadFigures:
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -69,6 +69,9 @@
 // relaySpell is how long an operator's answer waits for the other processes: well within the second it is owed in.
 const relaySpell = 400 * time.Millisecond
 
+// yieldLimit is how long the yes at the door waits for the elder to cede.
+const yieldLimit = 2 * time.Second
+
 // handSpell is how long the new process waits for the old one's state before it goes on without.
 const handSpell = 2 * time.Second
 
@@ -82,6 +85,8 @@
 	live    bool // a list has come from discovery
 	copied  bool // the elder's list has been taken up
 	said    bool // this process has said its yes
+	yields  bool // and the elder has not answered it: it may still take connections, and let them go at once if it ends
+	yieldBy time.Duration
 	relays  map[uint64]*relay
 	seq     uint64
 	orders  []Word // of operators, obeyed here while the elder's state is on its way
@@ -132,7 +137,7 @@
 	switch {
 	case link == Elder:
 		n.say(Log{Text: "the older process is gone: " + detail})
-		n.waits = false
+		n.waits, n.yields = false, false
 		n.mayUseCold()
 	case n.ceded && n.heir == link:
 		n.say(Log{Text: "the newer process is gone, this one goes on: " + detail})
@@ -182,6 +187,7 @@
 		n.share()
 		n.say(Pass{from, Word{Kind: Ceded}})
 	case Ceded:
+		n.yields = false
 		n.mayUseCold()
 	case Relay:
 		n.obey(w.Order, w.Executor)
@@ -258,6 +264,7 @@
 	n.say(Ready{!n.stopping})
 	n.say(Take{!n.ceded})
 	if slices.Contains(n.links, Elder) {
+		n.yields, n.yieldBy = true, n.now+yieldLimit
 		n.say(Pass{Elder, Word{Kind: Yes}})
 	}
 }
