--- a/internal/rig/ends.go
+++ b/internal/rig/ends.go
@@ -139,7 +139,7 @@
 // what reaches an executor. That its node's process stood still is no excuse: what was written before that is here before it goes on.
 func (r *Rig) awaited(p *proc, x *executor, job policy.JobID) {
 	at, went := r.went[job]
-	if !went || r.now() <= at+rules.AwaitedFor+lookLate+r.stood() {
+	if !went || r.now() <= at+rules.AwaitedFor+lookLate {
 		return
 	}
 	late := r.now() - at
