Read once more: one loop for both looks at a socket, one listener for the program's tests

TestPending and TestEnded had the same loop, and the benchmark and TestCrowdBeforeDiscovery made connections and listeners that stood beside them. Cases and assertions are as they were.

--- a/cmd/birchstair/crowd_test.go
+++ b/cmd/birchstair/crowd_test.go
@@ -220,12 +220,3 @@
 		t.Errorf("%d descriptors of %d", most, sockets)
 	}
 }
-
-func freeListener(t *testing.T) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	return l
-}
--- a/cmd/birchstair/upgrade_test.go
+++ b/cmd/birchstair/upgrade_test.go
@@ -57,7 +57,7 @@
 	var entries []standin.Entry
 	for i := range 4 {
 		id := policy.ExecutorID(fmt.Sprint("e", i))
-		l := p.listener()
+		l := freeListener(p.t)
 		entries = append(entries, standin.Entry{Addr: l.Addr().String(), Entry: policy.Entry{Executor: id, Weight: 1, LongAgo: true}})
 		x := &platform.Executor{ID: id, Takes: func() time.Duration { return 5 * time.Millisecond }, Ran: func(job policy.JobID) {
 			p.mu.Lock()
@@ -69,9 +69,9 @@
 		}}
 		go x.Serve(l)
 	}
-	list := p.listener()
+	list := freeListener(p.t)
 	go (&platform.Discovery{Entries: entries, Zones: []string{"z"}}).Serve(list)
-	clients := p.listener()
+	clients := freeListener(p.t)
 	file, err := clients.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
@@ -81,12 +81,13 @@
 	return p
 }
 
-func (p *platformHere) listener() net.Listener {
+func freeListener(t *testing.T) net.Listener {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		p.t.Fatal(err)
+		t.Fatal(err)
 	}
-	p.t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { l.Close() })
 	return l
 }
 
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -7,31 +7,32 @@
 	"testing"
 )
 
-// benchPair is a connection of which the far end does nothing.
-func benchPair(b *testing.B, early string) net.Conn {
+// pair is both ends of a connection.
+func pair(t testing.TB) (near, far *net.TCPConn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
-	b.Cleanup(func() { l.Close() })
-	far, err := net.Dial("tcp", l.Addr().String())
+	defer l.Close()
+	dialled, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
-	near, err := l.Accept()
+	taken, err := l.Accept()
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
-	b.Cleanup(func() { near.Close(); far.Close() })
-	io.WriteString(far, early)
-	return near
+	t.Cleanup(func() { dialled.Close(); taken.Close() })
+	return dialled.(*net.TCPConn), taken.(*net.TCPConn)
 }
 
 // What the last look costs an attempt: one call of the system, two behind bytes that nobody has read.
 func BenchmarkEnded(b *testing.B) {
 	for _, early := range []string{"", "P"} {
 		b.Run("early="+early, func(b *testing.B) {
-			near := benchPair(b, early)
+			near, far := pair(b)
+			io.WriteString(far, early)
 			b.ReportAllocs()
 			for b.Loop() {
 				if ended, _ := Ended(near); ended {
@@ -42,94 +43,51 @@
 	}
 }
 
-// Nothing, bytes, an end and a break are told apart from nothing without being taken; what is no socket can't say.
-func TestPending(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	for _, c := range []struct {
-		name string
-		do   func(*net.TCPConn)
-		want bool
-	}{
-		{"nothing", func(*net.TCPConn) {}, false},
-		{"bytes", func(c *net.TCPConn) { io.WriteString(c, "ab") }, true},
-		{"its end", func(c *net.TCPConn) { c.CloseWrite() }, true},
-		{"a break", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
-	} {
-		near, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		far, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.do(far.(*net.TCPConn))
+// peer is what the other side does, and whether a look sees something by it.
+type peer struct {
+	name string
+	do   func(*net.TCPConn)
+	want bool
+}
+
+// looks holds a look against what the other side does: it takes nothing, and what is no socket can't say.
+func looks(t *testing.T, look func(net.Conn) (yes, known bool), peers ...peer) {
+	for _, p := range peers {
+		near, far := pair(t)
+		p.do(far)
 		for range 2 { // the first took nothing of it
-			if any, known := Pending(near); any != c.want || !known {
-				t.Errorf("%s: %v, known %v", c.name, any, known)
+			if yes, known := look(near); yes != p.want || !known {
+				t.Errorf("%s: %v, known %v", p.name, yes, known)
 			}
 		}
-		if b := make([]byte, 2); c.name == "bytes" {
+		if b := make([]byte, 2); strings.HasPrefix(p.name, "bytes") {
 			if _, err := io.ReadFull(near, b); err != nil || string(b) != "ab" {
 				t.Errorf("read %q, %v", b, err)
 			}
 		}
-		near.Close()
-		far.Close()
 	}
 	a, _ := net.Pipe()
-	if any, known := Pending(a); any || known {
+	if yes, known := look(a); yes || known {
 		t.Error("a pipe's end says something")
 	}
 }
 
+// Nothing, bytes, an end and a break are told apart from nothing without being taken; what is no socket can't say.
+func TestPending(t *testing.T) {
+	looks(t, Pending,
+		peer{"nothing", func(*net.TCPConn) {}, false},
+		peer{"bytes", func(c *net.TCPConn) { io.WriteString(c, "ab") }, true},
+		peer{"its end", func(c *net.TCPConn) { c.CloseWrite() }, true},
+		peer{"a break", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true})
+}
+
 // The other side's end is seen, also behind bytes, and bytes alone are none; nothing is taken.
 func TestEnded(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	for _, c := range []struct {
-		name string
-		do   func(*net.TCPConn)
-		want bool
-	}{
-		{"nothing", func(*net.TCPConn) {}, false},
-		{"bytes", func(c *net.TCPConn) { io.WriteString(c, "ab") }, false},
-		{"the end of its sending", func(c *net.TCPConn) { c.CloseWrite() }, true},
-		{"its end", func(c *net.TCPConn) { c.Close() }, true},
-		{"a break", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
-		{"bytes, and its end", func(c *net.TCPConn) { io.WriteString(c, "ab"); c.Close() }, true},
-	} {
-		near, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		far, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.do(far.(*net.TCPConn))
-		for range 2 { // the first took nothing of it
-			if ended, known := Ended(near); ended != c.want || !known {
-				t.Errorf("%s: %v, known %v", c.name, ended, known)
-			}
-		}
-		if b := make([]byte, 2); strings.HasPrefix(c.name, "bytes") {
-			if _, err := io.ReadFull(near, b); err != nil || string(b) != "ab" {
-				t.Errorf("read %q, %v", b, err)
-			}
-		}
-		near.Close()
-		far.Close()
-	}
-	a, _ := net.Pipe()
-	if ended, known := Ended(a); ended || known {
-		t.Error("a pipe's end says something")
-	}
+	looks(t, Ended,
+		peer{"nothing", func(*net.TCPConn) {}, false},
+		peer{"bytes", func(c *net.TCPConn) { io.WriteString(c, "ab") }, false},
+		peer{"the end of its sending", func(c *net.TCPConn) { c.CloseWrite() }, true},
+		peer{"its end", func(c *net.TCPConn) { c.Close() }, true},
+		peer{"a break", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
+		peer{"bytes, and its end", func(c *net.TCPConn) { io.WriteString(c, "ab"); c.Close() }, true})
 }
