Tests' bubbles have one processor under the race detector: two timers at once crash Go 1.26

Cause, in Go's runtime (1.26.8): a synctest bubble has one race context for all its timers (runtime/time.go, unlockAndRun: gp.racectx = bubble.timers.raceCtx). Besides the clock, each goroutine of the bubble that waits for a channel timer which is due (maybeRunChan), or sets a timer to now (modify), runs it on its own thread with that same context. Two at once corrupt it. Change: internal/bubble.Test is synctest.Test, with one processor while the race detector watches; without it nothing changes. No assertion, world or bound differs. The lab's constant for the race detector comes from there (its two files are one).

--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -13,11 +13,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"birchstair/internal/bubble"
 	"birchstair/internal/clients"
 	"birchstair/internal/config"
 	"birchstair/internal/durable"
@@ -299,7 +299,7 @@
 // play plays a world and gives what is wrong with it.
 func play(t *testing.T, seed uint64, p plan) (wrong []string, finals map[string]int) {
 	finals = map[string]int{}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newWorld(t, seed, p)
 		w.disk.Lies = p.lyingDisk
 		w.disk.Slow(p.slow)
@@ -441,7 +441,7 @@
 // The ordinary front does not wait for the disk: while each sync takes ten seconds ordinary batch jobs are answered as ever, and durable ones are not
 // acknowledged.
 func TestSlowDisk(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, plan{})
 		kill, _ := w.node()
 		time.Sleep(time.Second)
@@ -479,7 +479,7 @@
 
 // A message that is no durable batch job, and an id that is taken.
 func TestFront(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, plan{})
 		kill, _ := w.node()
 		time.Sleep(time.Second)
--- a/internal/lab/news_test.go
+++ b/internal/lab/news_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"birchstair/internal/bubble"
 	"birchstair/internal/node"
 	"birchstair/internal/rules"
 	"birchstair/internal/standin"
@@ -29,7 +29,7 @@
 		if r := New(s, seed, Options{}).Play(); len(r.Broken) > 0 {
 			t.Errorf("seed %d breaks a rule with nothing planted: %v", seed, r.Broken[0])
 		}
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			if r := New(s, seed, Options{}).PlayWired(); len(r.Broken) > 0 {
 				t.Errorf("seed %d, wired, breaks a rule with nothing planted: %v", seed, r.Broken[0])
 			}
--- a/internal/lab/norace_test.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package lab
-
-const underRace = false
--- a/internal/members/transport_test.go
+++ b/internal/members/transport_test.go
@@ -5,12 +5,14 @@
 	"net/netip"
 	"testing"
 	"testing/synctest"
+
+	"birchstair/internal/bubble"
 )
 
 // Callers open many connections at a neighbours' address and say nothing: so many are taken as are set aside, and the next once one
 // of them is closed.
 func TestStreamsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		come := make(chan net.Conn, 2*mostStreams)
 		tr := &transport{come: come, streams: make(chan net.Conn), ending: make(chan struct{}), ended: make(chan struct{})}
 		go tr.take()
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -16,6 +16,7 @@
 	"testing/synctest"
 	"time"
 
+	"birchstair/internal/bubble"
 	"birchstair/internal/kept"
 )
 
@@ -174,7 +175,7 @@
 			here.Close()
 		}},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			b := &bench{start: time.Now(), path: Path{Delay: 10 * time.Millisecond}}
 			b.net = New(1, func(_, _ string) Path { return b.path })
 			l, err := b.net.Listen("there", "there:1")
@@ -220,7 +221,7 @@
 		{"a break", func(_ *bench, _, there *Conn) { there.Reset() }, true},
 		{"its end, held up", func(b *bench, _, there *Conn) { b.path.Hold = time.Hour; there.Close() }, false},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			b := &bench{path: Path{Delay: 10 * time.Millisecond}}
 			b.net = New(1, func(_, _ string) Path { return b.path })
 			l, err := b.net.Listen("there", "there:1")
@@ -253,7 +254,7 @@
 // Dials that lead nowhere, and how long that takes to show.
 func TestDials(t *testing.T) {
 	var out strings.Builder
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		path := Path{Delay: 10 * time.Millisecond}
 		n := New(1, func(_, _ string) Path { return path })
 		dial := func(what string, limit time.Duration) {
--- a/internal/operators/door_test.go
+++ b/internal/operators/door_test.go
@@ -6,9 +6,9 @@
 	"io"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"birchstair/internal/bubble"
 	"birchstair/internal/kept"
 	"birchstair/internal/memnet"
 	"birchstair/internal/node"
@@ -18,7 +18,7 @@
 // Two callers have a place at a time.
 func TestDoor(t *testing.T) {
 	var out strings.Builder
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		net := memnet.New(1, func(string, string) memnet.Path { return memnet.Path{Delay: time.Millisecond} })
 		on, err := net.Listen("n0", "door")
 		if err != nil {
--- a/internal/service/ready_test.go
+++ b/internal/service/ready_test.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"birchstair/internal/bubble"
 	"birchstair/internal/clients"
 	"birchstair/internal/config"
 	"birchstair/internal/memnet"
@@ -28,7 +28,7 @@
 func TestReadyWithSlowDiscovery(t *testing.T) {
 	for _, ask := range []bool{false, true} {
 		for _, down := range []string{"is up", "refuses", "is silent"} {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				after := readyAfter(t, ask, down)
 				if t.Logf("asked %v, discovery %s: ready after %v", ask, down, after); after > 10*time.Second {
 					t.Errorf("asked %v, discovery %s: ready after %v", ask, down, after)
