TestReloadAtTheStart waits for its log: it was written while the directory was removed

Symptom: on a busy machine one of 12 failed with 'TempDir RemoveAll cleanup: directory not empty'. Cause: the goroutine that writes the process's log into the test's directory (reload_test.go) was awaited by nobody. Now the test ends once it has written.

--- a/cmd/birchstair/reload_test.go
+++ b/cmd/birchstair/reload_test.go
@@ -54,7 +54,9 @@
 			pr.cmd.Env = append(pr.cmd.Env, "GODEBUG=inittrace=1")
 			rest := untilCaught(t, func(stderr *os.File) { p.startPrepared(pr, stderr) })
 			pr.cmd.Process.Signal(syscall.SIGHUP)
+			logged := make(chan struct{})
 			go func() {
+				defer close(logged)
 				text, _ := io.ReadAll(rest)
 				os.WriteFile(pr.log, text, 0o600)
 			}()
@@ -72,6 +74,7 @@
 			if err := p.end(pr, syscall.SIGTERM); err != nil {
 				t.Errorf("the process ended with %v", err)
 			}
+			<-logged // or it is written while the directory is removed
 		})
 	}
 }
