Slices of four a side at least; blind moves wait for a running time

Cause 1, policy.go look: an attempt that has not started is stopped after an eighth of the shortest latency target once another token is open. Where nothing tells of loads the other executor is no better for all that is known, and an executor that does not drop what was stopped does the work twice. No setting says whether it drops. Cause 2, reslice: two executors a side are too few for nodes with uneven traffic. Change: where neither live weights nor load reports are seen, such a move waits for a mean running time. Four executors a side and bound kind at least (where nodes talk six, as before). Kept traces: those on moves get live weights or a report and are the same otherwise; cold-carriers and slice name larger slices and a later move.

--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -71,6 +71,8 @@
 			s.Tracks[0].Repeat, s.Tracks[0].GroupWindow = policy.Tagged, 2*time.Second
 		case "probes":
 			s.MayProbe = true
+		case "live":
+			s.LiveWeights = true
 		case "broken":
 			return nil, l
 		}
--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -73,7 +73,7 @@
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
 		if d.mayTell {
-			size = max(size, 3*leastSlice)
+			size = max(size, leastSlice*3/2)
 		}
 	}
 	for _, e := range d.cold {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,7 @@
 	lateSharers  = 2    // nodes that send an executor their late batch jobs
 	manyNodes    = 6    // from so many on a node uses a part of the executors
 	sharers      = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
-	leastSlice   = 2    // executors of each zone side and bound kind in a slice at least; with keepers thrice
+	leastSlice   = 4    // executors of each zone side and bound kind in a slice at least; half more with keepers
 	fullZone     = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
 	fullPart     = 0.3  // part of allocations that do not start at once from which a zone counts as full
 	fullWait     = 2.0  // and elsewhere: what starts take there, in shortest quoted times
@@ -144,7 +144,7 @@
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
 		if d.mayTell {
-			size = max(size, 3*leastSlice)
+			size = max(size, leastSlice*3/2)
 		}
 	}
 	was := d.startSlice()
@@ -595,8 +595,7 @@
 	if j.lost { // its token is free already
 		return
 	}
-	i := slices.Index(e.out, j)
-	e.out = slices.Delete(e.out, i, i+1)
+	e.out = slices.DeleteFunc(e.out, func(o *shot) bool { return o == j })
 	d.touch(e)
 	est := times(j.work, d.pace(e, now))
 	switch how {
@@ -728,7 +727,9 @@
 	if to != nil && !j.running && !e.mute && e.held <= now {
 		// Where nodes talk, more moves than their budget wait for some of their slack: most start by themselves.
 		d.wishes(j)
-		from := j.sentAt + times(max(0, j.quotedAt-j.sentAt-times(j.work, pace)), d.line.Wait)
+		slack := j.quotedAt - j.sentAt - times(j.work, pace)
+		blind := flag(!d.liveWeights && d.kinds[to.kind].places == 0) // nothing tells that another has less to do
+		from := j.sentAt + max(times(slack, d.line.Wait), times(d.longestMean(), pace*blind))
 		if now < from {
 			d.lookAt(from, j)
 			return false
