A node wrongly taken for dead comes back by connections once it sends a message

Symptom: a node that runs and whose links are whole did not learn of a drain for over 11 s, where all others knew within 0.7 s.

The node refuted (its log has the line), the refutation was lost, and then nothing was left: its neighbours neither probe nor tell a dead node and drop its messages as "of a node that is not in the fleet"; it holds all others for alive, so join (members.go) tries nobody; it is no seed, so nobody tries it. What was left is memberlist's exchange by chance, one in 10 s a node. Ruled out: loss alone (0.8 of the datagrams lost: 2.2 s at the most), a teller, a hearer or all nodes stopped for 1 to 5 s with the refutation heard (1.1 s at the most), links cut.

Change: a message from a node that counts as dead here makes this node exchange state with it over TCP, at once and once a second at the most.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -37,9 +37,14 @@
 	log  zerolog.Logger
 	out  chan any // fleet.To and node.TellPlace
 
-	mu    sync.Mutex
-	nodes map[string]*memberlist.Node // those alive, by their names and by what they say of their numbers
-	told  chan struct{}               // that alive has changed
+	exchanges time.Duration // between two exchanges of all that is known with a neighbour by chance; 0 for none
+
+	mu      sync.Mutex
+	nodes   map[string]*memberlist.Node // those alive, by their names and by what they say of their numbers
+	down    map[string]string           // addresses of those that were alive and are not, by their names
+	resumed map[string]bool             // those of them that have sent a message since
+	told    chan struct{}               // that alive has changed
+	resumes chan struct{}               // that resumed has grown
 }
 
 const (
@@ -48,11 +53,13 @@
 	probeSpell = 500 * time.Millisecond // a neighbour is asked for a sign of life so often
 	probeLimit = 200 * time.Millisecond
 	goodBye    = 200 * time.Millisecond // the longest that a planned end waits for its word to go round
+	mostDown   = 1024                   // nodes that are not alive, in mind
 )
 
 // New makes a node's place; tell takes its events.
 func New(o Options, tell func(node.Event), log zerolog.Logger) *Members {
-	return &Members{o: o, tell: tell, log: log, out: make(chan any, waiting), nodes: map[string]*memberlist.Node{}, told: make(chan struct{}, 1)}
+	return &Members{o: o, tell: tell, log: log, out: make(chan any, waiting), exchanges: 10 * time.Second, nodes: map[string]*memberlist.Node{},
+		down: map[string]string{}, resumed: map[string]bool{}, told: make(chan struct{}, 1), resumes: make(chan struct{}, 1)}
 }
 
 // Tell says a word to a neighbour, or drops it where too many wait.
@@ -87,6 +94,7 @@
 	m.log.Info().Str("listen", m.o.Listen.String()).Msg("in the fleet; what nodes say to each other is neither encrypted nor signed")
 	var wait sync.WaitGroup
 	wait.Go(func() { m.join(ctx, list) })
+	wait.Go(func() { m.rejoin(ctx, list) })
 	wait.Go(func() { m.changes(ctx) })
 	m.say(ctx, list)
 	list.Leave(goodBye)
@@ -117,7 +125,7 @@
 	c.BindAddr, c.BindPort = m.o.Listen.Addr().String(), int(m.o.Listen.Port())
 	c.AdvertiseAddr, c.AdvertisePort = m.o.Advertise.Addr().String(), int(m.o.Advertise.Port())
 	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult, c.SuspicionMaxTimeoutMult = probeSpell, probeLimit, 3, 2
-	c.TCPTimeout, c.PushPullInterval, c.DeadNodeReclaimTime = 2*time.Second, 10*time.Second, time.Millisecond
+	c.TCPTimeout, c.PushPullInterval, c.DeadNodeReclaimTime = 2*time.Second, m.exchanges, time.Millisecond
 	c.EnableCompression = false
 	c.Delegate, c.Events, c.Conflict = m, m, m
 	list, err := memberlist.Create(c)
@@ -145,6 +153,48 @@
 	}
 }
 
+// rejoin exchanges state, over TCP, with nodes that count as dead here and have sent a message since. Guards against a node that was taken for dead wrongly
+// and does not know: it holds all others for alive and joins nobody, and those send it nothing; memberlist tells it, and takes its refutation, in a few
+// datagrams, and once these are lost nothing brings it back but an exchange by chance, of which there is one in 10 s.
+func (m *Members) rejoin(ctx context.Context, list *memberlist.Memberlist) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.resumes:
+		}
+		m.mu.Lock()
+		var addrs []string
+		for name := range m.resumed {
+			addrs = append(addrs, m.down[name])
+		}
+		clear(m.resumed)
+		m.mu.Unlock()
+		for _, addr := range addrs {
+			if ctx.Err() == nil {
+				list.Join([]string{addr})
+			}
+		}
+		if !rest(ctx, againSpell) {
+			return
+		}
+	}
+}
+
+// heardOf notes that a message of that name has come.
+func (m *Members) heardOf(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, down := m.down[name]; !down {
+		return
+	}
+	m.resumed[name] = true
+	select {
+	case m.resumes <- struct{}{}:
+	default:
+	}
+}
+
 // say sends what is to be told.
 func (m *Members) say(ctx context.Context, list *memberlist.Memberlist) {
 	for {
@@ -213,6 +263,12 @@
 			delete(m.nodes, key)
 		}
 	}
+	if alive {
+		delete(m.down, n.Name)
+		delete(m.resumed, n.Name)
+	} else if n.Name != string(m.o.Name) && len(m.down) < mostDown {
+		m.down[n.Name] = n.Address()
+	}
 	select {
 	case m.told <- struct{}{}:
 	default:
@@ -250,6 +306,7 @@
 		m.tell(node.Garbled{Why: err.Error()})
 		return
 	}
+	m.heardOf(string(w.From))
 	m.tell(node.Hears{Word: w})
 }
 
