The scale run's drain figure waited for held-back executors; it reads the change itself now

Symptom: "two drains told by neighbours took 8.5 and 15 s" (docs/CAPACITY.md, A and C), and at 1,600 executors of nodes that do not talk at all 8 and 5 s, each after a load that went out late.

Cause: figures.go took the drain for in force once the door showed executors_excluded=1. That counts all executors that get nothing new, those held back after errors as well, and a hold-back lasts as long as the longest batch job or the shortest quoted time: 10 s in this run, more the second time. Shown with one real node of three that stood still for 600 of each 620 ms of its load: 53 executors held back, its own list and both hollow nodes had the drain after 0.61 s, the figure said 9.38 s. Ruled out: the words between nodes (both hollow nodes knew in each trial when the real one did or within 0.5 s, but where they stood still themselves), executors or the node stopped for up to 3 s without errors (0.01 s by the old figure). The rows of A and C don't hold the count, so that theirs were this is inferred.

Change: an executor more comes on the list together with the drain, and is what the doors are asked for. The test takes an executor out by hand first; with the old condition it fails ("not in force", after 20 s).

--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -222,19 +222,8 @@
 	}, func() bool { return w.all(func(p *proc) bool { return p.shows("reloads_ok", 1) }) }); err != nil {
 		return err
 	}
-	// An executor that drains: real nodes hear it from discovery, hollow ones from nodes only.
-	drains := w.entries[len(w.entries)-1]
-	drains.State = policy.Draining
-	if err := w.inForce("drain", 1, func() error { w.list.Change(drains); return nil }, func() bool {
-		if !w.all(func(p *proc) bool { return p.shows("executors_excluded", 1) }) {
-			return false
-		}
-		if w.members == nil {
-			return true
-		}
-		c, err := w.members.counts(drains.Executor)
-		return err == nil && c.Fleet.Drains == w.pt.Hollow
-	}); err != nil {
+	known++
+	if err := w.drain(known); err != nil {
 		return err
 	}
 	// Fifty changes in a second, of other executors' weights, and one that can be seen from outside behind them.
@@ -270,6 +259,24 @@
 	return w.inForce("zone_back", len(back), func() error { w.list.Change(back...); return nil }, knows(known-1))
 }
 
+// drain lets an executor drain: real nodes hear it from discovery, hollow ones from nodes only. With it comes an executor more, by which the real nodes'
+// doors show that they have the change. Guards against the count of executors that get nothing new, which holds those as well that a node has had errors
+// of: after a load that stalled these are held back for 10 s and more, and the drain looked as late.
+func (w *world) drain(known int) error {
+	drains, more := w.entries[len(w.entries)-1], w.entries[0]
+	drains.State, more.Executor = policy.Draining, "with the drain"
+	return w.inForce("drain", 2, func() error { w.list.Change(drains, more); return nil }, func() bool {
+		if !w.all(func(p *proc) bool { return p.shows("executors_known", known) }) {
+			return false
+		}
+		if w.members == nil {
+			return true
+		}
+		c, err := w.members.counts(drains.Executor)
+		return err == nil && c.Fleet.Drains == w.pt.Hollow
+	})
+}
+
 // doorCalls is how often figures are asked for, to learn what that costs.
 const doorCalls = 20
 
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -13,6 +13,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"birchstair/internal/node"
+	"birchstair/internal/operators"
 	"birchstair/internal/standin"
 	"birchstair/policy"
 )
@@ -194,6 +196,35 @@
 	}
 }
 
+// An executor that a node sends nothing to for a reason of its own does not make a drain look late: here one is taken out by hand.
+func TestDrainAmongExcluded(t *testing.T) {
+	o := options(t)
+	w := &world{o: o, pt: Point{Series: "drain", Executors: 4, Of: 9, Real: 1, Hollow: 2, Talk: true, Sockets: 512, Memory: 192}, epoch: time.Now(), row: Row{Figures: map[string]float64{}}}
+	defer func() {
+		for _, c := range slices.Backward(w.closers) {
+			c()
+		}
+		if len(w.row.Wrong) > 0 {
+			t.Error(w.row.Wrong)
+		}
+	}()
+	if err := w.setUp(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := operators.Call(w.nodes[0].door, node.TakeOut, executorID(0), 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.drain(5); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := w.row.Figures["drain_s"]; !ok {
+		t.Error("the drain was not seen to be in force")
+	}
+	if vars, err := w.nodes[0].vars(); err != nil || vars["executors_excluded"] != 2 {
+		t.Errorf("%d executors get nothing new, want the one that drains and the one taken out; %v", vars["executors_excluded"], err)
+	}
+}
+
 // A line is found with its spread; what has no slope is called flat.
 func TestFits(t *testing.T) {
 	var rows []Row
