Slices of three a side, and hold-backs for errors in a row that double

Kept traces: hold-back-errors' third batch job waits longer; cold-carriers names the smaller slice. New: hold-back-doubles; without the doubling it and hold-back-errors differ.

--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -73,7 +73,7 @@
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
 		if d.mayTell {
-			size = max(size, leastSlice*3/2)
+			size = max(size, 2*leastSlice)
 		}
 	}
 	for _, e := range d.cold {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,7 @@
 	lateSharers  = 2    // nodes that send an executor their late batch jobs
 	manyNodes    = 6    // from so many on a node uses a part of the executors
 	sharers      = 3    // nodes whose slices an executor is in, while that leaves a node leastSlice of them
-	leastSlice   = 4    // executors of each zone side and bound kind in a slice at least; half more with keepers
+	leastSlice   = 3    // executors of each zone side and bound kind in a slice at least; with keepers twice
 	fullZone     = 1.3  // batch jobs held a core from which a zone counts as full, where the list tells
 	fullPart     = 0.3  // part of allocations that do not start at once from which a zone counts as full
 	fullWait     = 2.0  // and elsewhere: what starts take there, in shortest quoted times
@@ -55,7 +55,7 @@
 	hintMargin   = 1.25 // and for one without a hint, and for work sent to a cold executor
 	lateTimes    = 5.0  // times its foretold running time from which one without a start notice had to wait
 	fewLate      = 0.1  // part of starts that may be late where a keeper lends one place more
-	mostSilences = 8    // times the usual span at most until a silent executor is probed again
+	mostSilences = 8    // times the usual span at most until one that is silent, or errs, is tried again
 	restAfter    = 4    // intervals that a keeper leaves a lowered quota
 	fullRest     = 2.0  // running times that a full executor's token rests, for each turned away in a row
 	remembered   = 0.1  // of what is foretold: a tagged batch job done in less was done before
@@ -144,7 +144,7 @@
 	if d.many() {
 		size = max(leastSlice, (sharers*size+d.nodes-1)/d.nodes)
 		if d.mayTell {
-			size = max(size, leastSlice*3/2)
+			size = max(size, 2*leastSlice)
 		}
 	}
 	was := d.startSlice()
@@ -604,9 +604,8 @@
 	case NoRoom, Errored, Unfit, NoRoute, Cut:
 		if how == NoRoom {
 			// Full counts as queuing at the executor, unless only one tenant meets it.
-			e.fullWait += est
 			e.fullMany = e.fullMany || e.full && e.fullFrom != j.tenantID
-			e.full, e.fullFrom, j.startedLate = true, j.tenantID, true
+			e.full, e.fullFrom, e.fullWait, j.startedLate = true, j.tenantID, e.fullWait+est, true
 		}
 		if d.probes && (how == NoRoute || how == Cut) {
 			d.mute(e, max(1, e.silences)) // until it answers
@@ -615,6 +614,7 @@
 		// One may be the network's or the batch job's; a second, with no sign of life between, is the executor's.
 		if how == Errored || e.broke && (how != NoRoom || j.tenant == nil || e.fullMany) {
 			d.holdBack(e, now, "after an outcome that was no result")
+			e.errors += int(flag(how == Errored))
 		}
 		e.broke = true
 	case TooSlow, CalledOff:
@@ -673,7 +673,7 @@
 	if e.held > now {
 		return
 	}
-	span := d.longestMean() * time.Duration(1+e.silences)
+	span := d.longestMean() * time.Duration(max(1+e.silences, min(1<<min(e.errors, mostSilences), mostSilences)))
 	if e.inCap == 0 {
 		d.note("%s held back for %v %s", e.id, span.Round(time.Millisecond), why)
 	}
--- a/policy/seen.go
+++ b/policy/seen.go
@@ -411,6 +411,7 @@
 
 // booked books an answer, in its quoted time or not.
 func (d *Dispatcher) booked(s *shot, now time.Duration) {
+	s.on.errors = 0
 	d.tally.Done += s.work.Seconds()
 	if now <= s.quotedAt {
 		s.track.given += d.earnings(s.job)
--- a/policy/state.go
+++ b/policy/state.go
@@ -158,6 +158,7 @@
 	held     time.Duration   // tokens are held back until then
 	news     time.Duration   // last sign of life
 	silences int             // hold-backs for silence since then
+	errors   int             // errors since it handled something
 	turned   int             // allocations turned away since then
 	broke    bool            // an outcome since then was no result
 
