--- a/cmd/birchlab/main.go
+++ b/cmd/birchlab/main.go
@@ -13,14 +13,15 @@
 )
 
 var commands struct {
-	List   listCmd   `cmd:"" help:"List the kept scenarios."`
-	Run    runCmd    `cmd:"" help:"Play a scenario. The exit status is 1 if a rule broke."`
-	Hunt   huntCmd   `cmd:"" help:"Play worlds and faults drawn from seeds, and keep what breaks a rule or does worst."`
-	Shrink shrinkCmd `cmd:"" help:"Find the fewest faults and the shortest stretch that still break the same rule."`
-	Kill   killCmd   `cmd:"" help:"Kill real nodes with durable batch jobs, on loopback, and count what became of each."`
-	Fleet  fleetCmd  `cmd:"" help:"Play fleets of real processes with faults between them, on loopback."`
-	Scale  scaleCmd  `cmd:"" help:"Measure what a node costs as executors, nodes and tenants grow: real nodes among hollow ones, on loopback."`
-	Trace  traceCmd  `cmd:"" help:"Print a trace as people read it."`
+	List    listCmd    `cmd:"" help:"List the kept scenarios."`
+	Run     runCmd     `cmd:"" help:"Play a scenario. The exit status is 1 if a rule broke."`
+	Account accountCmd `cmd:"" help:"Play a scenario and say where the earnings went that were not earned. The exit status is 1 if a rule broke."`
+	Hunt    huntCmd    `cmd:"" help:"Play worlds and faults drawn from seeds, and keep what breaks a rule or does worst."`
+	Shrink  shrinkCmd  `cmd:"" help:"Find the fewest faults and the shortest stretch that still break the same rule."`
+	Kill    killCmd    `cmd:"" help:"Kill real nodes with durable batch jobs, on loopback, and count what became of each."`
+	Fleet   fleetCmd   `cmd:"" help:"Play fleets of real processes with faults between them, on loopback."`
+	Scale   scaleCmd   `cmd:"" help:"Measure what a node costs as executors, nodes and tenants grow: real nodes among hollow ones, on loopback."`
+	Trace   traceCmd   `cmd:"" help:"Print a trace as people read it."`
 }
 
 // errBroken: a rule broke; what it was has been printed.
--- /dev/null
+++ b/internal/lab/account.go
@@ -0,0 +1,593 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"birchstair/internal/rules"
+	"birchstair/internal/standin"
+	"birchstair/policy"
+)
+
+// Cause is what a batch job that earned less than all lost it to.
+type Cause int
+
+// The first two are of batch jobs that could not be done in time any more when their first attempt left, if any did. For all others it is the
+// longest part of their time beside their own work on a standard core.
+const (
+	NeverSent    Cause = iota // no attempt ever left a node
+	SentTooLate               // the first one left when a standard core would not have done it in its quoted time
+	HeldAtNode                // at the node, with nothing out
+	TurnedAway                // with attempts that executors turned away
+	Failed                    // with attempts that broke, failed or found no connection
+	Connecting                // while a connection to the executor was made
+	OnTheWay                  // between client, node and executor
+	InQueue                   // at an executor, before it began
+	RunningSlow               // running on a slow executor, beyond its work
+	RunningFast               // running on another one, beyond its work
+	BetweenTries              // at the client, between two tries
+	NodeLost                  // at a node that was not there or was lost
+	ClientLeft                // its client left before its time
+	causes
+)
+
+var causeNames = [causes]string{"never sent", "sent too late", "held at node", "turned away", "failed", "connecting", "on the way", "in queue", "running, slow",
+	"running, fast", "between tries", "node lost", "client left"}
+
+func (c Cause) String() string { return causeNames[c] }
+
+// slowUnder is the speed, against a standard core, under which an executor counts as slow.
+const slowUnder = 0.9
+
+// Account says where the earnings of a world went that were not earned. In each row what was offered is what was earned and what was lost, by cause.
+type Account struct {
+	Scenario  string `json:"scenario"`
+	Seed      uint64 `json:"seed"`
+	Policy    Policy `json:"policy"`
+	Nodes     int    `json:"nodes"`
+	Executors int    `json:"executors"`
+	Length    Span   `json:"length"`
+	Broken    int    `json:"rules_broken"`
+
+	Worst      float64 `json:"worst"`       // part earned in the worst 10 s
+	WorstTrack float64 `json:"worst_track"` // and in the worst track
+
+	All     AccountRow   `json:"all"`
+	Tracks  []AccountRow `json:"tracks"`
+	Traffic []AccountRow `json:"traffic"` // nodes, a quarter of them a row, those that least came to first
+	Slices  []AccountRow `json:"slices"`  // nodes, a quarter a row, those first whose executors had least work, by how often each was used
+	Busy    []float64    `json:"busy"`    // work that reached executors against what they could do: least, quarters, most
+
+	Attempts  int     `json:"attempts"`
+	Crossings int     `json:"crossings"`
+	Waited    float64 `json:"waited"`            // part of the attempts that had to wait at their executor
+	FreeUsed  float64 `json:"free_used"`         // of those, the part that left while a core stood free at another executor that their node had used so far
+	FreeZone  float64 `json:"free_in_zone"`      // at one in the node's zone
+	FreeAny   float64 `json:"free"`              // and anywhere
+	HeldZone  float64 `json:"held_free_in_zone"` // of what was lost at nodes, sent too late or never, the part for which a core stood free in the node's zone when the batch job came
+	HeldAny   float64 `json:"held_free"`         // and anywhere
+}
+
+// AccountRow is the account of a part of the batch jobs.
+type AccountRow struct {
+	Name    string             `json:"name"`
+	Works   int                `json:"works"`
+	Less    int                `json:"less"`  // of them, those that earned less than all
+	Never   int                `json:"never"` // and nothing
+	Offered float64            `json:"offered"`
+	Earned  float64            `json:"earned"`
+	Sent    float64            `json:"sent"`           // work that was sent to executors, against what was offered: over 1 is work done more than once
+	Lost    map[string]float64 `json:"lost"`           // by cause
+	TimeMS  map[string]float64 `json:"time_ms"`        // where the time went, on average over those that earned less; all of the running, not the part beyond the work
+	Slice   float64            `json:"slice,omitzero"` // executors that a node used, on average: as many as would be used alike
+	Load    float64            `json:"load,omitzero"`  // work that reached those, against what they could do
+
+	lost, time [causes]float64
+	work, sent float64 // in seconds on a standard core
+	slice      float64
+	load       float64
+}
+
+// ledger keeps what an account needs.
+type ledger struct {
+	w       *World
+	open    map[rules.WorkID]*history
+	tracks  []AccountRow
+	nodes   []nodeRow
+	nowhere AccountRow            // of batch jobs that no node took
+	coming  map[*executor]int     // by executor, attempts on their way
+	works   map[*executor]float64 // and the work that reached it
+
+	attempts, waited, freeUsed, freeZone, freeAny int
+
+	heldZone, heldAny float64
+}
+
+// nodeRow is a node's part.
+type nodeRow struct {
+	AccountRow
+	used map[*executor]int // attempts by executor
+}
+
+// history is where a batch job has been.
+type history struct {
+	work     *standin.Work
+	first    *sim
+	visits   []*visit
+	cameFree freeCores
+	attempts []*attempt
+}
+
+// waits is from when on a start counts as having waited: new connections cost an executor as much.
+const waits = 5 * time.Millisecond
+
+// unseen is when what did not happen did.
+const unseen = time.Duration(-1)
+
+// visit is a try at a node.
+type visit struct {
+	from, arrived, answered, done time.Duration
+	how                           standin.End
+}
+
+// attempt is one sending to an executor.
+type attempt struct {
+	x                                 *executor
+	sent, reached, began, ended, over time.Duration
+	how                               policy.Outcome
+	slow                              bool
+	dialled, up                       time.Duration // its connection, where it is the first one on it
+	calledOff                         bool          // by its node, which has closed its connection
+
+	free freeCores
+}
+
+// freeCores says where a core stood free at a moment: at an executor that the node had used, in its zone, anywhere.
+type freeCores struct{ used, zone, any bool }
+
+func (b *ledger) build() {
+	b.coming, b.works = map[*executor]int{}, map[*executor]float64{}
+	for _, t := range b.w.s.Tracks {
+		b.tracks = append(b.tracks, AccountRow{Name: t.Name})
+	}
+	for _, n := range b.w.nodes {
+		b.nodes = append(b.nodes, nodeRow{AccountRow: AccountRow{Name: n.name}, used: map[*executor]int{}})
+	}
+}
+
+// handed: a client hands a batch job in at a node; nil where there is none.
+func (b *ledger) handed(work *standin.Work, n *sim) {
+	if b == nil {
+		return
+	}
+	h := b.open[work.ID]
+	if h == nil {
+		h = &history{work: work}
+		b.open[work.ID] = h
+	}
+	if h.first == nil && n != nil {
+		h.first, h.cameFree = n, b.free(n, nil)
+	}
+	h.visits = append(h.visits, &visit{from: b.w.now, arrived: unseen, answered: unseen, done: unseen})
+}
+
+// visit is the present try of a batch job, where it is open still.
+func (b *ledger) visit(t *try) *visit {
+	if b == nil || b.open[t.work.ID] == nil || t.job != t.work.Job() {
+		return &visit{}
+	}
+	h := b.open[t.work.ID]
+	return h.visits[len(h.visits)-1]
+}
+
+// sent: an attempt's first byte leaves. It gives what the rest is written into.
+func (b *ledger) sent(t *try, x *executor) *attempt {
+	a := &attempt{x: x, sent: t.n.w.now, reached: unseen, began: unseen, ended: unseen, over: unseen, dialled: unseen, up: unseen}
+	if b == nil {
+		return a
+	}
+	a.free = b.free(t.n, x)
+	b.nodes[t.n.id].used[x]++
+	b.coming[x]++
+	b.attempts++
+	if h := b.open[t.work.ID]; h != nil {
+		h.attempts = append(h.attempts, a)
+	}
+	return a
+}
+
+// free says where a core stands free for a node now, but for one executor.
+func (b *ledger) free(n *sim, but *executor) (f freeCores) {
+	for _, x := range b.w.executors {
+		if x == but || x.Held()+b.coming[x] >= x.Cores || !x.Up || x.gone || x.Drains {
+			continue
+		}
+		f.any = true
+		f.zone = f.zone || x.Zone == n.zone
+		f.used = f.used || b.nodes[n.id].used[x] > 0
+	}
+	return f
+}
+
+// reached: it has come to its executor, with so much work.
+func (b *ledger) reached(a *attempt, work float64) {
+	a.reached = a.x.w.now
+	if b != nil {
+		b.coming[a.x]--
+		b.works[a.x] += work
+	}
+}
+
+// began: its executor has begun on it.
+func (b *ledger) began(a *attempt) {
+	if a.began != unseen {
+		return
+	}
+	a.began = a.x.w.now
+	a.slow = a.x.Speed/max(1, a.x.Trouble().Slow) < slowUnder
+	if b != nil && a.began-a.reached > waits {
+		b.waited++
+		b.freeUsed += count(a.free.used)
+		b.freeZone += count(a.free.zone)
+		b.freeAny += count(a.free.any)
+	}
+}
+
+// said: its executor says something of it.
+func (b *ledger) said(a *attempt, word standin.Word) {
+	switch word {
+	case standin.Began:
+		b.began(a)
+	case standin.Done, standin.Errored, standin.NoRoom:
+		a.ended = a.x.w.now
+	}
+}
+
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// ended: its node is told that it is over.
+func (b *ledger) ended(a *attempt, how policy.Outcome) {
+	a.over, a.how = a.x.w.now, how
+	if a.calledOff {
+		a.how = policy.CalledOff
+	}
+	if b != nil && a.reached == unseen {
+		// It may still come there, as a break does not stop what is under way; then it is counted off once only.
+		b.coming[a.x]--
+		a.reached = a.over
+	}
+}
+
+// closed: a batch job is over for its client, and earned so much.
+func (b *ledger) closed(work *standin.Work, earned float64) {
+	if b == nil {
+		return
+	}
+	h := b.open[work.ID]
+	delete(b.open, work.ID)
+	cause, times := h.cause(b.w)
+	if cause <= HeldAtNode && h.cameFree.zone {
+		b.heldZone += work.Earns - earned
+	}
+	if cause <= HeldAtNode && h.cameFree.any {
+		b.heldAny += work.Earns - earned
+	}
+	rows := []*AccountRow{&b.tracks[work.Track], &b.nowhere}
+	if h.first != nil {
+		rows[1] = &b.nodes[h.first.id].AccountRow
+	}
+	for _, r := range rows {
+		r.book(work, earned, cause, times)
+		r.sent += work.Cost * float64(len(h.attempts))
+	}
+}
+
+func (r *AccountRow) book(work *standin.Work, earned float64, cause Cause, times [causes]time.Duration) {
+	r.Works++
+	r.work += work.Cost
+	r.Offered += work.Earns
+	r.Earned += earned
+	if earned >= work.Earns {
+		return
+	}
+	r.Less++
+	if earned == 0 {
+		r.Never++
+	}
+	r.lost[cause] += work.Earns - earned
+	for c, t := range times {
+		r.time[c] += t.Seconds()
+	}
+}
+
+func (r *AccountRow) add(o AccountRow) {
+	r.Works += o.Works
+	r.Less += o.Less
+	r.Never += o.Never
+	r.Offered += o.Offered
+	r.Earned += o.Earned
+	for c := range causes {
+		r.lost[c] += o.lost[c]
+		r.time[c] += o.time[c]
+	}
+	r.work += o.work
+	r.sent += o.sent
+	r.slice += o.slice
+	r.load += o.load
+}
+
+// cause says what a batch job lost to, had it lost anything, and where its time went.
+func (h *history) cause(w *World) (Cause, [causes]time.Duration) {
+	work, times := h.work, h.times(w.now)
+	first := unseen
+	for _, a := range h.attempts {
+		if first == unseen || a.sent < first {
+			first = a.sent
+		}
+	}
+	own := time.Duration(work.Cost * 1e9)
+	lost := slices.ContainsFunc(h.visits, func(v *visit) bool { return v.how == standin.EndLost || v.how == standin.EndUnreached })
+	switch {
+	case work.Leaves <= w.now:
+		return ClientLeft, times
+	case first == unseen && lost:
+		return NodeLost, times
+	case first == unseen:
+		return NeverSent, times
+	case first > work.Quoted-own:
+		return SentTooLate, times
+	}
+	beyond := times
+	if ran := times[RunningSlow] + times[RunningFast]; ran > 0 {
+		part := max(0, 1-float64(own)/float64(ran))
+		beyond[RunningSlow], beyond[RunningFast] = scaled(times[RunningSlow], part), scaled(times[RunningFast], part)
+	}
+	longest := HeldAtNode
+	for c := HeldAtNode; c < causes; c++ {
+		if beyond[c] > beyond[longest] {
+			longest = c
+		}
+	}
+	return longest, times
+}
+
+func scaled(t time.Duration, part float64) time.Duration { return time.Duration(float64(t) * part) }
+
+// span is a stretch of a batch job's time.
+type span struct {
+	from, to time.Duration
+	cause    Cause
+	rank     int // of those at one time, the highest counts
+}
+
+// times says where a batch job's time went, up to an instant. Where several attempts are out, the one that is furthest counts.
+func (h *history) times(end time.Duration) (times [causes]time.Duration) {
+	var spans []span
+	put := func(from, to time.Duration, cause Cause, rank int) {
+		if to == unseen || to > end {
+			to = end
+		}
+		if from != unseen && from < to {
+			spans = append(spans, span{from, to, cause, rank})
+		}
+	}
+	put(h.work.Came, end, BetweenTries, 0)
+	for _, v := range h.visits {
+		if v.how == standin.EndLost || v.how == standin.EndUnreached {
+			put(v.from, v.done, NodeLost, 1)
+			continue
+		}
+		put(v.from, v.done, OnTheWay, 1)
+		put(v.arrived, cmp.Or(max(v.answered, 0), max(v.done, 0), end), HeldAtNode, 2)
+	}
+	for _, a := range h.attempts {
+		put(a.dialled, a.up, Connecting, 3)
+		until := a.over
+		if until == unseen {
+			until = end
+		}
+		switch a.how {
+		case policy.NoRoom:
+			put(a.sent, until, TurnedAway, 3)
+			continue
+		case policy.Errored, policy.Unfit, policy.NoRoute, policy.Cut:
+			put(a.sent, until, Failed, 3)
+			continue
+		}
+		put(a.sent, until, OnTheWay, 4)
+		if a.reached == unseen || a.reached >= until {
+			continue
+		}
+		began, ended := a.began, a.ended
+		if ended == unseen {
+			ended = until
+		}
+		if began == unseen {
+			began = ended
+		}
+		put(a.reached, min(began, until), InQueue, 5)
+		running := RunningFast
+		if a.slow {
+			running = RunningSlow
+		}
+		put(began, min(ended, until), running, 6)
+	}
+	var edges []time.Duration
+	for _, s := range spans {
+		edges = append(edges, s.from, s.to)
+	}
+	slices.Sort(edges)
+	edges = slices.Compact(edges)
+	for i := 1; i < len(edges); i++ {
+		best := span{rank: -1}
+		for _, s := range spans {
+			if s.from <= edges[i-1] && edges[i] <= s.to && s.rank > best.rank {
+				best = s
+			}
+		}
+		if best.rank >= 0 {
+			times[best.cause] += edges[i] - edges[i-1]
+		}
+	}
+	return times
+}
+
+// finish makes the account of all.
+func (b *ledger) finish() *Account {
+	w := b.w
+	for _, id := range slices.Sorted(maps.Keys(b.open)) {
+		b.closed(b.open[id].work, 0)
+	}
+	a := &Account{Scenario: w.s.Name, Seed: w.seed, Policy: w.policy, Nodes: len(w.nodes), Executors: len(w.executors), Length: w.s.Length,
+		Attempts: b.attempts, Crossings: w.result.Crossings, Waited: part(float64(b.waited), float64(b.attempts)),
+		FreeUsed: part(float64(b.freeUsed), float64(b.waited)), FreeZone: part(float64(b.freeZone), float64(b.waited)),
+		FreeAny: part(float64(b.freeAny), float64(b.waited)), Broken: len(w.result.Broken)}
+	a.All.Name = "all"
+	for _, t := range b.tracks {
+		a.All.add(t)
+		a.Tracks = append(a.Tracks, t)
+	}
+	var busy []float64
+	for _, x := range w.executors {
+		busy = append(busy, b.works[x]/(float64(min(x.Cores, x.Places))*x.Speed*time.Duration(w.s.Length).Seconds()))
+	}
+	for i := range b.nodes {
+		n := &b.nodes[i]
+		n.slice, n.load = use(n.used, w.executors, busy)
+	}
+	for _, n := range b.nodes {
+		a.All.Slice += n.slice / float64(len(b.nodes))
+		a.All.Load += n.load / float64(len(b.nodes))
+	}
+	a.Traffic = quarters(b.nodes, func(n nodeRow) float64 { return n.work }, "nodes by traffic")
+	a.Slices = quarters(b.nodes, func(n nodeRow) float64 { return n.load }, "nodes by slice")
+	if b.nowhere.Works > 0 {
+		b.nowhere.Name = "no node"
+		a.Traffic, a.Slices = append(a.Traffic, b.nowhere), append(a.Slices, b.nowhere)
+	}
+	slices.Sort(busy)
+	for q := range 5 {
+		a.Busy = append(a.Busy, busy[q*(len(busy)-1)/4])
+	}
+	a.All.finish()
+	held := a.All.lost[NeverSent] + a.All.lost[SentTooLate] + a.All.lost[HeldAtNode]
+	a.HeldZone, a.HeldAny = part(b.heldZone, held), part(b.heldAny, held)
+	a.Worst, a.WorstTrack = w.result.Worst, 1
+	for _, t := range a.Tracks {
+		a.WorstTrack = min(a.WorstTrack, part(t.Earned, t.Offered))
+	}
+	for _, rows := range [][]AccountRow{a.Tracks, a.Traffic, a.Slices} {
+		for i := range rows {
+			rows[i].finish()
+		}
+	}
+	return a
+}
+
+// use is how many executors a node used, as many as would be used alike, and how busy they were by how often each was used.
+func use(used map[*executor]int, all []*executor, busy []float64) (size, load float64) {
+	sum, squares := 0.0, 0.0
+	for i, x := range all {
+		n := used[x]
+		sum += float64(n)
+		squares += float64(n * n)
+		load += float64(n) * busy[i]
+	}
+	if sum == 0 {
+		return 0, 0
+	}
+	return sum * sum / squares, load / sum
+}
+
+// quarters puts the nodes into four rows by a figure, least first.
+func quarters(nodes []nodeRow, by func(nodeRow) float64, name string) (rows []AccountRow) {
+	nodes = slices.Clone(nodes)
+	slices.SortStableFunc(nodes, func(x, y nodeRow) int { return cmp.Compare(by(x), by(y)) })
+	parts := min(4, len(nodes))
+	for q := range parts {
+		group := nodes[q*len(nodes)/parts : (q+1)*len(nodes)/parts]
+		row := AccountRow{}
+		for _, n := range group {
+			row.add(n.AccountRow)
+		}
+		row.Name = fmt.Sprintf("%s, %d of %d", name, q+1, parts)
+		row.Slice, row.Load = row.slice/float64(len(group)), row.load/float64(len(group))
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func (r *AccountRow) finish() {
+	r.Sent = part(r.sent, r.work)
+	r.Lost, r.TimeMS = map[string]float64{}, map[string]float64{}
+	for c := range causes {
+		if r.lost[c] > 0 {
+			r.Lost[c.String()] = r.lost[c]
+		}
+		if r.time[c] > 0 {
+			r.TimeMS[c.String()] = r.time[c] * 1e3 / float64(r.Less)
+		}
+	}
+}
+
+// Print writes it for people: in parts of what each row was offered, then where the time of those that earned less went.
+func (a *Account) Print(to io.Writer) {
+	fmt.Fprintf(to, "%s, seed %d, %d nodes, %d executors, %v, decided by: %s\n", a.Scenario, a.Seed, a.Nodes, a.Executors, time.Duration(a.Length), a.Policy)
+	fmt.Fprintf(to, "Earned %.4f of what was offered; in the worst 10 s %.4f, of the worst track %.4f\n", part(a.All.Earned, a.All.Offered), a.Worst, a.WorstTrack)
+	rows := slices.Concat([]AccountRow{a.All}, a.Tracks, a.Traffic, a.Slices)
+	tab := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	table := func(head string, figures func(r AccountRow) string, of func(r AccountRow, c Cause) float64, format string) {
+		var shown []Cause
+		for c := range causes {
+			if slices.ContainsFunc(rows, func(r AccountRow) bool { return of(r, c) > 0 }) {
+				shown = append(shown, c)
+			}
+		}
+		fmt.Fprintf(tab, "%s\t", head)
+		for _, c := range shown {
+			fmt.Fprintf(tab, "%s\t", c)
+		}
+		fmt.Fprintln(tab)
+		for _, r := range rows {
+			fmt.Fprintf(tab, "%s\t%s\t", r.Name, figures(r))
+			for _, c := range shown {
+				fmt.Fprintf(tab, format+"\t", of(r, c))
+			}
+			fmt.Fprintln(tab)
+		}
+		tab.Flush()
+	}
+	fmt.Fprintln(to, "Lost, by cause, in parts of what was offered; sent: work sent to executors, against what was offered:")
+	table("\tbatch jobs\tless\tnothing\tsent\toffered\tearned\tlost", func(r AccountRow) string {
+		return fmt.Sprintf("%d\t%d\t%d\t%.3f\t%.0f\t%.4f\t%.4f", r.Works, r.Less, r.Never, r.Sent, r.Offered, part(r.Earned, r.Offered), 1-part(r.Earned, r.Offered))
+	}, func(r AccountRow, c Cause) float64 { return r.lost[c] / max(r.Offered, 1e-9) }, "%.4f")
+	fmt.Fprintln(to, "Where the time of those that earned less went, in ms; slice: executors that a node used, load: how busy those were:")
+	table("\tslice\tload", func(r AccountRow) string {
+		if r.Slice == 0 {
+			return "\t"
+		}
+		return fmt.Sprintf("%.1f\t%.3f", r.Slice, r.Load)
+	},
+		func(r AccountRow, c Cause) float64 { return r.time[c] * 1e3 / float64(max(r.Less, 1)) }, "%.0f")
+	fmt.Fprintf(to, "Executors' load, least, quarters, most: %s\n", strings.Trim(fmt.Sprintf("%.3f", a.Busy), "[]"))
+	fmt.Fprintf(to, "%d attempts, %d to another zone; %.3f of them waited at the executor; when those left, a core stood free at another executor\n"+
+		"that the node had used for %.3f, in its zone for %.3f, anywhere for %.3f\n", a.Attempts, a.Crossings, a.Waited, a.FreeUsed, a.FreeZone, a.FreeAny)
+	if a.All.lost[NeverSent]+a.All.lost[SentTooLate]+a.All.lost[HeldAtNode] > 0 {
+		fmt.Fprintf(to, "Of what was lost at nodes (never sent, sent too late, held) a core had stood free when the batch job came for %.3f in the node's zone, for %.3f anywhere\n",
+			a.HeldZone, a.HeldAny)
+	}
+	if a.Broken > 0 {
+		fmt.Fprintf(to, "%d rules broken\n", a.Broken)
+	}
+}
--- /dev/null
+++ b/internal/lab/account_test.go
@@ -0,0 +1,257 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"birchstair/internal/node"
+	"birchstair/internal/rules"
+	"birchstair/internal/standin"
+	"birchstair/lab/scenarios"
+	"birchstair/policy"
+)
+
+func accounted(s Scenario, seed uint64, p Policy) (Result, *Account) {
+	r := New(s, seed, Options{Policy: p, Account: true}).Play()
+	return r, r.Account
+}
+
+func keptScenario(t *testing.T, name string) Scenario {
+	t.Helper()
+	s, err := LoadFrom(scenarios.Files, name+".toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// closes fails where a row's sums don't.
+func closes(t *testing.T, r Result, a *Account) {
+	t.Helper()
+	near := func(what string, x, y float64) {
+		t.Helper()
+		if math.Abs(x-y) > 1e-9*(1+math.Abs(x)) {
+			t.Errorf("%s, seed %d, %s: %s: %v and %v", a.Scenario, a.Seed, a.Policy, what, x, y)
+		}
+	}
+	row := func(r AccountRow) {
+		t.Helper()
+		sum := r.Earned
+		for _, lost := range r.Lost {
+			if lost < 0 {
+				t.Errorf("%s: lost %v", r.Name, lost)
+			}
+			sum += lost
+		}
+		near(r.Name+": offered, and earned with what was lost", r.Offered, sum)
+	}
+	row(a.All)
+	for name, rows := range map[string][]AccountRow{"tracks": a.Tracks, "traffic": a.Traffic, "slices": a.Slices} {
+		sum := AccountRow{}
+		for _, r := range rows {
+			row(r)
+			sum.Works += r.Works
+			sum.Less += r.Less
+			sum.Offered += r.Offered
+			sum.Earned += r.Earned
+		}
+		near(name+": offered", a.All.Offered, sum.Offered)
+		near(name+": earned", a.All.Earned, sum.Earned)
+		if sum.Works != a.All.Works || sum.Less != a.All.Less {
+			t.Errorf("%s, seed %d, %s: %d of %d batch jobs, %d of %d that earned less", name, a.Seed, a.Policy, sum.Works, a.All.Works, sum.Less, a.All.Less)
+		}
+	}
+	if a.All.Works != r.Works() {
+		t.Errorf("%s, seed %d, %s: %d batch jobs of %d", a.Scenario, a.Seed, a.Policy, a.All.Works, r.Works())
+	}
+	near("earned, by the result", r.Earned, part(a.All.Earned, a.All.Offered))
+	for i, track := range a.Tracks {
+		near("earned in "+track.Name+", by the result", r.Tracks[i].Earned, part(track.Earned, track.Offered))
+	}
+}
+
+// What was offered is what was earned and what was lost, whatever went wrong and whatever decides.
+func TestAccountCloses(t *testing.T) {
+	t.Parallel()
+	seeds, drawn := uint64(2), uint64(30)
+	if underRace {
+		seeds, drawn = 1, 10
+	}
+	for _, name := range []string{"long-tasks", "calm", "overload", "errors-and-cut", "nodes-restarted", "answers-lost", "mute-third", "copies-of-silent"} {
+		for seed := uint64(1); seed <= seeds; seed++ {
+			for _, p := range Policies {
+				s := keptScenario(t, name)
+				s = short(s, 800)
+				r, a := accounted(s, seed, p)
+				closes(t, r, a)
+			}
+		}
+	}
+	// One that ends at the first broken rule, with batch jobs in hand.
+	w := New(troubled(nil), 1, Options{Account: true, Most: 1})
+	w.plant.standin = func(x *standin.Executor) { x.Suffer(0, standin.Trouble{Lies: true}) }
+	r := w.Play()
+	if len(r.Broken) == 0 || w.open == 0 {
+		t.Errorf("%d rules broken, %d batch jobs open: it shows nothing", len(r.Broken), w.open)
+	}
+	closes(t, r, r.Account)
+	// Worlds with all kinds of faults.
+	for seed := uint64(1); seed <= drawn; seed++ {
+		s := Draw(seed, Size{Nodes: 4, Executors: 8, Length: 6 * time.Second})
+		r, a := accounted(s, seed, ModulePolicy)
+		closes(t, r, a)
+	}
+}
+
+// An account changes nothing of what is seen.
+func TestAccountChangesNothing(t *testing.T) {
+	t.Parallel()
+	s, _ := keptScenario(t, "errors-and-cut").Sized(0, 0, 20*time.Second)
+	traces := map[bool][]rules.Seen{}
+	for _, with := range []bool{false, true} {
+		New(s, 3, Options{Account: with, Trace: func(x rules.Seen) { traces[with] = append(traces[with], x) }}).Play()
+	}
+	if !slices.Equal(traces[false], traces[true]) {
+		t.Errorf("%d things seen without an account, %d with one", len(traces[false]), len(traces[true]))
+	}
+}
+
+// deaf is a module that is told of no executors.
+type deaf struct{ node.Module }
+
+func (deaf) Listed(time.Duration, policy.ListKind, []policy.Entry) {}
+
+// Facts that are planted come out where they should: each of these worlds loses for one cause, and hardly for any other.
+func TestAccountNamesTheCause(t *testing.T) {
+	t.Parallel()
+	one := func(s *Scenario) { // a small plain world: nodes and executors in one zone, work of 100 ms with a slack of 100 ms
+		s.Fleet.Zones, s.Fleet.Nodes, s.Fleet.Executors, s.Fleet.Spread, s.Fleet.PerWork = []string{"here"}, 2, 4, 0, false
+		s.Fleet.WeightsEvery, s.Fleet.ComeBack = 0, 0
+		s.Load = Load{Of: 0.05, HintNoise: 0, DeadFor: Span(2 * time.Second)}
+		s.Tracks = []Track{{Name: "plain", Share: 1, Repeat: "once-only", Work: Span(100 * time.Millisecond), Quoted: Span(100 * time.Millisecond),
+			Stretch: 1, Outer: Span(5 * time.Second), Earnings: 1, Late: 0.5}}
+		s.Length = Span(20 * time.Second)
+	}
+	all := func(kind standin.Kind, size float64) []Fault {
+		return []Fault{{Kind: kind, At: Span(time.Millisecond), For: Span(20 * time.Second), Where: []string{"here"}, Size: size}}
+	}
+	for _, c := range []struct {
+		name   string
+		world  func(*Scenario)
+		policy Policy
+		module func(*World, *sim, node.Module) node.Module
+		causes []Cause
+	}{
+		{"all executors are slow", func(s *Scenario) { s.Fleet.Speed = 0.3 }, RandomPolicy, nil, []Cause{RunningSlow}},
+		{"all of them are slowed", func(s *Scenario) { s.Faults = all(standin.Slow, 5) }, RandomPolicy, nil, []Cause{RunningSlow}},
+		{"attempts take longer than their work", func(s *Scenario) { s.Fleet.AttemptNoise = 1.5 }, RandomPolicy, nil, []Cause{RunningFast}},
+		{"one executor is full", func(s *Scenario) {
+			s.Fleet.Executors, s.Fleet.Queue, s.Load.Of = 1, 10000, 1.5
+		}, RandomPolicy, nil, []Cause{InQueue}},
+		{"one executor is full, and nodes hold what it has no place for", func(s *Scenario) {
+			s.Fleet.Executors, s.Load.Of = 1, 1.3
+		}, BestPolicy, nil, []Cause{HeldAtNode, SentTooLate, NeverSent}},
+		{"a node knows of no executor", nil, ModulePolicy, func(_ *World, n *sim, m node.Module) node.Module {
+			if n.id == 0 {
+				return deaf{m}
+			}
+			return m
+		}, []Cause{NeverSent}},
+		{"executors have no room", func(s *Scenario) {
+			s.Fleet.Queue, s.Fleet.Places, s.Fleet.Cores, s.Load.Of = 0, 1, 1, 20
+		}, RandomPolicy, nil, []Cause{TurnedAway}},
+		{"executors fail", func(s *Scenario) { s.Faults = all(standin.Errors, 1) }, RandomPolicy, nil, []Cause{Failed}},
+		{"it is far", func(s *Scenario) { s.Fleet.Near, s.Fleet.DialLimit = Span(30*time.Millisecond), Span(time.Second) }, RandomPolicy, nil, []Cause{OnTheWay}},
+		{"clients leave", func(s *Scenario) { s.Fleet.Speed, s.Fleet.Queue, s.Load.Leaves, s.Load.Of = 0.01, 1000, 1, 5 }, RandomPolicy, nil, []Cause{ClientLeft}},
+		{"there is no node", func(s *Scenario) {
+			s.Faults = []Fault{{Kind: standin.NodeKilled, At: Span(5 * time.Second), For: Span(10 * time.Second), Where: []string{"n0", "n1"}}}
+		}, RandomPolicy, nil, []Cause{NodeLost}},
+	} {
+		s := Base()
+		one(&s)
+		if c.world != nil {
+			c.world(&s)
+		}
+		s.Name = c.name
+		if at, err := s.check(); err != nil {
+			t.Fatal(c.name, at, err)
+		}
+		w := New(s, 5, Options{Policy: c.policy, Account: true})
+		w.plant.module = c.module
+		r := w.Play()
+		closes(t, r, r.Account)
+		lost, here := r.Account.All.Offered-r.Account.All.Earned, 0.0
+		for _, cause := range c.causes {
+			here += r.Account.All.Lost[cause.String()]
+		}
+		t.Logf("%s: %.3f of %.3f lost is %v", c.name, here, lost, c.causes)
+		if lost == 0 || here < 0.9*lost {
+			t.Errorf("%s: %v of %v is lost to %v: %v", c.name, here, lost, c.causes, r.Account.All.Lost)
+		}
+	}
+}
+
+// Where a batch job's time went adds up to it, whatever of it was out at once.
+func TestAccountOfTimes(t *testing.T) {
+	t.Parallel()
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	h := &history{work: &standin.Work{Came: 0, Cost: 0.05}, visits: []*visit{
+		{from: ms(0), arrived: ms(1), answered: ms(100), done: ms(101), how: standin.EndPushedBack},
+		{from: ms(111), arrived: ms(112), answered: ms(400), done: ms(401), how: standin.EndHandled},
+	}, attempts: []*attempt{
+		{dialled: unseen, sent: ms(20), reached: ms(22), began: unseen, ended: ms(22), over: ms(24), how: policy.NoRoom},
+		{dialled: ms(114), up: ms(118), sent: ms(120), reached: ms(125), began: ms(165), ended: unseen, over: ms(400), slow: true}, // crawls
+		{dialled: unseen, sent: ms(200), reached: ms(205), began: ms(305), ended: ms(395), over: ms(400), how: policy.Handled},
+	}}
+	got := h.times(ms(401))
+	want := [causes]time.Duration{TurnedAway: ms(4), Connecting: ms(4), BetweenTries: ms(10), OnTheWay: ms(1 + 1 + 1 + 5 + 1), HeldAtNode: ms(19 + 76 + 4),
+		InQueue: ms(40), RunningSlow: ms(400 - 165 - 90), RunningFast: ms(90)}
+	// Both running count by the one that is listed first; the sum is what counts.
+	if sum := got[RunningSlow] + got[RunningFast]; sum != ms(400-165) {
+		t.Errorf("ran for %v", sum)
+	}
+	got[RunningSlow], got[RunningFast], want[RunningSlow], want[RunningFast] = 0, 0, 0, 0
+	if got != want {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
+// The best choice earns at least what the module and random choice do, and the module loses where tasks are long.
+func TestBaselines(t *testing.T) {
+	t.Parallel()
+	seeds := uint64(8)
+	if underRace {
+		seeds = 2
+	}
+	for _, name := range []string{"calm", "long-tasks"} {
+		s := keptScenario(t, name)
+		over := map[Policy]int{}
+		sums := map[Policy]float64{}
+		for seed := uint64(1); seed <= seeds; seed++ {
+			earned := map[Policy]float64{}
+			offered := map[Policy]string{}
+			for _, p := range Policies {
+				r, a := accounted(s, seed, p)
+				wants(t, r)
+				earned[p] = r.Earned
+				sums[p] += r.Earned
+				offered[p] = fmt.Sprint(a.All.Works, " worth ", math.Round(a.All.Offered*1e6))
+			}
+			for _, p := range []Policy{ModulePolicy, RandomPolicy} {
+				if earned[BestPolicy] >= earned[p] {
+					over[p]++
+				}
+				if offered[p] != offered[BestPolicy] {
+					t.Errorf("%s, seed %d: %s was offered %s, the best choice %s", name, seed, p, offered[p], offered[BestPolicy])
+				}
+			}
+		}
+		t.Logf("%s: the best choice earned at least as much as the module in %d and as random choice in %d of %d seeds; sums %v", name, over[ModulePolicy], over[RandomPolicy], seeds, sums)
+		if over[ModulePolicy] < int(seeds) || over[RandomPolicy] < int(seeds) {
+			t.Errorf("%s: the best choice earned at least as much as the module in %d and as random choice in %d of %d seeds", name, over[ModulePolicy], over[RandomPolicy], seeds)
+		}
+	}
+}
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -29,6 +29,7 @@
 	sent   int
 	sentAt time.Duration
 	out    int                  // allocations out
+	landed bool                 // the last one that was sent has reached its executor
 	over   bool                 // nothing of it is owed any more
 	cut    bool                 // its client's connection broke, and the node does not know yet
 	conn   interface{ Reset() } // its client's connection, where the world is wired
@@ -45,7 +46,7 @@
 	for i, zone := range f.Zones {
 		c := &callers{w: w, zone: policy.ZoneID(i)}
 		c.Clients = standin.NewClients(zone+"-", w.tracks, standin.Habits{Rate: rates[i], Loops: l.Loops,
-			Think: time.Duration(l.Think), Retries: l.Retries, RetryWait: time.Duration(l.RetryWait), HeedsBack: l.HeedsBack,
+			Think: time.Duration(l.Think), Retries: l.Retries, RetryWait: time.Duration(l.RetryWait), RetryMost: time.Duration(l.RetryMost), HeedsBack: l.HeedsBack,
 			Leaves: l.Leaves, RepeatsIDs: l.RepeatsIDs, HintNoise: l.HintNoise}, f.PerWork, stream(w.seed, "clients "+zone))
 		w.clients = append(w.clients, c)
 		w.at(warmUp+c.Gap()/2, c.arrive)
@@ -94,6 +95,9 @@
 				at = append(at, n)
 			}
 		}
+		if len(at) > 0 && c.w.s.Load.NodeSkew > 0 {
+			return byPart(at, c.w.front.Float64())
+		}
 		if len(at) > 0 {
 			return at[c.turn%len(at)]
 		}
@@ -101,9 +105,25 @@
 	return nil
 }
 
+// byPart is the node that a number from 0 to 1 falls on, where each has its own part of the traffic.
+func byPart(all []*sim, x float64) *sim {
+	sum := 0.0
+	for _, n := range all {
+		sum += n.part
+	}
+	x *= sum
+	for _, n := range all {
+		if x -= n.part; x < 0 {
+			return n
+		}
+	}
+	return all[len(all)-1]
+}
+
 func (c *callers) handIn(work *standin.Work) {
 	w, n := c.w, c.pick()
 	t := &try{from: c, work: work, job: work.Job(), n: n}
+	w.account.handed(work, n)
 	if n == nil {
 		w.after(time.Millisecond, func() { t.end(standin.EndUnreached, 0) })
 		return
@@ -134,11 +154,12 @@
 	}
 	n.tries[t.job] = t
 	n.inHand++
+	w.account.visit(t).arrived = w.now
 	work := t.work
 	budget := (work.Limit - w.now).Truncate(time.Millisecond)
 	w.see(rules.Seen{What: rules.Taken, Node: n.id, Job: t.job, Work: work.ID, Track: work.Track, Limit: w.now + budget})
 	n.tell(node.Arrived{Job: node.Job{Call: node.Call{ID: t.job, Method: "POST", URI: "/", Tag: w.tag(work), Body: w.body()},
-		Track: work.Track, Work: time.Duration(work.Hint * 1e9).Truncate(time.Microsecond), Budget: budget, Client: t}})
+		Track: work.Track, Work: time.Duration(work.Hint * 1e9).Truncate(time.Microsecond), Budget: budget, Again: w.s.Load.MarksAgain && work.Tries > 0, Client: t}})
 	n.mostHeld = max(n.mostHeld, n.inHand-n.out)
 	leave := min(work.Leaves, work.Limit+slack+time.Millisecond)
 	n.later(leave-w.now, func() { n.leaves(t) })
@@ -200,6 +221,7 @@
 	}
 	t.over = true
 	n.inHand--
+	w.account.visit(t).answered = w.now
 	if t.cut {
 		return
 	}
@@ -260,12 +282,15 @@
 	if work.Over || t.job != work.Job() {
 		return // a repeat of an id whose try is over
 	}
-	w.result.ended(w, work, how)
+	v := w.account.visit(t)
+	v.done, v.how = w.now, how
+	earned := w.result.ended(w, work, how)
 	if at, again := t.from.After(w.now, work, how, comeBack); again {
 		w.at(at, func() { t.from.handIn(work) })
 		return
 	}
 	work.Over = true
+	w.account.closed(work, earned)
 	w.open--
 	if work.Client >= 0 {
 		w.after(t.from.Habits.Think, func() { t.from.next(work.Client) })
--- a/internal/lab/net.go
+++ b/internal/lab/net.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -25,7 +26,8 @@
 	down   int             // faults that keep it down
 	gone   bool            // it is not there: nothing answers, nothing is refused
 	wake   int
-	lives  int // its processes so far, where the world is wired
+	booked []*wanted // that the best choice has sent there and that have not come yet
+	lives  int       // its processes so far, where the world is wired
 	socks  map[standin.ConnID]*sock
 }
 
@@ -48,6 +50,9 @@
 func (x *executor) entry(state policy.State) standin.Entry {
 	e := standin.Entry{Addr: x.addr, Entry: policy.Entry{Executor: x.ID, Zone: x.Zone, Kind: x.Kind, Cell: x.Cell, State: state,
 		Weight: x.size(), Started: x.Started, LongAgo: x.Started < 0}}
+	if x.w.s.Fleet.NoWeights {
+		e.Weight = 1
+	}
 	return e
 }
 
@@ -62,6 +67,9 @@
 				c.say(o)
 			}
 		case standin.Ran:
+			if c := x.wires[o.Conn]; c != nil && c.load != nil && c.load.try.job == o.Job {
+				x.w.account.began(c.load.path)
+			}
 			x.w.see(rules.Seen{What: rules.Ran, Node: o.Node, Job: o.Job, Work: o.Work, Track: o.Track, Executor: x.ID})
 		case standin.Reached:
 			if x.Cold(x.w.now) {
@@ -115,9 +123,12 @@
 	silent bool // nothing comes back on it
 	breaks bool // it breaks at its first use
 	uses   int
-	load   *load
-	there  time.Duration // when what was sent last arrives, each way
-	back   time.Duration
+
+	dialled, upAt time.Duration // when its dial began, and was over
+
+	load  *load
+	there time.Duration // when what was sent last arrives, each way
+	back  time.Duration
 }
 
 // load is an allocation on a wire.
@@ -125,6 +136,7 @@
 	try    *try
 	x      *executor
 	number policy.AllocationID
+	path   *attempt
 	all    bool // its last byte has left the node
 	ended  bool // the node is told, or about to be told, that it is over
 }
@@ -132,7 +144,7 @@
 // sends books that an allocation of a try goes out.
 func (n *sim) sends(t *try, x *executor) *load {
 	w := n.w
-	l := &load{try: t, x: x, number: policy.AllocationID(t.sent)}
+	l := &load{try: t, x: x, number: policy.AllocationID(t.sent), path: w.account.sent(t, x)}
 	t.sent++
 	t.sentAt = w.now
 	if t.out++; t.out > 1 {
@@ -158,12 +170,17 @@
 // epsilon is how long something takes within a process.
 const epsilon = 20 * time.Microsecond
 
-// oneWay is how long something takes between zones, with a little chance.
-func (w *World) oneWay(from, to policy.ZoneID) time.Duration {
-	d := time.Duration(w.s.Fleet.Near)
+// way is the least that something takes between zones.
+func (w *World) way(from, to policy.ZoneID) time.Duration {
 	if from != to {
-		d = time.Duration(w.s.Fleet.Far)
+		return time.Duration(w.s.Fleet.Far)
 	}
+	return time.Duration(w.s.Fleet.Near)
+}
+
+// oneWay is how long something takes between zones, with a little chance.
+func (w *World) oneWay(from, to policy.ZoneID) time.Duration {
+	d := w.way(from, to)
 	return d + time.Duration(w.rand.Int64N(int64(d)/5+1))
 }
 
@@ -210,6 +227,7 @@
 func (c *wire) tell(ev node.Event) {
 	switch ev := ev.(type) {
 	case node.Ended:
+		c.n.w.account.ended(c.load.path, ev.Outcome)
 		c.n.over(c.load, ev.Outcome.NeverRan())
 		c.load = nil
 	case node.Closed:
@@ -255,7 +273,7 @@
 func (n *sim) dial(e node.Dial) {
 	w := n.w
 	w.wires++
-	c := &wire{id: e.Conn, key: w.wires, n: n, x: w.byAddr[e.Addr]}
+	c := &wire{id: e.Conn, key: w.wires, n: n, x: w.byAddr[e.Addr], dialled: w.now}
 	n.wires[c.id] = c
 	w.result.Dials++
 	limit := time.Duration(w.s.Fleet.DialLimit)
@@ -302,7 +320,7 @@
 			if c.state != dialling {
 				return
 			}
-			c.state = up
+			c.state, c.upAt = up, w.now
 			c.tell(node.Dialled{Conn: c.id})
 		})
 		if !ok { // it has all the connections it takes: this one is closed as soon as it is up
@@ -328,6 +346,9 @@
 	c.uses++
 	l := n.sends(t, c.x)
 	c.load = l
+	if c.uses == 1 {
+		l.path.dialled, l.path.up = c.dialled, c.upAt
+	}
 	writing := epsilon + time.Duration(len(e.Allocation.Body))*bytesPerSecond
 	if c.breaks {
 		c.breaks = false
@@ -340,7 +361,11 @@
 		l.all = true
 		w.see(rules.Seen{What: rules.LastByte, Node: n.id, Job: t.job, Allocation: l.number, Executor: c.x.ID})
 		a := w.allocation(t, n.id, c.key, c.x)
-		c.send(func() { c.x.does(c.x.Take(w.now, a)) })
+		c.send(func() {
+			t.landed = true
+			w.account.reached(l.path, a.Cost)
+			c.x.does(c.x.Take(w.now, a))
+		})
 	})
 }
 
@@ -356,6 +381,9 @@
 func (w *World) allocation(t *try, from rules.NodeID, key standin.ConnID, x *executor) standin.Allocation {
 	a := standin.Allocation{Conn: key, Node: from, Job: t.job, Work: t.work.ID, Track: t.work.Track, Priority: w.tracks[t.work.Track].Priority,
 		Cost: t.work.Cost, Hint: cmp.Or(t.work.Hint, w.tracks[t.work.Track].Mean)}
+	if noise := w.s.Fleet.AttemptNoise; noise > 0 {
+		a.Cost *= math.Exp(w.noise.NormFloat64()*noise - noise*noise/2)
+	}
 	if a.Tag = w.tag(t.work); a.Tag != "" {
 		a.Window, a.Memory = w.module[a.Track].GroupWindow, w.memory(x, a.Track)
 	}
@@ -381,6 +409,9 @@
 		return
 	}
 	c.hangup()
+	if l := c.load; l != nil {
+		l.path.calledOff = true
+	}
 	c.broken("closed here")
 }
 
@@ -445,6 +476,9 @@
 func (c *wire) say(o standin.Say) {
 	load := node.Load{Load: policy.Load{Held: o.Load.Held, Waiting: o.Load.Waiting, Free: o.Load.Free, Memory: -1, Took: -1}, Known: o.Load.Known}
 	sentAt := c.n.w.now
+	if l := c.load; l != nil && !l.ended && l.try.job == o.Job {
+		c.n.w.account.said(l.path, o.Word)
+	}
 	c.bring(func() {
 		l := c.load
 		if l == nil || l.ended || l.try.job != o.Job {
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -43,6 +43,8 @@
 	Steps        int `json:"steps"`
 	Words        int `json:"words"` // that nodes told each other
 
+	Account *Account `json:"account,omitempty"`
+
 	seconds  []second
 	offers   []Offer
 	capacity []float64 // work that could be done in each bin
@@ -143,8 +145,8 @@
 	return sum
 }
 
-// ended books the end of a try.
-func (r *Result) ended(w *World, work *standin.Work, how standin.End) {
+// ended books the end of a try, and gives what it earned.
+func (r *Result) ended(w *World, work *standin.Work, how standin.End) (earned float64) {
 	t := &r.Tracks[work.Track]
 	t.Tries++
 	switch how {
@@ -156,6 +158,7 @@
 		}
 		t.earned += earns
 		r.second(work.Came).earned += earns
+		return earns
 	case standin.EndPushedBack:
 		t.PushedBack++
 	case standin.EndBrokenOff:
@@ -165,6 +168,7 @@
 	case standin.EndLost:
 		t.Lost++
 	}
+	return 0
 }
 
 func (r *Result) held(n *sim) { r.MostHeld = max(r.MostHeld, n.mostHeld) }
@@ -199,6 +203,9 @@
 		}
 	}
 	r.body = nil
+	if w.account != nil {
+		r.Account = w.account.finish()
+	}
 }
 
 func part(of, all float64) float64 {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -48,10 +49,14 @@
 	Places       int      `toml:"places"`
 	Queue        int      `toml:"queue"`
 	Speed        float64  `toml:"speed"`
-	Spread       float64  `toml:"spread"` // speeds are off from that by such a part either way
+	Spread       float64  `toml:"spread"`               // speeds are off from that by such a part either way
+	SlowPart     float64  `toml:"slow-part,omitempty"`  // this part of the executors is of a second, slower kind
+	SlowSpeed    float64  `toml:"slow-speed,omitempty"` // of this speed, off from it as the others
 	CellOf       int      `toml:"cell-of"`
 	ByPriority   bool     `toml:"by-priority"`
 	StopsWork    bool     `toml:"stops-work"`
+	KeepsWaiting bool     `toml:"keeps-waiting,omitempty"` // what waits stays when it is cancelled, and runs in its turn
+	AttemptNoise float64  `toml:"attempt-noise,omitempty"` // sigma of the lognormal by which each attempt's work differs from its batch job's
 	ColdShare    float64  `toml:"cold-share"`
 	WarmWithin   Span     `toml:"warm-within"`
 	FallMultiple float64  `toml:"fall-multiple"`
@@ -70,7 +75,8 @@
 	Conns        int      `toml:"conns"`
 	ConnCost     Span     `toml:"conn-cost"`
 	ListLag      Span     `toml:"list-lag"`
-	WeightsEvery Span     `toml:"weights-every"` // live weights, renewed so often; 0: the weight is the size
+	WeightsEvery Span     `toml:"weights-every"`        // live weights, renewed so often; 0: the weight is the size
+	NoWeights    bool     `toml:"no-weights,omitempty"` // the list weighs all executors alike
 	Allocations  int      `toml:"allocations"`
 	ComeBack     Span     `toml:"come-back"` // 0: clients are not told when to come back
 	CrossPrice   float64  `toml:"cross-price"`
@@ -92,6 +98,9 @@
 	Think      Span      `toml:"think"` // and wait so long before that
 	Retries    int       `toml:"retries"`
 	RetryWait  Span      `toml:"retry-wait"`
+	RetryMost  Span      `toml:"retry-most,omitempty"`    // over retry-wait: the wait doubles up to that, and is off by up to half
+	MarksAgain bool      `toml:"marks-repeats,omitempty"` // clients mark their repeats
+	NodeSkew   float64   `toml:"node-skew,omitempty"`     // sigma of the lognormal by which nodes of a zone get unlike parts of its traffic
 	HeedsBack  bool      `toml:"heeds-come-back"`
 	Leaves     float64   `toml:"leaves"`
 	RepeatsIDs float64   `toml:"repeats-ids"`
@@ -196,6 +205,17 @@
 var repeats = map[string]policy.Repeat{"repeatable": policy.Repeatable, "tagged": policy.Tagged, "once-only": policy.OnceOnly}
 var groups = map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
 
+// Sized is the scenario with another number of nodes and executors, and another length; 0 leaves one as it is. Faults that come later are left out.
+func (s Scenario) Sized(nodes, executors int, length time.Duration) (Scenario, error) {
+	s.Fleet.Nodes, s.Fleet.Executors = cmp.Or(nodes, s.Fleet.Nodes), cmp.Or(executors, s.Fleet.Executors)
+	s.Length = cmp.Or(Span(length), s.Length)
+	s.Faults = slices.DeleteFunc(slices.Clone(s.Faults), func(f Fault) bool { return f.At >= s.Length })
+	if at, err := s.check(); err != nil {
+		return s, fmt.Errorf("%s with these sizes: %s: %w", s.Name, at.Key, err)
+	}
+	return s, nil
+}
+
 const (
 	longest       = 24 * time.Hour
 	mostNodes     = 1000
@@ -219,6 +239,10 @@
 		{f.Queue < 0, "fleet", "queue", "not under 0"},
 		{f.Speed <= 0, "fleet", "speed", "over 0"},
 		{f.Spread < 0 || f.Spread >= 1, "fleet", "spread", "from 0 to under 1"},
+		{f.SlowPart < 0 || f.SlowPart > 1, "fleet", "slow-part", "a part, from 0 to 1"},
+		{f.SlowPart > 0 && f.SlowSpeed <= 0, "fleet", "slow-speed", "over 0 where slow-part is"},
+		{f.AttemptNoise < 0 || f.AttemptNoise > 3, "fleet", "attempt-noise", "from 0 to 3"},
+		{f.NoWeights && f.WeightsEvery > 0, "fleet", "no-weights", "false where weights-every is over 0"},
 		{f.CellOf < 1, "fleet", "cell-of", "at least 1"},
 		{f.ColdShare <= 0 || f.ColdShare > 1, "fleet", "cold-share", "over 0 and at most 1"},
 		{f.FallMultiple < 0, "fleet", "fall-multiple", "not under 0"},
@@ -236,6 +260,7 @@
 		{len(l.Zones) > 0 && len(l.Zones) != len(f.Zones), "load", "zones", fmt.Sprintf("a figure for each of the %d zones", len(f.Zones))},
 		{slices.ContainsFunc(l.Zones, func(x float64) bool { return x < 0 }), "load", "zones", "not under 0"},
 		{l.Retries < 0 || l.Retries > 20, "load", "retries", "from 0 to 20"},
+		{l.NodeSkew < 0 || l.NodeSkew > 3, "load", "node-skew", "from 0 to 3"},
 		{l.Leaves < 0 || l.Leaves > 1, "load", "leaves", "a part, from 0 to 1"},
 		{l.RepeatsIDs < 0 || l.RepeatsIDs > 1, "load", "repeats-ids", "a part, from 0 to 1"},
 		{l.Bad < 0 || l.Bad > 1000, "load", "bad", "from 0 to 1000"},
@@ -356,12 +381,17 @@
 	return rates
 }
 
-// Spec is how the scenario's executor of that number is built.
+// Spec is how the scenario's executor of that number is built; speed is what it has unless it is of the slower kind.
 func (s *Scenario) Spec(id string, number int, speed float64) standin.ExecutorSpec {
 	f := &s.Fleet
-	return standin.ExecutorSpec{ID: policy.ExecutorID(id), Zone: policy.ZoneID(number % len(f.Zones)),
+	kind := policy.KindID(0)
+	// In each zone alike: its nth executor is slow where the slow ones due by then are one more.
+	if n := float64(number / len(f.Zones)); int((n+1)*f.SlowPart) > int(n*f.SlowPart) {
+		kind, speed = 1, speed*f.SlowSpeed/f.Speed
+	}
+	return standin.ExecutorSpec{ID: policy.ExecutorID(id), Kind: kind, Zone: policy.ZoneID(number % len(f.Zones)),
 		Cell: policy.CellID(number / f.CellOf), Cores: f.Cores, Speed: speed, Places: f.Places, Queue: f.Queue, ByPriority: f.ByPriority,
-		StopsWork: f.StopsWork, ColdShare: f.ColdShare, WarmWithin: time.Duration(f.WarmWithin), FallMultiple: f.FallMultiple,
+		StopsWork: f.StopsWork, KeepsWaiting: f.KeepsWaiting, ColdShare: f.ColdShare, WarmWithin: time.Duration(f.WarmWithin), FallMultiple: f.FallMultiple,
 		FallWindow: time.Duration(f.FallWindow), MeanWork: s.MeanWork(), TellsStart: f.TellsStart, TellsEvery: time.Duration(f.TellsEvery), Reports: f.Reports,
 		ReportEvery: time.Duration(f.ReportEvery), ReportNoise: 0.1, Conns: f.Conns, ConnCost: time.Duration(f.ConnCost)}
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -19,17 +20,21 @@
 
 // World is a scenario being played with a seed.
 type World struct {
-	s      Scenario
-	seed   uint64
-	bounds bounds
-	now    time.Duration
-	queue  itemHeap
-	count  uint64
-	rand   *rand.Rand // of the network
-	talks  *rand.Rand // of words between nodes
-	tracks []standin.Track
-	orders int // that operators have given to wired nodes
-	module []policy.Track
+	s       Scenario
+	seed    uint64
+	bounds  bounds
+	now     time.Duration
+	queue   itemHeap
+	count   uint64
+	rand    *rand.Rand // of the network
+	talks   *rand.Rand // of words between nodes
+	noise   *rand.Rand // of attempts' work
+	front   *rand.Rand // of the front layer, where nodes get unlike parts
+	tracks  []standin.Track
+	orders  int // that operators have given to wired nodes
+	module  []policy.Track
+	policy  Policy
+	account *ledger // nil where none is kept
 
 	nodes     []*sim
 	executors []*executor
@@ -78,6 +83,9 @@
 type Options struct {
 	Trace func(rules.Seen) // told of everything that is seen; nil for nothing
 	Most  int              // broken rules after which it ends; 0 for 20
+	// What decides at the nodes; the module where it is empty. Others are for worlds of events alone.
+	Policy  Policy
+	Account bool // keep an account of lost earnings, likewise
 }
 
 // slack is how long after an outer limit an answer still counts, and prompt what counts as at once.
@@ -88,9 +96,12 @@
 
 // New makes a world in which nothing has happened yet.
 func New(s Scenario, seed uint64, o Options) *World {
-	w := &World{s: s, seed: seed, rand: stream(seed, "network"), talks: stream(seed, "words"), byAddr: map[string]*executor{},
+	w := &World{s: s, seed: seed, rand: stream(seed, "network"), talks: stream(seed, "words"), noise: stream(seed, "attempts"), front: stream(seed, "front"), byAddr: map[string]*executor{},
 		memories: standin.Memories{}, bounds: bounds{told: map[fleet.WordID]time.Duration{}}, trace: o.Trace, cuts: make([]cut, len(s.Fleet.Zones)),
-		discovery: standin.NewDiscovery(time.Duration(s.Fleet.ListLag)), most: cmp.Or(o.Most, mostBroken)}
+		discovery: standin.NewDiscovery(time.Duration(s.Fleet.ListLag)), most: cmp.Or(o.Most, mostBroken), policy: cmp.Or(o.Policy, ModulePolicy)}
+	if o.Account {
+		w.account = &ledger{w: w, open: map[rules.WorkID]*history{}}
+	}
 	w.tracks, w.module = s.Takes()
 	w.checker = rules.New(rules.Settings{Tracks: w.module, Slack: slack, Grace: time.Duration(s.Fleet.DrainGrace),
 		Prompt: prompt, WarmWithin: time.Duration(s.Fleet.WarmWithin), FallMultiple: s.Fleet.FallMultiple,
@@ -279,10 +290,16 @@
 		}
 	}
 	for i := range f.Nodes {
-		n := &sim{w: w, id: rules.NodeID(i), name: fmt.Sprint("n", i), zone: policy.ZoneID(i % len(f.Zones))}
+		n := &sim{w: w, id: rules.NodeID(i), name: fmt.Sprint("n", i), zone: policy.ZoneID(i % len(f.Zones)), part: 1}
+		if skew := w.s.Load.NodeSkew; skew > 0 {
+			n.part = math.Exp(w.front.NormFloat64() * skew)
+		}
 		w.nodes = append(w.nodes, n)
 		n.start()
 	}
+	if w.account != nil {
+		w.account.build()
+	}
 	if f.WeightsEvery > 0 {
 		w.after(time.Duration(f.WeightsEvery), w.weigh)
 	}
@@ -301,6 +318,7 @@
 	id       rules.NodeID
 	name     string
 	zone     policy.ZoneID
+	part     float64 // of its zone's traffic, against the others'
 	core     *node.Node
 	run      int // its starts so far
 	up       bool
@@ -338,7 +356,7 @@
 		MayCancel: true, MaxComeBack: time.Duration(f.ComeBack), Quantum: 4 * time.Millisecond, LiveWeights: f.WeightsEvery > 0,
 		ColdShare: f.ColdShare, WarmWithin: time.Duration(f.WarmWithin), FallMultiple: f.FallMultiple,
 		FallWindow: time.Duration(f.FallWindow), TellsStart: f.TellsStart, TellsEvery: time.Duration(f.TellsEvery),
-		MayTell: f.Talk && f.Keepers && n.w.wired == nil, MayCopy: f.Copies, MayProbe: f.Probes && n.w.wired == nil}
+		MayTell: f.Talk && f.Keepers && n.w.wired == nil, MayCopy: f.Copies, MarksAgain: n.w.s.Load.MarksAgain && n.w.wired == nil, MayProbe: f.Probes && n.w.wired == nil}
 	longest := time.Duration(0)
 	for _, t := range n.w.module {
 		t.GroupWindow = max(0, t.GroupWindow-time.Duration(f.DialLimit)) // as config does
@@ -362,7 +380,7 @@
 	if n.w.plant.settings != nil {
 		n.w.plant.settings(&p)
 	}
-	var module node.Module = policy.New(p)
+	module := n.module(p)
 	if n.w.plant.module != nil {
 		module = n.w.plant.module(n.w, n, module)
 	}
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -26,6 +26,7 @@
 	Think      time.Duration // and wait so long before that
 	Retries    int
 	RetryWait  time.Duration // before a retry, where nothing says when to come back
+	RetryMost  time.Duration // over RetryWait: the wait doubles with each try up to that, and is off by up to half
 	HeedsBack  bool          // comes back when told to
 	Leaves     float64       // part of the batch jobs whose clients leave before their time
 	RepeatsIDs float64       // part that hands the same id in again while it is in hand
@@ -77,11 +78,16 @@
 	rand    *rand.Rand
 	count   int
 	perWork bool
+	backoff *rand.Rand // a source of its own, so that what comes does not hang on who repeats
 }
 
 // NewClients makes clients; perWork: earnings count for each unit of work.
 func NewClients(name string, tracks []Track, h Habits, perWork bool, r *rand.Rand) *Clients {
-	return &Clients{Name: name, Tracks: tracks, Habits: h, rand: r, perWork: perWork}
+	c := &Clients{Name: name, Tracks: tracks, Habits: h, rand: r, perWork: perWork}
+	if h.RetryMost > 0 {
+		c.backoff = rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+	}
+	return c
 }
 
 // Gap is the time until the next arrival where they come at a rate: Never where there is none.
@@ -151,6 +157,10 @@
 		return 0, false
 	}
 	wait := c.Habits.RetryWait
+	if most := c.Habits.RetryMost; most > wait {
+		wait = min(most, wait<<min(w.Tries, 20))
+		wait = time.Duration(float64(wait) * (0.5 + c.backoff.Float64()))
+	}
 	if c.Habits.HeedsBack && comeBack > 0 {
 		wait = comeBack
 	}
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -32,7 +32,9 @@
 	Queue  int     // and waiting; beyond them they are turned away
 
 	ByPriority bool // else in the order in which they came
-	StopsWork  bool // running work ends with its connection; waiting work always does
+	StopsWork  bool // running work ends with its connection
+
+	KeepsWaiting bool // waiting work does not end with its connection; else it does
 
 	ColdShare    float64 // of its capacity right after a start, growing evenly
 	WarmWithin   time.Duration
@@ -396,6 +398,33 @@
 func (e *Executor) Held() int    { return len(e.running) + len(e.waiting) }
 func (e *Executor) Running() int { return len(e.running) }
 
+// Frees is when a place is free for one that comes after all that is held here and after what is on its way, in seconds on a standard core,
+// and the work that a place then gets done in a second.
+func (e *Executor) Frees(now time.Duration, coming []float64) (at time.Duration, rate float64) {
+	rate = e.Speed * e.share(now) * min(1, float64(e.Cores)/float64(e.Places)) / max(1, e.trouble.Slow)
+	gone := (now - e.now).Seconds() * e.rate(e.now) // since it was looked at last
+	places := make([]float64, e.Places)
+	take := func(work float64) {
+		first := 0
+		for i := range places {
+			if places[i] < places[first] {
+				first = i
+			}
+		}
+		places[first] += work
+	}
+	for i, t := range e.running {
+		places[i] = max(0, t.left-gone)
+	}
+	for _, t := range e.waiting {
+		take(t.left)
+	}
+	for _, work := range coming {
+		take(work)
+	}
+	return now + time.Duration(slices.Min(places)/rate*1e9), rate
+}
+
 // Open takes a connection, unless it has all it takes.
 func (e *Executor) Open(now time.Duration, c ConnID) (bool, []Out) {
 	e.begin(now)
@@ -470,7 +499,13 @@
 func (e *Executor) Hangup(now time.Duration, c ConnID) []Out {
 	e.begin(now)
 	e.conns = slices.DeleteFunc(e.conns, func(o ConnID) bool { return o == c })
-	e.waiting = slices.DeleteFunc(e.waiting, func(t *task) bool { return t.Conn == c })
+	e.waiting = slices.DeleteFunc(e.waiting, func(t *task) bool {
+		if t.Conn != c {
+			return false
+		}
+		t.gone = true
+		return !e.KeepsWaiting
+	})
 	e.running = slices.DeleteFunc(e.running, func(t *task) bool {
 		if t.Conn != c {
 			return false
