--- a/cmd/birchlab/account.go
+++ b/cmd/birchlab/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"os"
 	"time"
 
@@ -31,17 +30,5 @@
 	}
 	r := lab.New(s, seedOf(s, c.Seed), lab.Options{Policy: c.Policy, Account: true}).Play()
 	r.Account.Print(os.Stdout)
-	if c.JSON != "" {
-		text, err := json.MarshalIndent(r.Account, "", "  ")
-		if err != nil {
-			return err
-		}
-		if err := os.WriteFile(c.JSON, append(text, '\n'), 0o644); err != nil {
-			return err
-		}
-	}
-	if len(r.Broken) > 0 {
-		return errBroken
-	}
-	return nil
+	return report(c.JSON, r.Account, r)
 }
--- a/cmd/birchlab/run.go
+++ b/cmd/birchlab/run.go
@@ -92,12 +92,17 @@
 		fmt.Printf("  talking %.3f, each alone %.3f, at the most %.3f; allocations %d and %d; rules broken %d and %d\n",
 			with.Earned, without.Earned, with.Best, with.Allocations, without.Allocations, len(with.Broken), len(without.Broken))
 	}
-	if c.JSON != "" {
-		text, err := json.MarshalIndent(r, "", "  ")
+	return report(c.JSON, r, r)
+}
+
+// report writes what came of a world to a file, if one is named, and says whether a rule broke.
+func report(path string, what any, r lab.Result) error {
+	if path != "" {
+		text, err := json.MarshalIndent(what, "", "  ")
 		if err != nil {
 			return err
 		}
-		if err := os.WriteFile(c.JSON, append(text, '\n'), 0o644); err != nil {
+		if err := os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
 			return err
 		}
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -159,24 +159,30 @@
 	}
 }
 
-// A list of 100,000 entries, and 100,000 tenants, far over what is planned: served, or turned down in words, and no crash.
-func TestFarOver(t *testing.T) {
-	if f := (&moduleJob{Executors: 16, Of: 9, Tenants: 100000, Rate: 100, Work: time.Millisecond, Most: 10 * time.Second, Starts: 200}).play(); f.Wrong != "" || f.Starts == 0 {
-		t.Errorf("100,000 tenants: %+v", f)
-	}
-	o := options(t)
-	w := &world{o: o, pt: Point{Series: "far-over", Executors: 4, Of: 9, Real: 1, Sockets: 512, Memory: 192}, epoch: time.Now(), row: Row{Figures: map[string]float64{}}}
-	defer func() {
+// worldOf sets a point up. When the test ends it is taken down, and nothing may have been wrong.
+func worldOf(t *testing.T, pt Point) *world {
+	t.Helper()
+	w := &world{o: options(t), pt: pt, epoch: time.Now(), row: Row{Figures: map[string]float64{}}}
+	t.Cleanup(func() {
 		for _, c := range slices.Backward(w.closers) {
 			c()
 		}
 		if len(w.row.Wrong) > 0 {
 			t.Error(w.row.Wrong)
 		}
-	}()
+	})
 	if err := w.setUp(); err != nil {
 		t.Fatal(err)
 	}
+	return w
+}
+
+// A list of 100,000 entries, and 100,000 tenants, far over what is planned: served, or turned down in words, and no crash.
+func TestFarOver(t *testing.T) {
+	if f := (&moduleJob{Executors: 16, Of: 9, Tenants: 100000, Rate: 100, Work: time.Millisecond, Most: 10 * time.Second, Starts: 200}).play(); f.Wrong != "" || f.Starts == 0 {
+		t.Errorf("100,000 tenants: %+v", f)
+	}
+	w := worldOf(t, Point{Series: "far-over", Executors: 4, Of: 9, Real: 1, Sockets: 512, Memory: 192})
 	p := w.nodes[0]
 	var all []standin.Entry
 	for i := range 100000 {
@@ -198,19 +204,7 @@
 
 // An executor that a node sends nothing to for a reason of its own does not make a drain look late: here one is taken out by hand.
 func TestDrainAmongExcluded(t *testing.T) {
-	o := options(t)
-	w := &world{o: o, pt: Point{Series: "drain", Executors: 4, Of: 9, Real: 1, Hollow: 2, Talk: true, Sockets: 512, Memory: 192}, epoch: time.Now(), row: Row{Figures: map[string]float64{}}}
-	defer func() {
-		for _, c := range slices.Backward(w.closers) {
-			c()
-		}
-		if len(w.row.Wrong) > 0 {
-			t.Error(w.row.Wrong)
-		}
-	}()
-	if err := w.setUp(); err != nil {
-		t.Fatal(err)
-	}
+	w := worldOf(t, Point{Series: "drain", Executors: 4, Of: 9, Real: 1, Hollow: 2, Talk: true, Sockets: 512, Memory: 192})
 	if _, err := operators.Call(w.nodes[0].door, node.TakeOut, executorID(0), 5*time.Second); err != nil {
 		t.Fatal(err)
 	}
