Read once more: the program is built for tests in one place; the lab's module makes no baseline

Four packages' tests each built the program by lines of their own: internal/kept's Program and Main do. The lab made an unused baseline for each node that the module decides at.

--- a/cmd/birchstair/main_test.go
+++ b/cmd/birchstair/main_test.go
@@ -1,12 +1,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"testing"
+
+	"birchstair/internal/kept"
 )
 
 var programDir string // empty until the program is built
@@ -16,11 +15,7 @@
 	if programDir, err = os.MkdirTemp("", "birchstair-test-"); err != nil {
 		return "", err
 	}
-	binary = filepath.Join(programDir, "birchstair")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%v\n%s", err, out)
-	}
-	return binary, nil
+	return kept.Program(programDir)
 })
 
 // program is the program's file.
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -4,7 +4,9 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -74,3 +76,26 @@
 	}
 	return string(text)
 }
+
+// Program builds the node's program in a directory, and gives its file.
+func Program(dir string) (string, error) {
+	binary := filepath.Join(dir, "birchstair")
+	if out, err := exec.Command("go", "build", "-o", binary, "birchstair/cmd/birchstair").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%v\n%s", err, out)
+	}
+	return binary, nil
+}
+
+// Main runs a package's tests with the node's program, built once; its file is put into binary before the first.
+func Main(m *testing.M, binary *string) {
+	dir, err := os.MkdirTemp("", "birchstair-")
+	if err != nil {
+		panic(err)
+	}
+	if *binary, err = Program(dir); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
--- a/internal/lab/baseline.go
+++ b/internal/lab/baseline.go
@@ -26,15 +26,13 @@
 
 // module makes what decides at a node.
 func (n *sim) module(p policy.Settings) node.Module {
+	if n.w.policy == ModulePolicy {
+		return policy.New(p)
+	}
 	b := &baseline{n: n, settings: p, live: map[policy.ExecutorID]bool{}, jobs: map[policy.JobID]*wanted{}}
-	switch n.w.policy {
-	case RandomPolicy:
+	if b.choose = b.soonest; n.w.policy == RandomPolicy {
 		r := stream(n.w.seed+uint64(n.run)<<32, "random choice at "+n.name)
 		b.choose = func(time.Duration, *wanted) policy.ExecutorID { return b.random(r) }
-	case BestPolicy:
-		b.choose = b.soonest
-	default:
-		return policy.New(p)
 	}
 	return b
 }
--- a/internal/lab/killing_test.go
+++ b/internal/lab/killing_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"testing"
+
+	"birchstair/internal/kept"
 )
 
 // Real processes, killed by SIGKILL at random points: what was acknowledged is never lost, each batch job has one final answer, and no once-only one runs
@@ -13,9 +13,9 @@
 func TestKilling(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	binary := filepath.Join(dir, "birchstair")
-	if out, err := exec.Command("go", "build", "-o", binary, "birchstair/cmd/birchstair").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
+	binary, err := kept.Program(dir)
+	if err != nil {
+		t.Fatal(err)
 	}
 	var wait sync.WaitGroup
 	free := make(chan struct{}, 8) // they mostly wait
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"birchstair/internal/kept"
 	"birchstair/internal/lab"
 	"birchstair/internal/rules"
 	"birchstair/lab/scenarios"
@@ -16,19 +16,7 @@
 
 var binary string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "birchstair-rig-")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "birchstair")
-	if out, err := exec.Command("go", "build", "-o", binary, "birchstair/cmd/birchstair").CombinedOutput(); err != nil {
-		panic(string(out))
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { kept.Main(m, &binary) }
 
 func play(t *testing.T, s lab.Scenario, seed uint64) Result {
 	t.Helper()
@@ -56,7 +44,7 @@
 	return r
 }
 
-func kept(t *testing.T, name string) lab.Scenario {
+func keptScenario(t *testing.T, name string) lab.Scenario {
 	t.Helper()
 	s, err := lab.LoadFrom(scenarios.Files, name+".toml")
 	if err != nil {
@@ -69,7 +57,7 @@
 // they send on, which shows that the check can fail.
 func TestDrainToldByNeighbours(t *testing.T) {
 	t.Parallel()
-	s := kept(t, "fleet-one-hears-of-drain")
+	s := keptScenario(t, "fleet-one-hears-of-drain")
 	// e0 alone is hardly used by the nodes that are not told: without messages so little went there that none could have. They use e3 and e4 most.
 	s.Length, s.Load.Of = lab.Span(12*time.Second), 0.4
 	s.Faults[1].For, s.Faults[2].For, s.Faults[2].Where = lab.Span(12*time.Second), lab.Span(20*time.Second), []string{"e0", "e3", "e4"}
@@ -87,7 +75,7 @@
 // where it is known to be cut off, nothing is.
 func TestUninformed(t *testing.T) {
 	t.Parallel()
-	s := kept(t, "fleet-one-hears-of-drain")
+	s := keptScenario(t, "fleet-one-hears-of-drain")
 	s.Fleet.Talk, s.Length = false, lab.Span(12*time.Second)
 	s.Faults = []lab.Fault{{Kind: "drain", At: lab.Span(time.Second), For: lab.Span(40 * time.Second), Where: []string{"e1", "e3", "e5"}},
 		{Kind: "list-cut", At: lab.Span(500 * time.Millisecond), For: lab.Span(11 * time.Second), Where: []string{"n1"}}}
@@ -108,7 +96,7 @@
 // processes send without words, which shows that the budget of moves holds over all of them.
 func TestBudgetOfMoves(t *testing.T) {
 	t.Parallel()
-	s := kept(t, "fleet-overload")
+	s := keptScenario(t, "fleet-overload")
 	s.Name, s.Length = "budget-of-moves", lab.Span(8*time.Second)
 	s.Fleet.Nodes, s.Fleet.Executors, s.Load.Of = 8, 24, 0.8
 	s.Faults = []lab.Fault{{Kind: "nodes-apart", At: lab.Span(2 * time.Second), For: lab.Span(3 * time.Second), Where: []string{"n0", "n1"}},
@@ -153,7 +141,7 @@
 func TestClientsLeave(t *testing.T) {
 	for _, stopped := range []bool{false, true} {
 		t.Run(fmt.Sprint("stopped=", stopped), func(t *testing.T) {
-			s := kept(t, "fleet-clients-leave")
+			s := keptScenario(t, "fleet-clients-leave")
 			if stopped {
 				s.Load.Of, s.Fleet.Executors = 8, 16
 				for i := range 9 {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"birchstair/internal/kept"
 	"birchstair/internal/node"
 	"birchstair/internal/operators"
 	"birchstair/internal/standin"
@@ -29,17 +29,7 @@
 		}
 		return
 	}
-	dir, err := os.MkdirTemp("", "birchstair-scale-")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "birchstair")
-	if out, err := exec.Command("go", "build", "-o", binary, "birchstair/cmd/birchstair").CombinedOutput(); err != nil {
-		panic(string(out))
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	kept.Main(m, &binary)
 }
 
 func smallest() Sweep {
