Where nodes ask, the first watch goes on from the copy that a node is given

Probe: the agent answers the first call for the whole list with its copy and asks the service beside it; that answer came while the node waited after a refusal. Ruled out: ask-within-s (10 s there), lists that came and were not used. Change: internal/list begins with a watch from the copy's version where nodes ask; the answer and the copy make the whole list. Versions that went back have the whole list asked for. Pushed lists as before. TestWatchFromTheCopy: kept trace.

--- a/cmd/birchstair/main.go
+++ b/cmd/birchstair/main.go
@@ -19,7 +19,6 @@
 
 	"birchstair/internal/config"
 	"birchstair/internal/list"
-	"birchstair/internal/node"
 	"birchstair/internal/reload"
 	"birchstair/internal/site"
 )
@@ -132,7 +131,7 @@
 type told struct {
 	config.Config
 	names list.Names
-	known []node.Executor
+	known list.Copy
 }
 
 // readSite reads the operator's own file, for that configuration.
--- a/internal/lab/wired.go
+++ b/internal/lab/wired.go
@@ -16,6 +16,7 @@
 
 	"birchstair/internal/clients"
 	"birchstair/internal/config"
+	"birchstair/internal/list"
 	"birchstair/internal/memnet"
 	"birchstair/internal/node"
 	"birchstair/internal/rules"
@@ -412,7 +413,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	l.stop = stop
-	setup := service.Setup{Settings: s, Limits: limits, ClientConns: clients.Budget{Whole: mostClients, Half: mostClients / 2}, Known: known, Discovery: discoveryAddr,
+	setup := service.Setup{Settings: s, Limits: limits, ClientConns: clients.Budget{Whole: mostClients, Half: mostClients / 2}, Known: list.Copy{Executors: known}, Discovery: discoveryAddr,
 		Start: v.start.Add(n.started), Module: &witness{Module: module, n: n, life: l}, Listener: listener, Executors: l.dial, List: l.dialList,
 		Log: zerolog.Nop(), Tap: l.tap}
 	go func() {
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -100,6 +100,9 @@
 // Watcher follows discovery, at one address after another.
 type Watcher struct {
 	Patience
+	// Copy is the list as this node last had it. Where nodes ask, the first watch goes on from its version: a call for the whole
+	// list would be one more for the service, and what it brings late, with no call open, would still count as told.
+	Copy    Copy
 	names   Names
 	tell    func(node.Event)
 	again   chan struct{}
@@ -109,6 +112,32 @@
 	watches uint64
 }
 
+// Copy is a list as discovery told it once; it may be old.
+type Copy struct {
+	Executors []node.Executor
+
+	version int64
+	whole   bool // it says that it is whole, so that changes since its version make it the list of now
+}
+
+// with is the whole list that comes of it by what has changed since.
+func (c Copy) with(changes update) update {
+	all := update{version: changes.version, whole: true}
+	changed := map[policy.ExecutorID]bool{}
+	for _, e := range changes.executors {
+		changed[e.Executor] = true
+		if e.State != policy.Gone {
+			all.executors = append(all.executors, e)
+		}
+	}
+	for _, e := range c.Executors {
+		if !changed[e.Executor] {
+			all.executors = append(all.executors, e)
+		}
+	}
+	return all
+}
+
 // watch is the watch on one address. It ends with its context.
 type watch struct {
 	addr string
@@ -158,7 +187,7 @@
 // nothing.
 func (w *Watcher) Run(ctx context.Context, addr string) {
 	var counts *watch
-	last := w.start(ctx, addr)
+	last := w.start(ctx, addr, w.Copy) // another address may count its versions otherwise
 	for {
 		select {
 		case <-ctx.Done():
@@ -170,7 +199,7 @@
 			if last != counts {
 				last.stop()
 			}
-			last = w.start(ctx, addr)
+			last = w.start(ctx, addr, Copy{})
 		case n := <-w.news:
 			if n.from == last && n.err == nil && last != counts { // a watch's first news is the whole list
 				if counts != nil {
@@ -190,12 +219,12 @@
 	}
 }
 
-func (w *Watcher) start(ctx context.Context, addr string) *watch {
+func (w *Watcher) start(ctx context.Context, addr string, from Copy) *watch {
 	ctx, stop := context.WithCancel(ctx)
-	from := &watch{addr: addr, stop: stop, told: make(chan struct{}, 1)}
+	on := &watch{addr: addr, stop: stop, told: make(chan struct{}, 1)}
 	w.watches++
-	go w.run(ctx, from, rand.New(rand.NewPCG(w.Seed, w.watches)))
-	return from
+	go w.run(ctx, on, from, rand.New(rand.NewPCG(w.Seed, w.watches)))
+	return on
 }
 
 // call is a call to discovery that is out.
@@ -221,16 +250,17 @@
 // A call that is late is waited for beside the next ones: discovery may be slow, and then giving up each call would bring
 // nothing ever; or its connection may be dead, and then only another call brings anything. Whichever brings something first
 // ends the others.
-func (w *Watcher) run(ctx context.Context, from *watch, chance *rand.Rand) {
+func (w *Watcher) run(ctx context.Context, on *watch, from Copy, chance *rand.Rand) {
 	client := w.client()
 	defer client.CloseIdleConnections()
 	var (
-		version int64
-		known   bool           // the version counts
-		lost    bool           // the last call brought nothing
-		refused int            // calls that a service which all share turned away, in a row
-		backoff = firstBackoff // after the next one that brings nothing
-		took    time.Duration  // what the last answer took beyond its call's wait
+		version = from.version
+		known   = from.whole && w.shared // the version counts
+		first   = true                   // no list has come
+		lost    = known                  // the last call brought nothing; or it is not known yet whether discovery is there
+		refused int                      // calls that a service which all share turned away, in a row
+		backoff = firstBackoff           // after the next one that brings nothing
+		took    time.Duration            // what the last answer took beyond its call's wait
 
 		out     []*call
 		current *call // the one that is not late yet; nil between two
@@ -247,7 +277,7 @@
 		if busy || !known && w.overdue(began) {
 			limit = overduePatience
 		}
-		w.begin(ctx, client, current, limit, from.addr, version, ends)
+		w.begin(ctx, client, current, limit, on.addr, version, ends)
 		next.Reset(current.hold + current.late)
 	}
 	beginIn := func(pause time.Duration) {
@@ -263,7 +293,7 @@
 	}
 	failed := func(call time.Time, err error) bool {
 		lost, current = true, nil
-		if !w.brought(ctx, news{from, update{}, err}) {
+		if !w.brought(ctx, news{on, update{}, err}) {
 			return false
 		}
 		pause := backoff
@@ -345,8 +375,12 @@
 				took = all - e.hold
 			}
 			out, current = nil, nil
+			if first && !e.update.whole {
+				e.update = from.with(e.update)
+			}
+			first = false
 			version, known, lost, backoff, refused = e.version, true, false, firstBackoff, 0
-			if !w.brought(ctx, news{from, e.update, nil}) {
+			if !w.brought(ctx, news{on, e.update, nil}) {
 				return
 			}
 			beginIn(breath - time.Since(e.began))
@@ -398,8 +432,12 @@
 	}
 	go func() {
 		got, err := w.call(ctx, client, url)
-		if err == nil && c.whole && !got.whole {
+		switch {
+		case err != nil || got.whole:
+		case c.whole:
 			err = oddError{errors.New("changes where the whole list is due")}
+		case got.version < version:
+			err = oddError{fmt.Errorf("changes up to version %d, asked for from %d on", got.version, version)}
 		}
 		select {
 		case ends <- ended{c, got, err}:
@@ -466,13 +504,13 @@
 type oddError struct{ error }
 
 // Known reads a copy of the list in discovery's form.
-func (n Names) Known(text json.RawMessage) ([]node.Executor, error) {
+func (n Names) Known(text json.RawMessage) (Copy, error) {
 	if len(text) == 0 || string(text) == "null" {
-		return nil, nil
+		return Copy{}, nil
 	}
 	got, err := n.decode(text)
 	if err != nil {
-		return nil, fmt.Errorf("known: %w", err)
+		return Copy{}, fmt.Errorf("known: %w", err)
 	}
-	return got.executors, nil
+	return Copy{Executors: got.executors, version: got.version, whole: got.whole}, nil
 }
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -43,6 +43,47 @@
 		"error",
 		`{"seq":50,"whole":true,"hosts":[{"host":"h","dial":"127.0.0.1:81","health":"ready","site":"new","class":"new"}]}`,
 	}
+	kept.Compare(t, "watch.txt", played(t, PatienceFor(time.Second, true), Copy{}, answers))
+}
+
+// Where nodes ask, the first watch goes on from the version of the copy, and what it brings makes the whole list of it. Versions
+// that went back, or an answer that makes no sense, have the whole list asked for; a refusal doesn't. Where lists are pushed, or
+// the copy doesn't say that it is whole, the whole list is asked for.
+func TestWatchFromTheCopy(t *testing.T) {
+	ready, draining := `"health":"ready","share":1.5,"born_ms":0`, `"health":"draining","share":1,"born_ms":5500`
+	entries := `"hosts":[` + host("a", ready) + `,` + host("b", ready) + `,` + host("c", ready) + `]}`
+	whole := `{"seq":60,"whole":true,"hosts":[` + host("z", ready) + `]}`
+	var out strings.Builder
+	for _, c := range []struct {
+		name, copy string
+		pushed     bool
+		answers    []string
+	}{
+		{"changes", `{"seq":41,"whole":true,` + entries, false, []string{"silent", "close", "busy",
+			`{"seq":43,"whole":false,"hosts":[` + host("a", draining) + `,{"host":"b","health":"gone"},` + host("d", ready) + `]}`,
+			`{"seq":44,"whole":false,"hosts":[` + host("d", draining) + `]}`}},
+		{"nothing has changed", `{"seq":41,"whole":true,` + entries, false, []string{`{"seq":41,"whole":false,"hosts":[]}`}},
+		{"the whole list", `{"seq":41,"whole":true,` + entries, false, []string{whole}},
+		{"versions went back", `{"seq":41,"whole":true,` + entries, false, []string{`{"seq":7,"whole":false,"hosts":[]}`, whole}},
+		{"no sense", `{"seq":41,"whole":true,` + entries, false, []string{"error", whole}},
+		{"busy", `{"seq":41,"whole":true,` + entries, false, []string{"busy", "busy", "busy", whole}},
+		{"a copy of changes", `{"seq":41,"whole":false,` + entries, false, []string{whole}},
+		{"pushed", `{"seq":41,"whole":true,` + entries, true, []string{whole}},
+		{"no copy", ``, false, []string{whole}},
+	} {
+		from, err := traceNames.Known([]byte(c.copy))
+		if err != nil {
+			t.Fatal(err)
+		}
+		out.WriteString("-- " + c.name + "\n" + played(t, PatienceFor(time.Second, c.pushed), from, c.answers))
+	}
+	kept.Compare(t, "copy.txt", out.String())
+}
+
+var traceNames = Names{Zones: []string{"tallinn", "tartu"}, Kinds: []string{"large", "small"}, Start: time.UnixMilli(5000)}
+
+// played is what is asked of a discovery that gives these answers, and what the node is told.
+func played(t *testing.T, p Patience, from Copy, answers []string) string {
 	var out strings.Builder
 	steps := make(chan string)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -63,14 +104,15 @@
 			<-r.Context().Done()
 		case "error":
 			w.WriteHeader(http.StatusInternalServerError)
+		case "busy":
+			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
 			w.Write([]byte(answer))
 		}
 	}))
 	defer discovery.Close()
 
-	w := New(Names{Zones: []string{"tallinn", "tartu"}, Kinds: []string{"large", "small"},
-		Start: time.UnixMilli(5000)}, PatienceFor(time.Second, true), nil, func(ev node.Event) {
+	w := New(traceNames, p, nil, func(ev node.Event) {
 		told := ev.(node.Listed)
 		line := map[policy.ListKind]string{policy.Whole: "whole", policy.Changes: "changes", policy.Lost: "lost"}[told.Kind]
 		for _, e := range told.Executors {
@@ -82,6 +124,7 @@
 		}
 		steps <- "  -> " + line
 	})
+	w.Copy = from
 	w.hold, w.answer, w.owed = 20*time.Millisecond, time.Second, time.Second
 	go func() {
 		w.Run(ctx, discovery.Listener.Addr().String())
@@ -91,7 +134,7 @@
 		out.WriteString(step + "\n")
 		w.Watch()
 	}
-	kept.Compare(t, "watch.txt", out.String())
+	return out.String()
 }
 
 // A move to another address: until it brings the whole list the old one counts, and nothing of the old one after
@@ -168,7 +211,7 @@
 		`{"seq":1,"hosts":[{}]}`: `0 known: the list's entry "" makes no sense`,
 	} {
 		got, err := Names{}.Known([]byte(text))
-		if s := fmt.Sprint(len(got), " ", err); s != want {
+		if s := fmt.Sprint(len(got.Executors), " ", err); s != want {
 			t.Errorf("%s: %s, want %s", text, s, want)
 		}
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -26,10 +26,10 @@
 type Setup struct {
 	Settings    config.Settings
 	Limits      node.Limits
-	ClientConns clients.Budget  // from clients, at most
-	Known       []node.Executor // the list as this node had it last
-	Discovery   string          // where the list comes from
-	Start       time.Time       // times of the reducer count from then
+	ClientConns clients.Budget // from clients, at most
+	Known       list.Copy      // the list as this node had it last
+	Discovery   string         // where the list comes from
+	Start       time.Time      // times of the reducer count from then
 
 	Module    node.Module
 	Listener  net.Listener
@@ -79,6 +79,7 @@
 	patience := list.PatienceFor(s.Settings.DrainGrace, !s.Settings.Policy.MustAsk)
 	patience.Seed = uint64(s.Settings.Policy.Seed)<<32 | uint64(uint32(s.Settings.Policy.Node))
 	watcher := list.New(list.Names{Zones: s.Settings.Zones, Kinds: s.Settings.Kinds, Start: s.Start}, patience, s.List, loop.Tell)
+	watcher.Copy = s.Known
 	door := operators.New(config.DoorCallers, loop.TellFirst)
 	edges := node.Edges{List: watcher, Operators: door}
 	if s.Heirs != "" {
@@ -126,7 +127,7 @@
 	watching, enough := context.WithCancel(context.Background())
 	defer enough()
 	go func() {
-		loop.Tell(node.Listed{Kind: policy.WarmCopy, Executors: s.Known})
+		loop.Tell(node.Listed{Kind: policy.WarmCopy, Executors: s.Known.Executors})
 		watcher.Run(watching, s.Discovery)
 	}()
 	go func() {
