--- a/cmd/birchlab/scale.go
+++ b/cmd/birchlab/scale.go
@@ -17,6 +17,7 @@
 // scaleCmd measures slopes.
 type scaleCmd struct {
 	Binary    string        `type:"existingfile" default:"bin/birchstair" help:"The node."`
+	Against   string        `type:"existingfile" placeholder:"FILE" help:"Another build of the node: each point is measured with both, in turn."`
 	Executors []int         `default:"12,100,400,1600,3200" help:"Hollow executors."`
 	Of        []int         `default:"1,9" help:"How many nodes the one among them counts itself among: from six on its slice is three in so many."`
 	Nodes     []int         `default:"3,9,30,100,300" help:"Nodes that talk."`
@@ -41,7 +42,7 @@
 
 func (c *scaleCmd) sweep() (scale.Sweep, error) {
 	s := scale.Sweep{Executors: c.Executors, Of: c.Of, Nodes: c.Nodes, Real: c.Real, Rungs: c.Rungs, Rates: c.Rates, Running: c.Running, Held: c.Held, Tenants: c.Tenants, Rounds: c.Rounds,
-		BaseExecutors: c.At, BaseNodes: c.Among, BaseRate: c.Rate, Work: c.Work, Span: c.Span, Sockets: c.Sockets}
+		BaseExecutors: c.At, BaseNodes: c.Among, BaseRate: c.Rate, Work: c.Work, Span: c.Span, Sockets: c.Sockets, Against: c.Against != ""}
 	dims := map[string]*[]int{"executors": &s.Executors, "nodes": &s.Nodes, "rungs": &s.Rungs, "rates": &s.Rates, "running": &s.Running, "held": &s.Held, "tenants": &s.Tenants}
 	for _, name := range c.Skip {
 		if dims[name] == nil {
@@ -61,6 +62,11 @@
 	if o.Binary, err = filepath.Abs(c.Binary); err != nil {
 		return err
 	}
+	if c.Against != "" {
+		if o.Against, err = filepath.Abs(c.Against); err != nil {
+			return err
+		}
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
--- a/internal/scale/bounds.go
+++ b/internal/scale/bounds.go
@@ -49,6 +49,7 @@
 	Work          time.Duration
 	Span          time.Duration // that each point is watched idle, and under load
 	Sockets       int           // a real node's limit
+	Against       bool          // each point with another build as well, in turn
 }
 
 // Check refuses what goes over a bound, by its name.
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -30,14 +30,15 @@
 
 // Options are the same for all points.
 type Options struct {
-	Binary string   // birchstair
-	Hollow []string // what starts a hollow process
-	Dir    string   // of its own: logs and configurations go there
-	Span   time.Duration
-	Settle time.Duration // before each stretch that counts
-	Work   time.Duration // that a task takes where none is said
-	Burst  time.Duration // in which fifty changes come; 1 s where it is left out
-	Starts int           // that are counted with the module alone; 4,000 where it is left out
+	Binary  string   // birchstair
+	Against string   // another build of it, for the points that say so
+	Hollow  []string // what starts a hollow process
+	Dir     string   // of its own: logs and configurations go there
+	Span    time.Duration
+	Settle  time.Duration // before each stretch that counts
+	Work    time.Duration // that a task takes where none is said
+	Burst   time.Duration // in which fifty changes come; 1 s where it is left out
+	Starts  int           // that are counted with the module alone; 4,000 where it is left out
 }
 
 // Point is what is measured once.
@@ -59,6 +60,7 @@
 	Tenants   int  `json:",omitempty"`
 	Module    bool `json:",omitempty"` // the module alone
 	Held      bool `json:",omitempty"` // with more than there are tokens for, so that batch jobs are held
+	Against   bool `json:",omitempty"` // of the other build
 }
 
 // long says whether its tasks take long.
@@ -136,9 +138,31 @@
 	for _, n := range s.Tenants {
 		add("module-tenants", n, func(pt *Point) { pt.Module, pt.Tenants = true, n })
 	}
+	if s.Against {
+		points = paired(points, round)
+	}
 	return points
 }
 
+// paired has each point of processes once more right beside it, of the other build: what slows the machine for a while slows both. Which of
+// them is first alternates. The module alone is of the lab's own build and stays as it is.
+func paired(points []Point, round int) (pairs []Point) {
+	for _, pt := range points {
+		if pt.Module {
+			pairs = append(pairs, pt)
+			continue
+		}
+		other := pt
+		other.Series, other.Against = pt.Series+"-against", true
+		if round%2 == 0 {
+			pairs = append(pairs, pt, other)
+		} else {
+			pairs = append(pairs, other, pt)
+		}
+	}
+	return pairs
+}
+
 // slice is how many executors a node uses among so many nodes where crossing zones costs nothing: from six on three shares of all.
 func slice(executors, of int) int {
 	if of < 6 {
@@ -337,7 +361,7 @@
 		if err := os.MkdirAll(p.dir, 0o700); err != nil {
 			return err
 		}
-		if err := errors.Join(p.config(w.pt, w.at), p.site(seeds), p.begin(w.o.Binary)); err != nil {
+		if err := errors.Join(p.config(w.pt, w.at), p.site(seeds), p.begin(w.binary())); err != nil {
 			return err
 		}
 		w.nodes = append(w.nodes, p)
@@ -367,6 +391,14 @@
 	return err
 }
 
+// binary is the build that the point is of.
+func (w *world) binary() string {
+	if w.pt.Against {
+		return w.o.Against
+	}
+	return w.o.Binary
+}
+
 // meet waits until all nodes know each other.
 func (w *world) meet() error {
 	all, fewest := w.pt.Real+w.pt.Hollow, 0
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -97,6 +97,40 @@
 	}
 }
 
+// With another build each point of processes is measured with both, side by side, and either is first in turn; each is the build that
+// its row says.
+func TestAgainst(t *testing.T) {
+	s := smallest()
+	s.Against = true
+	for round, want := range [][]string{{"executors-of-9", "executors-of-9-against"}, {"executors-of-9-against", "executors-of-9"}} {
+		var got []string
+		for _, pt := range s.points(round) {
+			if strings.HasPrefix(pt.Series, "executors") {
+				got = append(got, pt.Series)
+			}
+			if pt.Against != strings.HasSuffix(pt.Series, "-against") || pt.Module && pt.Against {
+				t.Errorf("%+v", pt)
+			}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	o := options(t)
+	o.Against = filepath.Join(o.Dir, "nothing")
+	s.Nodes, s.Tenants = nil, nil
+	rows := map[string]Row{}
+	if err := s.Run(o, func(r Row) { rows[r.Series] = r }); err != nil {
+		t.Fatal(err)
+	}
+	if r := rows["executors-of-9"]; r.NotRun != "" || r.Figures["starts_ps"] <= 0 {
+		t.Errorf("%+v", r)
+	}
+	if r := rows["executors-of-9-against"]; !strings.Contains(r.NotRun, "nothing") {
+		t.Errorf("%+v", r)
+	}
+}
+
 // What goes over the machine's bounds is refused by the bound's name before anything is started.
 func TestBounds(t *testing.T) {
 	const files = 20000
