--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -86,12 +86,13 @@
 
 // The worlds of lab/size are too large for the tests, and played by hand; they are read, so that they can't rot.
 func TestSizesAreRead(t *testing.T) {
-	files, err := fs.Glob(os.DirFS("../../lab/size"), "*.toml")
+	sizes := os.DirFS("../../lab/size")
+	files, err := fs.Glob(sizes, "*.toml")
 	if err != nil || len(files) == 0 {
 		t.Fatal("none: ", err)
 	}
 	for _, f := range files {
-		if s, err := LoadFrom(os.DirFS("../../lab/size"), f); err != nil || len(s.Faults) == 0 {
+		if s, err := LoadFrom(sizes, f); err != nil || len(s.Faults) == 0 {
 			t.Errorf("%s: %v, %d faults", f, err, len(s.Faults))
 		}
 	}
--- a/internal/list/bounds_test.go
+++ b/internal/list/bounds_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -235,13 +236,8 @@
 }
 
 func (q *queue) turn() time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if now := time.Now(); q.until.Before(now) {
-		q.until = now
-	}
-	q.until = q.until.Add(q.each)
-	return time.Until(q.until)
+	span, _ := q.takeWithin(math.MaxInt64, 0)
+	return span
 }
 
 // agent is a node's way to a service that all share and that turns calls away: what would wait for longer than room is refused, and a
