--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Builds what the cases start beside the project's own programs.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p review/bin
+for case in poison smuggle window; do
+	go build -o "review/bin/$case" "./review/testdata/$case"
+done
