--- a/review/testdata/smuggle/main.go
+++ b/review/testdata/smuggle/main.go
@@ -1,5 +1,5 @@
-// Command smuggle plays one bad client, whose job ID holds an encoded line break. No executor may get a request that no
-// client sent.
+// Command smuggle plays one bad client, whose job ID holds encoded line breaks. No executor may get a request that no
+// client sent, and another client's job that must not run twice must not run again.
 package main
 
 import (
@@ -58,22 +58,29 @@
 	if status, _, err := c.Post(listen, "call-3", "board-read", 5*time.Second, "three"); err != nil || status != http.StatusOK {
 		return false, errors.New("a usual client's request was not served")
 	}
+	if _, done, err := c.Get(listen, "verify-1", 10*time.Second); err != nil || done.Final != "handled" {
+		return false, errors.New("a usual client's job was not served")
+	}
 	if c.Trouble {
 		c.Put(listen, badSubmission()) //nolint:errcheck // it may be refused
 		time.Sleep(3 * time.Second)
 	}
-	for id := range executor.AllRuns() {
-		// The bad client did send a request of its own, so its ID is not counted, in whatever form it arrives.
-		if !sent[id] && !strings.HasPrefix(id, "durable-bad") {
+	for id, runs := range executor.AllRuns() {
+		if !sent[id] {
 			c.Log("check: an executor ran a request with the id %q, which no client sent", id)
 			broken = true
 		}
+		if id == "durable-verify-1" && runs > 1 {
+			c.Log("check: the job verify-1 of a usual client, which must never run twice, ran %d times", runs)
+			broken = true
+		}
 	}
 	return broken, nil
 }
 
-// badSubmission returns a durable job in whose ID the header of the request to the executor ends. Its body begins with
-// what fills the length that the ID states, and goes on with a request of its own.
+// badSubmission returns a durable job whose ID begins with that of another client's job. The header of the request to the
+// executor ends in the ID. The body begins with what fills the length that the ID states, and goes on with a request of
+// its own.
 func badSubmission() kit.Submission {
 	const stated = 200 // Content-Length in the ID; more than the headers that the node writes after the ID
 	hidden := "POST /api/hidden HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: " + hiddenID + "\r\nX-Budget-Ms: 1000\r\nContent-Length: 6\r\n\r\nhidden"
@@ -81,7 +88,7 @@
 	rest := "\r\nX-Lease-Epoch: 1\r\nX-Budget-Ms: 59999\r\nContent-Length: 999\r\n\r\n"
 	body := strings.Repeat("-", stated-len(rest)) + hidden
 	return kit.Submission{
-		Path:   fmt.Sprintf("bad%%0d%%0aX-Budget-Ms:1000%%0d%%0aContent-Length:%d%%0d%%0a%%0d%%0a", stated),
+		Path:   fmt.Sprintf("verify-1%%0d%%0aX-Budget-Ms:1000%%0d%%0aContent-Length:%d%%0d%%0a%%0d%%0a", stated),
 		Class:  "board-read",
 		Budget: budget,
 		Body:   body,
