--- a/review/testdata/kit/kit.go
+++ b/review/testdata/kit/kit.go
@@ -37,7 +37,6 @@
 	Trouble bool   // whether the disruption is played; false with TROUBLE=0
 	Root    string // the repository's root
 	Temp    string // temporary folder, removed at the end
-	Quiet   bool
 
 	mu     sync.Mutex
 	record *os.File
@@ -92,9 +91,6 @@
 func (c *Case) Log(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.Quiet {
-		return
-	}
 	text := strings.ReplaceAll(fmt.Sprintf(format, args...), c.Temp, "TEMP")
 	fmt.Fprintf(c.record, "%8.3f %s\n", time.Since(c.start).Seconds(), text)
 }
@@ -473,37 +469,3 @@
 	c.Log("client: answer to POST id %q: %d %q %v", id, status, text, err)
 	return status, text, err
 }
-
-// RSS returns the node's resident memory in bytes.
-func (n *Node) RSS() int64 {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.command.Process.Pid))
-	var size, resident int64
-	fmt.Sscan(string(text), &size, &resident)
-	return resident * int64(os.Getpagesize())
-}
-
-// StartBigExecutor starts an executor of the review's own, whose results have the given size.
-func (c *Case) StartBigExecutor(id string, runTime time.Duration, resultBytes int, ran func(job string)) (*Executor, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	e := &Executor{Addr: l.Addr().String(), c: c, at: map[policy.JobID][]time.Time{}}
-	e.ID = policy.ExecutorID(id)
-	result := strings.Repeat("r", resultBytes)
-	handler := func(w http.ResponseWriter, r *http.Request) {
-		job := r.Header.Get("X-Call-Id")
-		io.Copy(io.Discard, r.Body) //nolint:errcheck // a broken connection shows in the next write
-		ran(job)
-		line := func(state, result string) {
-			text, _ := json.Marshal(map[string]string{"id": job, "from": id, "state": state, "result": result})
-			w.Write(append(text, '\n')) //nolint:errcheck // as above
-			w.(http.Flusher).Flush()
-		}
-		line("started", "")
-		time.Sleep(runTime)
-		line("done", result)
-	}
-	go http.Serve(l, http.HandlerFunc(handler)) //nolint:errcheck // ends with the process
-	return e, nil
-}
