--- a/review/testdata/poison/main.go
+++ b/review/testdata/poison/main.go
@@ -28,11 +28,15 @@
 func main() { kit.Run(play) }
 
 func play(c *kit.Case) (broken bool, err error) {
-	executor, err := c.StartExecutor("s-1", runTime, false)
-	if err != nil {
-		return false, err
+	var executors []*kit.Executor
+	for _, id := range []string{"s-1", "s-2", "s-3"} {
+		executor, err := c.StartExecutor(id, runTime, false)
+		if err != nil {
+			return false, err
+		}
+		executors = append(executors, executor)
 	}
-	discovery, err := c.StartDiscovery(executor)
+	discovery, err := c.StartDiscovery(executors...)
 	if err != nil {
 		return false, err
 	}
--- a/review/testdata/window/main.go
+++ b/review/testdata/window/main.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"birchstair/review/testdata/kit"
@@ -31,11 +32,15 @@
 func main() { kit.Run(play) }
 
 func play(c *kit.Case) (broken bool, err error) {
-	executor, err := c.StartExecutor("s-1", runTime, false)
-	if err != nil {
-		return false, err
+	var executors []*kit.Executor
+	for _, id := range []string{"s-1", "s-2", "s-3"} {
+		executor, err := c.StartExecutor(id, runTime, false)
+		if err != nil {
+			return false, err
+		}
+		executors = append(executors, executor)
 	}
-	discovery, err := c.StartDiscovery(executor)
+	discovery, err := c.StartDiscovery(executors...)
 	if err != nil {
 		return false, err
 	}
@@ -56,7 +61,7 @@
 	}
 	if c.Trouble {
 		time.Sleep(killAfter)
-		if len(executor.Runs("durable-release-1")) != 1 {
+		if len(runsOf(executors, "durable-release-1")) != 1 {
 			return false, errors.New("the job does not run at the time of the kill")
 		}
 		withOutage := os.Getenv("OUTAGE") != "0" // OUTAGE=0 plays the kill alone
@@ -76,8 +81,12 @@
 	if _, status, err := c.Get(listen, "release-1", 10*time.Second); err != nil || status.Final == "" {
 		c.Log("the job has no final answer: %v", err)
 	}
-	// A repeat within the window, which counts from the send of the first attempt, is dropped and has no effect.
-	runs := executor.Runs("durable-release-1")
+	// The executors are one group: a repeat within the window, which counts from the send of the first attempt, is dropped at
+	// each of them and has no effect.
+	runs := runsOf(executors, "durable-release-1")
+	if len(runs) == 0 {
+		return false, errors.New("the job never ran")
+	}
 	for _, at := range runs[1:] {
 		after := at.Sub(runs[0])
 		c.Log("check: sent again %.3f s after it was first sent; repeats are dropped for %v", after.Seconds(), dedupWindow)
@@ -88,3 +97,12 @@
 	}
 	return broken, nil
 }
+
+// runsOf returns when a job was run by any of the executors, in order.
+func runsOf(executors []*kit.Executor, job string) (runs []time.Time) {
+	for _, executor := range executors {
+		runs = append(runs, executor.Runs(job)...)
+	}
+	slices.SortFunc(runs, time.Time.Compare)
+	return runs
+}
