Store text that is not UTF-8 as bytes, and read what earlier versions left

Cause: a record's text fields were encoded as CBOR text strings whatever their bytes, and the decoder of the same package rejects a text string that is not UTF-8. One record that can't be decoded counts as damage, which stops the start.

Evidence: the checksum was correct and the process had shut down gracefully, so no torn tail and no lost page. The manager alone, without executors, shows it; a path in UTF-8 does not, one in ISO 8859-1 does; Content-Type, Idempotency-Key and X-Path alike.

Change: the form on disk is a type of its own. Text that is not UTF-8 is a byte string; other text keeps its bytes, and the golden files stand. The decoder takes both, and the text strings that earlier versions wrote. The encoder refuses what the decoder refuses.

--- /dev/null
+++ b/internal/store/codec.go
@@ -0,0 +1,138 @@
+package store
+
+import (
+	"fmt"
+	"time"
+	"unicode/utf8"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// This file encodes records as CBOR. The types of the encoding are used in this file only.
+
+const maxRecordBytes = 1 << 20 // largest size of an encoded record
+
+// wireRecord is the encoding of a Record, a CBOR map. The integer keys are part of the format on disk.
+type wireRecord struct {
+	Kind           Kind          `cbor:"1,keyasint"`
+	ID             text          `cbor:"2,keyasint"`
+	At             time.Time     `cbor:"3,keyasint"`
+	JobClass       text          `cbor:"4,keyasint,omitzero"`
+	Deadline       time.Time     `cbor:"5,keyasint,omitzero"`
+	Work           time.Duration `cbor:"6,keyasint,omitempty"`
+	URI            text          `cbor:"7,keyasint,omitzero"`
+	Host           text          `cbor:"8,keyasint,omitzero"`
+	ContentType    text          `cbor:"9,keyasint,omitzero"`
+	IdempotencyKey text          `cbor:"10,keyasint,omitzero"`
+	Body           []byte        `cbor:"11,keyasint,omitempty"`
+	Epoch          uint32        `cbor:"12,keyasint,omitempty"`
+	Executor       text          `cbor:"13,keyasint,omitzero"`
+	NeverRan       bool          `cbor:"14,keyasint,omitempty"`
+	Outcome        uint8         `cbor:"15,keyasint,omitempty"`
+}
+
+// text is a string of any bytes. It is encoded as a CBOR text string if it is UTF-8, and otherwise as a CBOR byte string, because
+// a text string must be UTF-8 (RFC 8949, section 3.1).
+type text string
+
+// MarshalCBOR implements cbor.Marshaler.
+func (t text) MarshalCBOR() ([]byte, error) {
+	if utf8.ValidString(string(t)) {
+		return cbor.Marshal(string(t))
+	}
+	return cbor.Marshal([]byte(t))
+}
+
+// recordEncoding encodes times as floating-point seconds, rounded to microseconds.
+var recordEncoding = must(cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode())
+
+// recordDecoding decodes both encodings of text. It also accepts text strings that are not UTF-8, which earlier versions wrote.
+var recordDecoding = must(cbor.DecOptions{
+	ByteStringToString: cbor.ByteStringToStringAllowed,
+	UTF8:               cbor.UTF8DecodeInvalid,
+}.DecMode())
+
+// must returns v, or panics on an error. The options above are constant, so an error is a mistake in this file.
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// appendRecord appends an encoded record to b. On an error it returns b unchanged.
+func appendRecord(b []byte, r Record) ([]byte, error) {
+	if err := r.validate(); err != nil {
+		return b, err
+	}
+	encoded, err := recordEncoding.Marshal(newWireRecord(r))
+	if err != nil {
+		return b, err
+	}
+	if len(encoded) > maxRecordBytes {
+		return b, fmt.Errorf("the record is %d bytes long, over the limit of %d", len(encoded), maxRecordBytes)
+	}
+	return append(b, encoded...), nil
+}
+
+// decodeRecord decodes the record at the start of b. rest holds the bytes after the record.
+func decodeRecord(b []byte) (r Record, rest []byte, err error) {
+	var wire wireRecord
+	rest, err = recordDecoding.UnmarshalFirst(b, &wire)
+	if err != nil {
+		return r, nil, fmt.Errorf("the frame's checksum is correct, but a record can't be decoded: %w", err)
+	}
+	r = wire.record()
+	if err := r.validate(); err != nil {
+		return r, nil, fmt.Errorf("the frame's checksum is correct, but %w", err)
+	}
+	return r, rest, nil
+}
+
+// validate returns an error if a record is invalid. Neither an encoded nor a decoded record can be invalid.
+func (r *Record) validate() error {
+	if r.Kind < Accepted || r.Kind > Released || r.ID == "" {
+		return fmt.Errorf("a record is invalid: kind %d, job %q", r.Kind, r.ID)
+	}
+	return nil
+}
+
+func newWireRecord(r Record) wireRecord {
+	return wireRecord{
+		Kind:           r.Kind,
+		ID:             text(r.ID),
+		At:             r.At,
+		JobClass:       text(r.JobClass),
+		Deadline:       r.Deadline,
+		Work:           r.Work,
+		URI:            text(r.URI),
+		Host:           text(r.Host),
+		ContentType:    text(r.ContentType),
+		IdempotencyKey: text(r.IdempotencyKey),
+		Body:           r.Body,
+		Epoch:          r.Epoch,
+		Executor:       text(r.Executor),
+		NeverRan:       r.NeverRan,
+		Outcome:        r.Outcome,
+	}
+}
+
+func (w *wireRecord) record() Record {
+	return Record{
+		Kind:           w.Kind,
+		ID:             string(w.ID),
+		At:             w.At,
+		JobClass:       string(w.JobClass),
+		Deadline:       w.Deadline,
+		Work:           w.Work,
+		URI:            string(w.URI),
+		Host:           string(w.Host),
+		ContentType:    string(w.ContentType),
+		IdempotencyKey: string(w.IdempotencyKey),
+		Body:           w.Body,
+		Epoch:          w.Epoch,
+		Executor:       string(w.Executor),
+		NeverRan:       w.NeverRan,
+		Outcome:        w.Outcome,
+	}
+}
--- /dev/null
+++ b/internal/store/codec_test.go
@@ -0,0 +1,196 @@
+package store
+
+import (
+	"encoding/hex"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// recordTime is the time of the records of the tests. Records keep microseconds.
+var recordTime = time.UnixMicro(1_700_000_000_000_001).UTC()
+
+// latin1 is a legal value of an HTTP header that is not UTF-8.
+const latin1 = "text/plain; name=\"Tabelid-J\xf5gi\""
+
+// recordWithText returns a record in which every text field holds this value.
+func recordWithText(value string) Record {
+	return Record{
+		Kind:           Accepted,
+		ID:             value,
+		At:             recordTime,
+		JobClass:       value,
+		Deadline:       recordTime.Add(time.Hour),
+		Work:           time.Millisecond,
+		URI:            value,
+		Host:           value,
+		ContentType:    value,
+		IdempotencyKey: value,
+		Body:           []byte(value),
+		Epoch:          1,
+		Executor:       value,
+		NeverRan:       true,
+		Outcome:        2,
+	}
+}
+
+// roundTrip encodes a record, checks that the bytes are valid CBOR in which all text is UTF-8, and decodes them.
+func roundTrip(t *testing.T, r Record) Record {
+	t.Helper()
+	b, err := appendRecord(nil, r)
+	if err != nil {
+		t.Fatalf("encode %+v: %v", r, err)
+	}
+	var generic map[int]any
+	if err := cbor.Unmarshal(b, &generic); err != nil { // the library rejects text that is not UTF-8 by default
+		t.Errorf("the encoding of %+v is not valid CBOR: %v", r, err)
+	}
+	decoded, rest, err := decodeRecord(b)
+	if err != nil || len(rest) > 0 {
+		t.Fatalf("decode the encoding of %+v: error %v, %d bytes left", r, err, len(rest))
+	}
+	return withExactTimes(decoded)
+}
+
+// withExactTimes rounds the times of a decoded record, which are stored as floating-point seconds, to microseconds.
+func withExactTimes(r Record) Record {
+	r.At, r.Deadline = r.At.UTC().Round(time.Microsecond), r.Deadline.UTC().Round(time.Microsecond)
+	return r
+}
+
+// TestTextThatIsNotUTF8 guards against a store that can't be opened again: a text field that is not UTF-8 was encoded without an
+// error, and the decoder rejected the whole segment.
+func TestTextThatIsNotUTF8(t *testing.T) {
+	for _, value := range []string{latin1, "\xff", "caf\xe9", "\xc3", "\xed\xa0\x80", "a\x00b", "\ufffd", "jõgi"} {
+		if r := recordWithText(value); !reflect.DeepEqual(roundTrip(t, r), r) {
+			t.Errorf("%q: decoded %+v, want %+v", value, roundTrip(t, r), r)
+		}
+	}
+}
+
+// earlierRecord is the encoding of a record by versions that wrote every text field as a CBOR text string, even if it was not
+// UTF-8.
+type earlierRecord struct {
+	Kind           Kind          `cbor:"1,keyasint"`
+	ID             string        `cbor:"2,keyasint"`
+	At             time.Time     `cbor:"3,keyasint"`
+	JobClass       string        `cbor:"4,keyasint,omitempty"`
+	Deadline       time.Time     `cbor:"5,keyasint,omitzero"`
+	Work           time.Duration `cbor:"6,keyasint,omitempty"`
+	URI            string        `cbor:"7,keyasint,omitempty"`
+	Host           string        `cbor:"8,keyasint,omitempty"`
+	ContentType    string        `cbor:"9,keyasint,omitempty"`
+	IdempotencyKey string        `cbor:"10,keyasint,omitempty"`
+	Body           []byte        `cbor:"11,keyasint,omitempty"`
+	Epoch          uint32        `cbor:"12,keyasint,omitempty"`
+	Executor       string        `cbor:"13,keyasint,omitempty"`
+	NeverRan       bool          `cbor:"14,keyasint,omitempty"`
+	Outcome        uint8         `cbor:"15,keyasint,omitempty"`
+}
+
+func encodeEarlier(t testing.TB, r Record) []byte {
+	t.Helper()
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := mode.Marshal(earlierRecord(r))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// TestEarlierText guards against an upgrade that can't open the directory: an earlier version has written text strings that are
+// not UTF-8. Their bytes must be read as they were accepted. Text that is UTF-8 keeps its encoding, so that an earlier version
+// can read it.
+func TestEarlierText(t *testing.T) {
+	for _, value := range []string{latin1, "\xff", "jõgi", "plain"} {
+		r := recordWithText(value)
+		earlier := encodeEarlier(t, r)
+		decoded, _, err := decodeRecord(earlier)
+		if err != nil {
+			t.Errorf("%q: decode a record of an earlier version: %v", value, err)
+			continue
+		}
+		if decoded = withExactTimes(decoded); !reflect.DeepEqual(decoded, r) {
+			t.Errorf("%q: decoded %+v, want %+v", value, decoded, r)
+		}
+		if b, err := appendRecord(nil, r); utf8.ValidString(value) && (err != nil || string(b) != string(earlier)) {
+			t.Errorf("%q: encoded as %x, error %v, want %x", value, b, err, earlier)
+		}
+	}
+}
+
+// TestEarlierDirectory guards against a start that fails on the directory of an earlier version: a frame in its first segment
+// holds text that is not UTF-8.
+func TestEarlierDirectory(t *testing.T) {
+	dir := t.TempDir()
+	segment := appendSegmentHeader(nil, 1)
+	want := map[string]Record{}
+	for i, contentType := range []string{"text/plain", latin1, "text/html"} {
+		r := Record{Kind: Accepted, ID: fmt.Sprint("job-", i), At: recordTime, JobClass: "page", ContentType: contentType, Body: []byte("body")}
+		segment = append(segment, encodeFrame(encodeEarlier(t, r))...)
+		want[r.ID] = r
+	}
+	if err := os.WriteFile(dir+"/"+segmentName(1), segment, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []string{"opened", "compacted and opened again"} {
+		s, err := Open(Directory(dir), Options{SegmentBytes: 1 << 20})
+		if err != nil {
+			t.Fatalf("%s: %v", step, err)
+		}
+		for id, r := range want {
+			found, ok := s.Get(id)
+			if !ok || found.Accepted.ContentType != r.ContentType || string(found.Accepted.Body) != string(r.Body) {
+				t.Errorf("%s: job %s is %+v, want %+v", step, id, found.Accepted, r)
+			}
+		}
+		if err := s.Compact(nil); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// FuzzRecord checks that every record that can be encoded is decoded to the same record, so that nothing is acknowledged that
+// the next start can't read.
+func FuzzRecord(f *testing.F) {
+	for _, text := range []string{"job-1", latin1, "", "a\r\nb", strings.Repeat("x", 300)} {
+		f.Add(uint8(1), text, text, text, []byte(text), int64(1_700_000_000_000_000), int64(1000), uint32(1), uint8(3), true)
+	}
+	f.Add(uint8(9), "job-1", "", "", []byte(nil), int64(0), int64(-1), uint32(0), uint8(0), false)
+	f.Fuzz(func(t *testing.T, kind uint8, id, header, executor string, body []byte, micros, work int64, epoch uint32, outcome uint8, neverRan bool) {
+		const maxMicros = 1 << 52 // times beyond the year 2112 lose precision as floating-point seconds
+		at := time.UnixMicro(micros % maxMicros).UTC()
+		if len(body) == 0 {
+			body = nil // an empty body is not encoded
+		}
+		r := Record{Kind: Kind(kind), ID: id, At: at, JobClass: header, Work: time.Duration(work), URI: header, Host: header, ContentType: header,
+			IdempotencyKey: header, Body: body, Epoch: epoch, Executor: executor, NeverRan: neverRan, Outcome: outcome}
+		b, err := appendRecord(nil, r)
+		if err != nil {
+			return
+		}
+		decoded, rest, err := decodeRecord(b)
+		if err != nil || len(rest) > 0 {
+			t.Fatalf("%+v was encoded as %s, but decoding returned error %v and %d more bytes", r, hex.EncodeToString(b), err, len(rest))
+		}
+		if drift := decoded.At.Sub(at).Abs(); drift > time.Microsecond {
+			t.Errorf("time %v was decoded as %v", at, decoded.At)
+		}
+		decoded.At = at
+		if !reflect.DeepEqual(decoded, r) {
+			t.Errorf("decoded %+v, want %+v", decoded, r)
+		}
+	})
+}
--- a/internal/store/doc.go
+++ b/internal/store/doc.go
@@ -10,6 +10,8 @@
 //	frame   = magic (4 bytes), length of the records (4 bytes), checksum (4 bytes), record ...
 //	record  = a CBOR map with integer keys
 //
+// Text in a record is a CBOR text string, or a byte string if it is not UTF-8 (codec.go).
+//
 // Numbers are little-endian. The checksum is a CRC-32C of the length and the records. A frame holds the records that were synced
 // together, and is valid as a whole or not at all. A disk can write its pages in any order, so a crash can leave a part of a frame
 // that was never acknowledged on disk. The checksum prevents recovery from using any record of such a frame.
