A record that can't be encoded fails alone, not with the whole store

What callers would see: one record that the encoder refuses (over 1 MiB, without an ID, of an unknown kind) made the store fail as a failed sync does: until a restart no durable job was accepted, and no attempt, answer or release of any job was written.

Clients are kept under the limit by those on headers (16 KiB) and bodies (64 KiB), executors by that on lines (128 KiB); the ID of an executor from discovery has no limit of its own.

Cause: a commit encoded a batch as a whole, and any error of it was taken for one of the disk. Change: each record is encoded by itself into a frame; one that can't be encoded gets ErrInvalidRecord, the others are committed.

--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -60,17 +60,17 @@
 	return v
 }
 
-// appendRecord appends an encoded record to b. On an error it returns b unchanged.
+// appendRecord appends an encoded record to b. On an error, which wraps ErrInvalidRecord, it returns b unchanged.
 func appendRecord(b []byte, r Record) ([]byte, error) {
 	if err := r.validate(); err != nil {
-		return b, err
+		return b, fmt.Errorf("%w: %w", ErrInvalidRecord, err)
 	}
 	encoded, err := recordEncoding.Marshal(newWireRecord(r))
 	if err != nil {
-		return b, err
+		return b, fmt.Errorf("%w: %w", ErrInvalidRecord, err)
 	}
 	if len(encoded) > maxRecordBytes {
-		return b, fmt.Errorf("the record is %d bytes long, over the limit of %d", len(encoded), maxRecordBytes)
+		return b, fmt.Errorf("%w: it is %d bytes long, over the limit of %d", ErrInvalidRecord, len(encoded), maxRecordBytes)
 	}
 	return append(b, encoded...), nil
 }
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -1,6 +1,9 @@
 package store
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // pendingRecordBytes is the estimated size of a pending record without the record's body, in bytes. Pending records count towards
 // Options.MaxBytes.
@@ -13,8 +16,8 @@
 }
 
 // Append queues a record. It does not wait for the disk. done is called once the record is on disk or can't be written, and must
-// not wait for the disk either. The error passed to done is nil, or wraps ErrFull, ErrFailed or ErrClosed. Only Accepted records
-// can fail with ErrFull.
+// not wait for the disk either. The error passed to done is nil, or wraps ErrFull, ErrInvalidRecord, ErrFailed or ErrClosed. Only
+// Accepted records can fail with ErrFull.
 func (s *Store) Append(r Record, done func(error)) {
 	if err := s.enqueue(pendingWrite{r, done}); err != nil {
 		done(err)
@@ -45,8 +48,8 @@
 	return total
 }
 
-// commitLoop commits pending records until Close has been called and no record is pending. All records that are pending at the
-// same time share one sync.
+// commitLoop commits pending records until Close has been called and no record is pending. The records that are pending at the
+// same time share as few syncs as frames can hold them.
 func (s *Store) commitLoop() {
 	defer close(s.done)
 	for {
@@ -54,8 +57,8 @@
 		if len(batch) == 0 {
 			return
 		}
-		if failed == nil {
-			failed = s.commitOrFail(batch)
+		for failed == nil && len(batch) > 0 {
+			batch, failed = s.commitNext(batch)
 		}
 		for _, w := range batch {
 			w.done(failed)
@@ -75,57 +78,79 @@
 	return batch, s.failed
 }
 
-// commitOrFail commits a batch. After any error the store stays failed until it is opened again.
-func (s *Store) commitOrFail(batch []pendingWrite) error {
-	err := s.commit(batch)
-	if err == nil {
-		return nil
+// commitNext commits the records at the start of a batch that fit into one frame, and calls their callbacks. A record that can't
+// be encoded fails alone. rest holds the records whose callbacks were not called. After any other error the store stays failed
+// until it is opened again, and failed is that error.
+func (s *Store) commitNext(batch []pendingWrite) (rest []pendingWrite, failed error) {
+	frame, rest := s.encodeNext(batch)
+	if len(frame.writes) == 0 {
+		return rest, nil
+	}
+	if err := s.commit(frame); err != nil {
+		return append(frame.writes, rest...), s.fail(err)
+	}
+	for _, w := range frame.writes {
+		w.done(nil)
 	}
-	err = fmt.Errorf("%w: %w", ErrFailed, err)
+	return rest, nil
+}
+
+// fail makes the store fail. It returns the error that all later appends get.
+func (s *Store) fail(err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed = err
-	return err
+	s.failed = fmt.Errorf("%w: %w", ErrFailed, err)
+	return s.failed
 }
 
-// commit writes a batch as one frame, syncs the frame and applies its records. Then, if necessary, it starts a new segment and
-// compacts the oldest segments.
-func (s *Store) commit(batch []pendingWrite) error {
-	frame, sizes, err := encodeBatch(batch)
-	if err != nil {
-		return err
+// commitFrame is the content of one frame.
+type commitFrame struct {
+	builder frameBuilder
+	writes  []pendingWrite
+	sizes   []int // encoded size of each record in bytes
+}
+
+// encodeNext encodes the records at the start of a batch that fit into one frame. It calls the callback of each record that
+// can't be encoded. rest holds the records that need a further frame.
+func (s *Store) encodeNext(batch []pendingWrite) (frame commitFrame, rest []pendingWrite) {
+	frame.builder.maxBytes = s.maxFrameBytes
+	for i, w := range batch {
+		size, err := frame.builder.add(w.record)
+		if errors.Is(err, errFrameFull) {
+			return frame, batch[i:]
+		}
+		if err != nil {
+			w.done(err)
+			continue
+		}
+		frame.writes = append(frame.writes, w)
+		frame.sizes = append(frame.sizes, size)
 	}
-	if err := s.writeAndSync(frame); err != nil {
+	return frame, nil
+}
+
+// commit writes and syncs a frame and applies its records. Then, if necessary, it starts a new segment and compacts the oldest
+// segments.
+func (s *Store) commit(frame commitFrame) error {
+	encoded := frame.builder.take()
+	if err := s.writeAndSync(encoded); err != nil {
 		return err
 	}
-	if err := s.applyBatch(batch, sizes, len(frame)); err != nil {
+	if err := s.applyFrame(frame, len(encoded)); err != nil {
 		return err
 	}
 	return s.compact(false, nil)
 }
 
-// encodeBatch encodes a batch as a frame. sizes holds the encoded size of each record in bytes.
-func encodeBatch(batch []pendingWrite) (frame []byte, sizes []int, err error) {
-	var records []byte
-	for _, w := range batch {
-		before := len(records)
-		if records, err = appendRecord(records, w.record); err != nil {
-			return nil, nil, err
-		}
-		sizes = append(sizes, len(records)-before)
-	}
-	return encodeFrame(records), sizes, nil
-}
-
-// applyBatch applies the records of a synced frame. If the last segment has reached Options.SegmentBytes, applyBatch starts a new
+// applyFrame applies the records of a synced frame. If the last segment has reached Options.SegmentBytes, applyFrame starts a new
 // segment.
-func (s *Store) applyBatch(batch []pendingWrite, sizes []int, frameBytes int) error {
+func (s *Store) applyFrame(frame commitFrame, encodedBytes int) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, w := range batch {
-		s.apply(s.lastSegment, w.record, sizes[i])
+	for i, w := range frame.writes {
+		s.apply(s.lastSegment, w.record, frame.sizes[i])
 	}
-	s.segmentBytes[s.lastSegment] += int64(frameBytes)
+	s.segmentBytes[s.lastSegment] += int64(encodedBytes)
 	s.syncs++
 	if s.segmentBytes[s.lastSegment] < s.options.SegmentBytes {
 		return nil
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -21,6 +21,37 @@
 	return crc32.Update(crc32.Checksum(length, castagnoli), castagnoli, records)
 }
 
+// frameBuilder collects the encoded records of a frame.
+type frameBuilder struct {
+	maxBytes int // largest size of the records
+	records  []byte
+}
+
+// add appends a record and returns its encoded size in bytes. The error is errFrameFull if the record needs a new frame, or
+// wraps ErrInvalidRecord. The frame does not change on an error.
+func (f *frameBuilder) add(r Record) (size int, err error) {
+	records, err := appendRecord(f.records, r)
+	if err != nil {
+		return 0, err
+	}
+	if len(records) > f.maxBytes {
+		return 0, errFrameFull
+	}
+	size = len(records) - len(f.records)
+	f.records = records
+	return size, nil
+}
+
+// take returns the encoded frame and empties the builder. It returns nil if there are no records.
+func (f *frameBuilder) take() []byte {
+	if len(f.records) == 0 {
+		return nil
+	}
+	frame := encodeFrame(f.records)
+	f.records = f.records[:0]
+	return frame
+}
+
 // encodeFrame encodes a frame that holds the given encoded records.
 func encodeFrame(records []byte) []byte {
 	b := make([]byte, 0, frameHeaderBytes+len(records))
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,9 +18,10 @@
 
 // Store is an open store. All of its methods except Compact are safe for concurrent use.
 type Store struct {
-	disk    Disk
-	options Options
-	lock    io.Closer
+	disk          Disk
+	options       Options
+	lock          io.Closer
+	maxFrameBytes int // largest size of a frame's records
 
 	file File // file of the last segment; used only by commitLoop, and by Compact while nothing else uses the store
 
@@ -54,14 +55,15 @@
 		return nil, err
 	}
 	s := &Store{
-		disk:         disk,
-		options:      options,
-		lock:         lock,
-		jobs:         JobStates{},
-		extents:      map[string][]extent{},
-		liveBytes:    map[uint64]int64{},
-		segmentBytes: map[uint64]int64{},
-		done:         make(chan struct{}),
+		disk:          disk,
+		options:       options,
+		lock:          lock,
+		maxFrameBytes: maxFrameBytes,
+		jobs:          JobStates{},
+		extents:       map[string][]extent{},
+		liveBytes:     map[uint64]int64{},
+		segmentBytes:  map[uint64]int64{},
+		done:          make(chan struct{}),
 	}
 	s.wakeup = sync.NewCond(&s.mu)
 	if err := s.recoverSegments(); err != nil {
