Write frames of at most 4 MiB, and read the larger ones of earlier versions

Cause: compaction put all records of all jobs of a segment into one frame, and a commit all pending records; the decoder takes a length over 256 MiB for bytes that are no frame.

Evidence: no crash and no full disk is needed; of frames written complete, one of 267 MiB was lost and one of 20 MiB was read.

Change: one limit of 4 MiB for each frame that is written, which also bounds the memory of a compaction; the decoder goes by the checksum alone, so frames of earlier versions are read. A crash between two frames leaves records twice; recovery ignores the second.

Tests, on the code before: TestFramesAreBounded (frames of 8, 12 and 20 MB) and TestLargeFrameOfEarlierVersion (its jobs were missing) failed.

--- a/internal/store/compaction.go
+++ b/internal/store/compaction.go
@@ -1,5 +1,10 @@
 package store
 
+import (
+	"errors"
+	"slices"
+)
+
 // Compact copies all live records to the last segment and removes all other segments, even those that are mostly live. It calls
 // progress before it compacts each segment, unless progress is nil. It must not be called while anything else uses the store.
 func (s *Store) Compact(progress func(done, all int)) error { return s.compact(true, progress) }
@@ -31,18 +36,21 @@
 }
 
 // compactSegment compacts the oldest segment. It copies all records of the jobs whose first record is in that segment to the last
-// segment, and then removes the oldest segment.
+// segment, and then removes the oldest segment. The copies are written as frames of at most maxFrameBytes, so that the memory
+// needed does not depend on the segment. If the process crashes between two frames, recovery finds some records twice, and ignores
+// the copies.
 func (s *Store) compactSegment(oldest uint64) error {
-	records, moved, err := s.liveRecords(oldest)
-	if err != nil {
-		return err
-	}
-	var frame []byte
-	if len(records) > 0 {
-		frame = encodeFrame(records)
-		if err := s.writeAndSync(frame); err != nil {
+	frame := frameBuilder{maxBytes: s.maxFrameBytes}
+	moved := map[string]int{}
+	for _, id := range s.jobsStartingIn(oldest) {
+		size, err := s.copyJob(id, &frame)
+		if err != nil {
 			return err
 		}
+		moved[id] = size
+	}
+	if err := s.writeCopies(&frame); err != nil {
+		return err
 	}
 	if err := s.disk.Remove(segmentName(oldest)); err != nil {
 		return err
@@ -50,35 +58,61 @@
 	if err := s.disk.SyncDir(); err != nil {
 		return err
 	}
-	s.accountCompaction(oldest, moved, len(frame))
+	s.accountCompaction(oldest, moved)
 	return nil
 }
 
-// liveRecords returns the encoded records of all jobs whose first record is in a segment, including the records of these jobs in
-// later segments. moved maps each job's ID to the size of the job's records in bytes.
-func (s *Store) liveRecords(segment uint64) (records []byte, moved map[string]int, err error) {
+// jobsStartingIn returns the IDs of all jobs whose first record is in a segment, in ascending order.
+func (s *Store) jobsStartingIn(segment uint64) (ids []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	moved = map[string]int{}
 	for id, extents := range s.extents {
-		if extents[0].segment != segment {
-			continue
+		if extents[0].segment == segment {
+			ids = append(ids, id)
 		}
-		before := len(records)
-		for _, r := range s.jobs[id].Records() {
-			if records, err = appendRecord(records, r); err != nil {
-				return nil, nil, err
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// copyJob adds all records of a job to a frame, and writes the frame whenever it is full. It returns the encoded size of the records
+// in bytes.
+func (s *Store) copyJob(id string, frame *frameBuilder) (total int, err error) {
+	job, _ := s.Get(id)
+	for _, r := range job.Records() {
+		size, err := frame.add(r)
+		if errors.Is(err, errFrameFull) {
+			if err := s.writeCopies(frame); err != nil {
+				return total, err
 			}
+			size, err = frame.add(r)
+		}
+		if err != nil {
+			return total, err
 		}
-		moved[id] = len(records) - before
+		total += size
 	}
-	return records, moved, nil
+	return total, nil
+}
+
+// writeCopies writes and syncs a frame of copied records, if there are any.
+func (s *Store) writeCopies(frame *frameBuilder) error {
+	encoded := frame.take()
+	if len(encoded) == 0 {
+		return nil
+	}
+	if err := s.writeAndSync(encoded); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.segmentBytes[s.lastSegment] += int64(len(encoded))
+	return nil
 }
 
-// accountCompaction updates the sizes of segments and live records after a compaction. The compaction has removed the oldest
-// segment, and has copied the records of the jobs in moved to the last segment. frameBytes is the size of the frame with the
-// copied records. It is 0 if no job was moved.
-func (s *Store) accountCompaction(oldest uint64, moved map[string]int, frameBytes int) {
+// accountCompaction updates the sizes of segments and live records after a compaction, which has copied the jobs in moved to the
+// last segment and removed the oldest one. moved maps each job's ID to the size of its records in bytes.
+func (s *Store) accountCompaction(oldest uint64, moved map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, size := range moved {
@@ -86,7 +120,6 @@
 		s.extents[id] = []extent{{s.lastSegment, size}}
 		s.liveBytes[s.lastSegment] += int64(size)
 	}
-	s.segmentBytes[s.lastSegment] += int64(frameBytes)
 	delete(s.segmentBytes, oldest)
 	delete(s.liveBytes, oldest)
 	s.firstSegment = oldest + 1
--- a/internal/store/doc.go
+++ b/internal/store/doc.go
@@ -12,14 +12,15 @@
 //
 // Text in a record is a CBOR text string, or a byte string if it is not UTF-8 (codec.go).
 //
-// Numbers are little-endian. The checksum is a CRC-32C of the length and the records. A frame holds the records that were synced
-// together, and is valid as a whole or not at all. A disk can write its pages in any order, so a crash can leave a part of a frame
-// that was never acknowledged on disk. The checksum prevents recovery from using any record of such a frame.
+// Numbers are little-endian. The checksum is a CRC-32C of the length and the records. A frame holds records that were synced
+// together, at most 4 MiB of them, and is valid as a whole or not at all. A disk can write its pages in any order, so a crash can
+// leave a part of a frame that was never acknowledged on disk. The checksum prevents recovery from using any record of such a
+// frame.
 //
 // # Appending
 //
-// Append queues a record. One goroutine writes all queued records as one frame, syncs the file once and then calls the
-// records' callbacks. This is a group commit (commit.go). After a failed write or sync the store accepts no more records, because
+// Append queues a record. One goroutine writes the queued records as one frame, or as several if they need it, syncs the file after
+// each frame and then calls the records' callbacks. This is a group commit (commit.go). After a failed write or sync the store accepts no more records, because
 // it is unknown which data has reached the disk.
 //
 // # Recovery
@@ -31,5 +32,5 @@
 //
 // When at most half of the oldest segment is live, the segment is compacted (compaction.go): all records of the jobs whose first
 // record is in that segment are copied to the last segment, and the oldest segment is removed. This happens between two commits,
-// while the store is in use.
+// while the store is in use. After a crash during a compaction some records exist twice; recovery ignores the second.
 package store
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -8,7 +8,7 @@
 
 const (
 	frameHeaderBytes = 12      // size of magic, length and checksum
-	maxFrameBytes    = 1 << 28 // largest size of a frame's records; decodeFrame rejects larger frames
+	maxFrameBytes    = 4 << 20 // largest size of the records of a frame that is written; earlier versions wrote larger frames
 )
 
 var (
@@ -86,7 +86,7 @@
 		return nil, false
 	}
 	length := binary.LittleEndian.Uint32(b[4:])
-	if length == 0 || length > maxFrameBytes || int(length) > len(b)-frameHeaderBytes {
+	if length == 0 || int(length) > len(b)-frameHeaderBytes {
 		return nil, false
 	}
 	records = b[frameHeaderBytes : frameHeaderBytes+int(length)]
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,7 +21,7 @@
 	disk          Disk
 	options       Options
 	lock          io.Closer
-	maxFrameBytes int // largest size of a frame's records
+	maxFrameBytes int // largest size of a frame's records; maxFrameBytes, unless a test changes it
 
 	file File // file of the last segment; used only by commitLoop, and by Compact while nothing else uses the store
 
