Refuse durable IDs with control characters, and requests that they would split

Cause: the ID comes from the decoded path, where any byte is possible, and went into the header X-Call-Id as it was.

Values that come from headers can't do it: net/http refuses control characters there.

Change: a new job's ID is UTF-8 without control characters, else 400 before anything is written. The encoder of requests refuses every value that would end its field; the attempt ends as an invalid request without a byte sent, and its job fails at once.

--- a/internal/durable/http.go
+++ b/internal/durable/http.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"birchstair/internal/leases"
 	"birchstair/internal/store"
@@ -85,8 +87,12 @@
 	return http.StatusOK, err
 }
 
-// readSubmission parses and validates the headers of a submission, and then reads the body.
+// readSubmission parses and validates the ID and the headers of a submission, and then reads the body. Of the values that an
+// executor receives, net/http has checked those of headers, but not the ID, which was decoded from the path.
 func (m *Manager) readSubmission(r *http.Request, id string) (job submission, err error) {
+	if !validID(id) {
+		return job, badRequest("the id: %.40q is not UTF-8, or has a control character in it", id)
+	}
 	header := r.Header
 	job.record = store.Record{
 		Kind:           store.Accepted,
@@ -100,7 +106,7 @@
 	if job.record.URI == "" {
 		job.record.URI = "/"
 	}
-	if uri := job.record.URI; !strings.HasPrefix(uri, "/") || strings.ContainsAny(uri, " \r\n") {
+	if uri := job.record.URI; !strings.HasPrefix(uri, "/") || strings.ContainsAny(uri, " \t") {
 		return job, badRequest("X-Path: %.40q is no path", uri)
 	}
 	m.mu.Lock()
@@ -122,6 +128,12 @@
 	return job, err
 }
 
+// validID reports whether a new job can have this ID. Executors receive the ID in a header and return it in JSON, so it must have no
+// control characters and be UTF-8.
+func validID(id string) bool {
+	return utf8.ValidString(id) && !strings.ContainsFunc(id, unicode.IsControl)
+}
+
 // readBudget parses the X-Budget-Ms header, which holds the time until the job's deadline in milliseconds.
 func (m *Manager) readBudget(text string) (time.Duration, error) {
 	maxBudget := m.options.MaxDeadline.Milliseconds()
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -16,8 +16,22 @@
 
 const loadReportHeader = "X-Load-Report"
 
-// encodeRequest returns the HTTP request of an attempt.
-func encodeRequest(a node.Attempt) []byte {
+// fieldError means that a value can't stand in a request, because it would end its field or start another one.
+type fieldError struct {
+	field string // name of the header, or "request target"
+	value string
+}
+
+// Error returns the field and the start of its value.
+func (e *fieldError) Error() string {
+	return fmt.Sprintf("request can't be encoded: %s: invalid value %.40q", e.field, e.value)
+}
+
+// encodeRequest returns the HTTP request of an attempt. The error is a *fieldError if a value can't stand in its field.
+func encodeRequest(a node.Attempt) ([]byte, error) {
+	if err := checkFields(a); err != nil {
+		return nil, err
+	}
 	const headersSize = 320 // estimated size of the headers in bytes, so that the request is allocated only once
 	b := make([]byte, 0, headersSize+len(a.URI)+len(a.Body))
 	b = append(b, a.Method...)
@@ -36,7 +50,44 @@
 	b = append(b, "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(a.Body)), 10)
 	b = append(b, "\r\n\r\n"...)
-	return append(b, a.Body...)
+	return append(b, a.Body...), nil
+}
+
+// checkFields checks the values of an attempt that are text on the wire. The frontend and package durable accept no other values.
+// Without this check, a line break that they overlook would become a header or a request of its own.
+func checkFields(a node.Attempt) error {
+	for i := range len(a.URI) {
+		if a.URI[i] == ' ' || isControl(a.URI[i]) {
+			return &fieldError{"request target", a.URI}
+		}
+	}
+	for _, header := range [...]fieldError{
+		{"Host", a.Host},
+		{"X-Call-Id", string(a.ID)},
+		{"Idempotency-Key", a.IdempotencyKey},
+		{"Content-Type", a.ContentType},
+	} {
+		if !validFieldValue(header.value) {
+			return &header
+		}
+	}
+	return nil
+}
+
+// validFieldValue reports whether a header can have this value (RFC 9110, section 5.5). Bytes over 0x7f are allowed.
+func validFieldValue(value string) bool {
+	for i := range len(value) {
+		if isControl(value[i]) && value[i] != '\t' {
+			return false
+		}
+	}
+	return true
+}
+
+// isControl reports whether a byte is an ASCII control character.
+func isControl(b byte) bool {
+	const space, del = 0x20, 0x7f
+	return b < space || b == del
 }
 
 // appendHeader appends a header, unless its value is empty.
--- a/internal/upstream/codec_test.go
+++ b/internal/upstream/codec_test.go
@@ -33,7 +33,11 @@
 			Epoch: 4294967295, Body: []byte("x")}, Budget: time.Hour}},
 		{"no host, past its deadline", node.Attempt{Request: &node.Request{ID: "page-2", Method: "POST", URI: "/"}, Budget: -time.Second}},
 	} {
-		fmt.Fprintf(&out, "%s: %q\n", c.name, encodeRequest(c.attempt))
+		request, err := encodeRequest(c.attempt)
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		fmt.Fprintf(&out, "%s: %q\n", c.name, request)
 	}
 	fmt.Fprintf(&out, "load probe: %q\n", healthCheckBytes(t))
 	golden.Compare(t, "request.txt", out.String())
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -83,7 +83,11 @@
 // closed the connection and that the client has not left. Either can have happened since the state machine decided to send the
 // attempt, in particular if the process was suspended in between.
 func (c *executorConn) write(a node.Attempt) {
-	request := encodeRequest(a)
+	request, err := encodeRequest(a)
+	if err != nil {
+		c.rejectAttempt(err)
+		return
+	}
 	unusable := c.hasUnreadInput()
 	clientGone := a.Client != nil && a.Client.Gone() // the client is checked last, right before the first byte is written
 	c.mu.Lock()
@@ -112,6 +116,14 @@
 	}
 }
 
+// rejectAttempt ends the claimed attempt without sending a byte of it, because no executor could decode the request. It closes the
+// connection, so that nothing that arrives on it can be taken for a response to the attempt.
+func (c *executorConn) rejectAttempt(err error) {
+	c.pool.post(node.AttemptEnded{Conn: c.id, Outcome: policy.InvalidRequest, Detail: err.Error()})
+	c.writeEnded <- writeResult{}
+	c.close()
+}
+
 // hasUnreadInput reports whether a close or an unsolicited response of the executor has arrived on an idle connection and is
 // not read yet. No attempt must be written in that case. After a close, the node could not tell whether the attempt ran. An
 // unsolicited response would be mistaken for the response to the attempt. hasUnreadInput returns false for a connection that has
