Escape the job's ID in the path of a lease query

Cause: the ID went into the path of the query unescaped. The executor was asked about order/17, which it did not know, and answered "never", upon which such a job may be sent again.

Evidence: order-17 does not show it with the same events; the record has the right ID and epoch; the executor answers rightly for the ID that it reads. IDs with ?, # or %zz lose the epoch or can't be asked about.

Change: the ID is escaped as one segment of the path.

--- a/internal/durable/lease_query.go
+++ b/internal/durable/lease_query.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"birchstair/internal/leases"
@@ -81,8 +82,9 @@
 // the result's size.
 const maxLeaseBytes = 2 * maxBodyBytes
 
+// leaseURL returns the URL of a lease query. The job's ID is one segment of the path, whatever characters it has.
 func leaseURL(addr, job string, epoch leases.Epoch) string {
-	return fmt.Sprintf("http://%s%s%s?epoch=%d", addr, leasePath, job, epoch)
+	return fmt.Sprintf("http://%s%s%s?epoch=%d", addr, leasePath, url.PathEscape(job), epoch)
 }
 
 // leaseResponse is an executor's response to a lease query.
--- a/internal/durable/request_values_test.go
+++ b/internal/durable/request_values_test.go
@@ -1,13 +1,19 @@
 package durable_test
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"birchstair/internal/durable"
+	"birchstair/internal/emulator"
+	"birchstair/internal/node"
 	"birchstair/internal/synctesting"
+	"birchstair/policy"
 )
 
 // TestIDWithLineBreak guards against a second run of another client's job: an escaped line break in a job's ID ended the header
@@ -41,3 +47,46 @@
 		})
 	}
 }
+
+// TestLeaseQueryNamesItsJob guards against an at-most-once job that runs twice: the ID of a job went into the path of a lease query
+// unescaped, so that the executor was asked about another job, answered that it had never run, and the job was sent again. The order
+// of events: an attempt is sent, the node crashes, and the next process asks the executor about the attempt.
+func TestLeaseQueryNamesItsJob(t *testing.T) {
+	options := restartOptions
+	options.Leases.QueryExecutors = true
+	for _, id := range []string{"order-17", "order%2F17", "a?epoch=2", "a#b", "a%zz", "a;b", "jõgi", "a+b"} {
+		synctesting.Test(t, func(t *testing.T) {
+			const addr = "never:1"
+			disk := emulator.NewDisk(rand.New(rand.NewPCG(1, 3)))
+			endpoints := node.EndpointsUpdated{Endpoints: []node.Endpoint{{Endpoint: policy.Endpoint{Executor: "e0"}, Addr: addr}}}
+			f := newFixture(t, disk, 10<<20, options)
+			f.durable.Observe(0, endpoints, nil)
+			f.front.SetReady(true)
+			answer := f.put(durable.Path+url.PathEscape(id), http.Header{"X-Call-Class": {"order"}, "X-Budget-Ms": {"60000"}})
+			if answer.Code != http.StatusCreated {
+				t.Fatalf("submission of %q: %d %s", id, answer.Code, answer.Body)
+			}
+			request := f.nextRequest()
+			f.up.Dial(1, addr)
+			f.up.Write(1, node.Attempt{Request: &request})
+			time.Sleep(time.Second)
+			synctest.Wait()
+			disk.Crash()
+			f.durable.Close() //nolint:errcheck // the disk has crashed
+			restarted := newFixture(t, disk, 10<<20, options)
+			restarted.durable.Observe(0, endpoints, nil)
+			restarted.front.SetReady(true)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if err := restarted.durable.Close(); err != nil {
+				t.Error(err)
+			}
+			_, target, found := strings.Cut(restarted.out.String(), "asks "+addr+": GET ")
+			target, _, _ = strings.Cut(target, "\n")
+			query, err := url.Parse(target)
+			if !found || err != nil || query.Path != "/-/leases/durable-"+id || query.RawQuery != "epoch=1" {
+				t.Errorf("lease query about %q: %q, error %v", id, target, err)
+			}
+		})
+	}
+}
