Refuse an X-Call-Id that executors can't return in JSON

What callers saw: a job whose X-Call-Id is not UTF-8 was never served. In a simulated node with three executors one of an idempotent class ran six times and got 503, one of an at-most-once class ran once and got 502; each attempt closed its connection as broken.

Cause: the node compares its ID with the one in the executor's JSON, where a byte that is not UTF-8 comes back as U+FFFD.

Evidence: the ID in UTF-8 is served at once; a key or a content type in ISO 8859-1 is served, as executors don't return them.

Change: 400 with a reason where the ID enters. The comparison stays exact, as it keeps a late second answer from this job.

--- a/internal/frontend/codec.go
+++ b/internal/frontend/codec.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"birchstair/internal/node"
 	"birchstair/policy"
@@ -110,6 +111,9 @@
 	if job.ID == "" || len(job.ID) > maxIDBytes {
 		return job, badRequest("X-Call-Id: missing, or over %d bytes", maxIDBytes)
 	}
+	if !utf8.ValidString(string(job.ID)) { // an executor names the job in JSON, which could not return this ID
+		return job, badRequest("X-Call-Id: %.40q is not UTF-8", job.ID)
+	}
 	class, ok := (*s.jobClasses.Load())[h.Get("X-Call-Class")]
 	if !ok {
 		return job, badRequest("X-Call-Class: no track is called %.40q", h.Get("X-Call-Class"))
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -254,6 +254,31 @@
 	golden.Compare(t, "requests.txt", c.out.String())
 }
 
+// TestCallIDThatExecutorsCantReturn guards against executors that are ejected, and jobs that run in vain, for a client's ID: an ID
+// that is not UTF-8 can't be returned in an executor's JSON, so that every response to the job was taken for one to another job.
+// IDs in UTF-8 and headers that executors don't return are accepted as they come.
+func TestCallIDThatExecutorsCantReturn(t *testing.T) {
+	for _, c := range []struct {
+		title, request string
+		status         int
+		arrives        bool
+	}{
+		{"an id in ISO 8859-1", jobRequest("handled-caf\xe9"), http.StatusBadRequest, false},
+		{"half of a surrogate pair", jobRequest("handled-\xed\xa0\x80"), http.StatusBadRequest, false},
+		{"an id in UTF-8", jobRequest("handled-café"), http.StatusOK, true},
+		{"a key in ISO 8859-1", jobRequest("handled", "Idempotency-Key: caf\xe9"), http.StatusOK, true},
+		{"a content type in ISO 8859-1", jobRequest("handled", "Content-Type: caf\xe9"), http.StatusOK, true},
+	} {
+		n := newFakeNode(t, 100)
+		from := n.dial()
+		from.send(c.request)
+		answer, err := http.ReadResponse(from.in, nil)
+		if err != nil || answer.StatusCode != c.status || (len(n.events) == 1) != c.arrives {
+			t.Errorf("%s: answer %+v, error %v, %d events, want status %d, arrives %v", c.title, answer, err, len(n.events), c.status, c.arrives)
+		}
+	}
+}
+
 // TestTimeouts checks that the read timeout ends incomplete requests, and neither a pending batch job nor an idle connection.
 func TestTimeouts(t *testing.T) {
 	c := newFakeNode(t, 100, func(s *http.Server) { s.ReadTimeout, s.ReadHeaderTimeout = time.Second, time.Second })
