Refuse a node's name that peers can't decode

What operators would see: with gossip, a node whose ROUTER_NAME is not UTF-8 runs without an error, and all peers drop its messages.

Found by following each text field of the two CBOR formats to where it enters; executors' names come from JSON and are UTF-8.

Change: the name is checked when gossip starts; the encoder of messages refuses what its decoder drops. Wires and golden files stay.

TestTextThatPeersCantDecode: before, four names were accepted and two messages encoded that decoding rejects.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -68,6 +69,9 @@
 	errNameConflict = errors.New("of a second node of the same name")
 )
 
+// errNotText means that a message holds text that is not UTF-8.
+var errNotText = errors.New("encode a gossip message: the name of the node or of an executor is not UTF-8")
+
 // maxAgeMillis is the largest age that a time.Duration can hold, in milliseconds.
 const maxAgeMillis = math.MaxInt64 / int64(time.Millisecond)
 
@@ -91,9 +95,13 @@
 }
 
 // encodeGossip encodes a message. While the message is too long, the second half of its drains is dropped. A dropped
-// drain is sent when cluster.State includes it in a message again.
+// drain is sent when cluster.State includes it in a message again. The error is errNotText if peers could not decode the
+// message, because the name of the sender or an executor is not UTF-8.
 func encodeGossip(message cluster.Message) ([]byte, error) {
 	wire := newGossipMessage(message)
+	if !wire.hasValidText() {
+		return nil, errNotText
+	}
 	for {
 		b, err := encMode.Marshal(wire)
 		switch {
@@ -108,6 +116,16 @@
 	}
 }
 
+// hasValidText reports whether all text of a message is UTF-8. Decoders drop a message with other text.
+func (wire *gossipMessage) hasValidText() bool {
+	for _, drain := range wire.Drains {
+		if !utf8.ValidString(drain.Executor) {
+			return false
+		}
+	}
+	return utf8.ValidString(wire.From)
+}
+
 func newGossipMessage(message cluster.Message) gossipMessage {
 	rates := &message.Rates
 	wire := gossipMessage{
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+// TestTextThatPeersCantDecode guards against a node that no peer ever hears, and that shows no error: its name, which can come from
+// an environment variable, was not UTF-8, so that peers dropped all of its messages. Such a name is rejected at the start, and no
+// message is encoded that its decoder drops.
+func TestTextThatPeersCantDecode(t *testing.T) {
+	for _, name := range []string{"j\xf5gi", "\xff", "n1\n", "n1\x00"} {
+		if _, err := ParseOptions(cluster.NodeName(name), 0, "127.0.0.1:7946", "", nil); err == nil {
+			t.Errorf("the name %q is accepted", name)
+		}
+	}
+	if _, err := ParseOptions("jõgi 1", 0, "127.0.0.1:7946", "", nil); err != nil {
+		t.Error(err)
+	}
+	for _, message := range []cluster.Message{
+		{From: "j\xf5gi"},
+		{From: "n1", Drains: []cluster.Drain{{Executor: "e1"}, {Executor: "e\xff"}}},
+	} {
+		if b, err := encodeGossip(message); err == nil {
+			_, err = decodeGossip(b)
+			t.Errorf("%+v: encoded, and decoding returns error %v", message, err)
+		}
+	}
+}
+
 // No received message makes the decoder or package cluster panic, and the node's own messages stay finite and decodable
 // after it.
 func FuzzMessage(f *testing.F) {
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"birchstair/internal/cluster"
 	"birchstair/policy"
@@ -18,10 +21,13 @@
 	Traffic   *Traffic         // counters of the gossip traffic; nil to count nothing
 }
 
-// ParseOptions parses the addresses in the table fleet of the site file. If advertise is empty, the listen address is
-// advertised. An error names the key of the malformed address.
+// ParseOptions checks the node's name and parses the addresses in the table fleet of the site file. If advertise is empty,
+// the listen address is advertised. An error names the key of the invalid value.
 func ParseOptions(name cluster.NodeName, number policy.NodeID, listen, advertise string, seeds []string) (Options, error) {
 	options := Options{Name: name, Node: number}
+	if !isName(string(name)) {
+		return options, fmt.Errorf("fleet.name: %.40q is not UTF-8, or has a control character in it", name)
+	}
 	var err error
 	if options.Listen, err = netip.ParseAddrPort(listen); err != nil {
 		return options, fmt.Errorf("fleet.listen: %w", err)
@@ -41,3 +47,8 @@
 	}
 	return options, nil
 }
+
+// isName reports whether peers can decode a name and show it to operators.
+func isName(name string) bool {
+	return utf8.ValidString(name) && !strings.ContainsFunc(name, unicode.IsControl)
+}
