Check the values from discovery that go on in headers, URLs and records

What would be seen: the zone of an IPv6 address may hold any characters, and a line break in it became a header of health checks; a usual zone made lease queries impossible; an executor's ID of over 1 MiB can't be stored with an attempt.

Cause: an entry of the list was checked as an address alone, not by the fields that its values go to.

Change: zones are visible ASCII and IDs at most 4 KiB, else the list is malformed like with any invalid entry; the encoder of health checks refuses what would end a field; the URL of a lease query escapes the zone.

--- a/internal/discovery/codec.go
+++ b/internal/discovery/codec.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"birchstair/internal/node"
@@ -12,8 +13,9 @@
 )
 
 const (
-	targetsPath      = "/api/targets"
-	maxResponseBytes = 4 << 20
+	targetsPath        = "/api/targets"
+	maxResponseBytes   = 4 << 20
+	maxExecutorIDBytes = 4 << 10 // longest ID of an executor; durable jobs store it with each attempt
 )
 
 // url returns the URL of the request to the discovery service at the given address.
@@ -81,12 +83,11 @@
 	return u, nil
 }
 
-// endpoint converts an entry of a list. An entry without an executor, with an unknown state or without a valid address
-// is an error. Only the entry of a removed executor needs no address.
+// endpoint converts an entry of a list. An entry without a valid executor, with an unknown state or without a valid
+// address is an error. Only the entry of a removed executor needs no address.
 func (n Names) endpoint(host wireEndpoint) (node.Endpoint, error) {
 	state, known := statesByName[host.State]
-	_, err := netip.ParseAddrPort(host.Addr)
-	if !known || host.Executor == "" || err != nil && state != policy.Removed {
+	if !known || host.Executor == "" || len(host.Executor) > maxExecutorIDBytes || !validAddr(host.Addr) && state != policy.Removed {
 		return node.Endpoint{}, malformedf("malformed list: entry %.40q", host.Executor)
 	}
 	weight := 1.0
@@ -105,6 +106,13 @@
 	}}, nil
 }
 
+// validAddr reports whether a text is an IP address and a port. The zone of an IPv6 address can have no characters but
+// visible ASCII, because the address goes on in headers and URLs.
+func validAddr(text string) bool {
+	addr, err := netip.ParseAddrPort(text)
+	return err == nil && !strings.ContainsFunc(addr.Addr().Zone(), func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
 // index returns the index of a name in names, or len(names) if it is not among them.
 func index(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
--- a/internal/discovery/codec_test.go
+++ b/internal/discovery/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -92,3 +93,27 @@
 	}
 	golden.Compare(t, "decode.txt", out.String())
 }
+
+// TestEntriesThatGoOnElsewhere guards against an entry of discovery's list that becomes a header of a health check, or a record that
+// is too long for the store: the zone of an IPv6 address can hold any characters, and an executor's ID any number of them.
+func TestEntriesThatGoOnElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		executor, addr string
+		valid          bool
+	}{
+		{"a", "[fe80::1%eth0]:80", true},
+		{"a", "[fe80::1%a\r\nX-A: 1]:80", false},
+		{"a", "[fe80::1%a b]:80", false},
+		{"a", "[fe80::1%caf\u00e9]:80", false},
+		{strings.Repeat("x", 4096), "127.0.0.1:80", true},
+		{strings.Repeat("x", 4097), "127.0.0.1:80", false},
+	} {
+		response, err := json.Marshal(map[string]any{"seq": 1, "hosts": []map[string]any{{"host": c.executor, "dial": c.addr, "health": "ready"}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := (Names{}).decode(response); (err == nil) != c.valid {
+			t.Errorf("executor %.40q at %q: error %v, want valid %v", c.executor, c.addr, err, c.valid)
+		}
+	}
+}
--- a/internal/durable/lease_query.go
+++ b/internal/durable/lease_query.go
@@ -82,9 +82,11 @@
 // the result's size.
 const maxLeaseBytes = 2 * maxBodyBytes
 
-// leaseURL returns the URL of a lease query. The job's ID is one segment of the path, whatever characters it has.
+// leaseURL returns the URL of a lease query. The job's ID is one segment of the path, whatever characters it has. The address can
+// have an IPv6 zone.
 func leaseURL(addr, job string, epoch leases.Epoch) string {
-	return fmt.Sprintf("http://%s%s%s?epoch=%d", addr, leasePath, url.PathEscape(job), epoch)
+	server := url.URL{Scheme: "http", Host: addr}
+	return fmt.Sprintf("%s%s%s?epoch=%d", &server, leasePath, url.PathEscape(job), epoch)
 }
 
 // leaseResponse is an executor's response to a lease query.
--- a/internal/durable/request_values_test.go
+++ b/internal/durable/request_values_test.go
@@ -54,9 +54,19 @@
 func TestLeaseQueryNamesItsJob(t *testing.T) {
 	options := restartOptions
 	options.Leases.QueryExecutors = true
-	for _, id := range []string{"order-17", "order%2F17", "a?epoch=2", "a#b", "a%zz", "a;b", "jõgi", "a+b"} {
+	for _, c := range []struct{ id, addr string }{
+		{"order-17", "never:1"},
+		{"order%2F17", "never:1"},
+		{"a?epoch=2", "never:1"},
+		{"a#b", "never:1"},
+		{"a%zz", "never:1"},
+		{"a;b", "never:1"},
+		{"jõgi", "never:1"},
+		{"a+b", "never:1"},
+		{"order-17", "[fe80::1%eth0]:9000"},
+	} {
 		synctesting.Test(t, func(t *testing.T) {
-			const addr = "never:1"
+			id, addr := c.id, c.addr
 			disk := emulator.NewDisk(rand.New(rand.NewPCG(1, 3)))
 			endpoints := node.EndpointsUpdated{Endpoints: []node.Endpoint{{Endpoint: policy.Endpoint{Executor: "e0"}, Addr: addr}}}
 			f := newFixture(t, disk, 10<<20, options)
@@ -85,7 +95,7 @@
 			target, _, _ = strings.Cut(target, "\n")
 			query, err := url.Parse(target)
 			if !found || err != nil || query.Path != "/-/leases/durable-"+id || query.RawQuery != "epoch=1" {
-				t.Errorf("lease query about %q: %q, error %v", id, target, err)
+				t.Errorf("lease query about %q at %s: %q, error %v", id, addr, target, err)
 			}
 		})
 	}
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -56,10 +56,8 @@
 // checkFields checks the values of an attempt that are text on the wire. The frontend and package durable accept no other values.
 // Without this check, a line break that they overlook would become a header or a request of its own.
 func checkFields(a node.Attempt) error {
-	for i := range len(a.URI) {
-		if a.URI[i] == ' ' || isControl(a.URI[i]) {
-			return &fieldError{"request target", a.URI}
-		}
+	if !validTarget(a.URI) {
+		return &fieldError{"request target", a.URI}
 	}
 	for _, header := range [...]fieldError{
 		{"Host", a.Host},
@@ -74,6 +72,16 @@
 	return nil
 }
 
+// validTarget reports whether a request line can have this target.
+func validTarget(target string) bool {
+	for i := range len(target) {
+		if target[i] == ' ' || isControl(target[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 // validFieldValue reports whether a header can have this value (RFC 9110, section 5.5). Bytes over 0x7f are allowed.
 func validFieldValue(value string) bool {
 	for i := range len(value) {
@@ -101,9 +109,15 @@
 	return append(b, '\r', '\n')
 }
 
-// encodeHealthCheck returns the HTTP request of a health check.
-func encodeHealthCheck(path, addr string) []byte {
-	return fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, addr)
+// encodeHealthCheck returns the HTTP request of a health check. The error is a *fieldError if a value can't stand in its field.
+func encodeHealthCheck(path, addr string) ([]byte, error) {
+	if !validTarget(path) {
+		return nil, &fieldError{"request target", path}
+	}
+	if !validFieldValue(addr) {
+		return nil, &fieldError{"Host", addr}
+	}
+	return fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, addr), nil
 }
 
 // responseLine is a decoded line of a response.
--- a/internal/upstream/encode_test.go
+++ b/internal/upstream/encode_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// TestHealthCheckValues guards against a health check with a header that nobody sent: the address of an executor comes from
+// discovery, and its zone can hold any characters.
+func TestHealthCheckValues(t *testing.T) {
+	for _, c := range []struct{ path, addr string }{{"/load", "[fe80::1%a\r\nX-A: 1]:80"}, {"/load\x00", "10.0.0.1:80"}, {"/a b", "10.0.0.1:80"}} {
+		if request, err := encodeHealthCheck(c.path, c.addr); err == nil {
+			t.Errorf("a health check of %q at %q is encoded: %q", c.path, c.addr, request)
+		}
+	}
+}
+
 // checkNotSent writes an attempt on a connection, and checks that no byte is sent and that the pool reports an invalid request and
 // then the end of the connection.
 func checkNotSent(t *testing.T, attempt node.Attempt) {
--- a/internal/upstream/health_check.go
+++ b/internal/upstream/health_check.go
@@ -39,6 +39,10 @@
 // unknownLoad.
 func (p *Pool) requestLoad(ctx context.Context, addr string) (load policy.Load, answered bool) {
 	load = policy.Load{InFlight: unknownLoad, Queued: unknownLoad, FreeSlots: unknownLoad, FreeMemory: unknownLoad, RunTime: unknownLoad}
+	request, err := encodeHealthCheck(p.healthCheck.Path, addr)
+	if err != nil {
+		return load, false
+	}
 	conn, err := p.dial(ctx, 0, addr)
 	if err != nil {
 		return load, false
@@ -46,7 +50,7 @@
 	defer conn.Close()
 	deadline, _ := ctx.Deadline()
 	conn.SetDeadline(deadline)
-	if _, err := conn.Write(encodeHealthCheck(p.healthCheck.Path, addr)); err != nil {
+	if _, err := conn.Write(request); err != nil {
 		return load, false
 	}
 	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxHeaderBytes)), nil)
