Send no attempt whose ID its response can't name

A durable job that an earlier version accepted may have an ID that is not UTF-8. The encoder of requests refuses it; the job fails without a run.

TestIDThatResponsesCantName, with the check taken out: the attempt was sent and no event came.

--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"birchstair/internal/node"
 	"birchstair/policy"
@@ -59,6 +60,9 @@
 	if !validTarget(a.URI) {
 		return &fieldError{"request target", a.URI}
 	}
+	if !utf8.ValidString(string(a.ID)) { // the response names the job in JSON
+		return &fieldError{"X-Call-Id", string(a.ID)}
+	}
 	for _, header := range [...]fieldError{
 		{"Host", a.Host},
 		{"X-Call-Id", string(a.ID)},
--- a/internal/upstream/encode_test.go
+++ b/internal/upstream/encode_test.go
@@ -42,6 +42,12 @@
 	}
 }
 
+// TestIDThatResponsesCantName guards against an attempt that runs in vain: a durable job that an earlier version accepted can have an
+// ID that is not UTF-8, which no response line can name.
+func TestIDThatResponsesCantName(t *testing.T) {
+	checkNotSent(t, attempt("caf\xe9"))
+}
+
 // TestHealthCheckValues guards against a health check with a header that nobody sent: the address of an executor comes from
 // discovery, and its zone can hold any characters.
 func TestHealthCheckValues(t *testing.T) {
