Escape names and IDs in the lines that operators read

What would be seen: an ID, path, key or name with a line break adds lines to the output of birchstair store and ops fleet; a line "eof" ends an answer of the admin door, and a control sequence reaches the operator's terminal.

Found by following that text back to operators. The log is JSON, whose encoder escapes.

Change: control characters and bytes that are not UTF-8 are escaped; other text stays as it is, and the golden files stand. `store show` takes an ID as it is shown.

Tests, before: TestNamesInReplies and TestStoreTextOnOneLine failed.

--- a/cmd/birchstair/store.go
+++ b/cmd/birchstair/store.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"birchstair/internal/oneline"
 	"birchstair/internal/store"
 )
 
@@ -91,7 +92,7 @@
 	for _, id := range slices.Sorted(maps.Keys(states)) {
 		state := states[id]
 		accepted, records := state.Accepted, state.Records()
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", id, accepted.JobClass, formatTime(accepted.At), formatTime(accepted.Deadline),
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", oneline.Escape(id), oneline.Escape(accepted.JobClass), formatTime(accepted.At), formatTime(accepted.Deadline),
 			len(state.Attempts), describeRecord(records[len(records)-1]))
 	}
 	return w.Flush()
@@ -109,7 +110,7 @@
 	s := r.Kind.String()
 	switch r.Kind {
 	case store.AttemptStarted:
-		s += fmt.Sprintf(" under epoch %d to %s", r.Epoch, r.Executor)
+		s += fmt.Sprintf(" under epoch %d to %s", r.Epoch, oneline.Escape(r.Executor))
 	case store.AttemptEnded:
 		s += fmt.Sprintf(", epoch %d", r.Epoch)
 		if r.NeverRan {
@@ -127,7 +128,7 @@
 func (c storeShowCmd) Run() error {
 	found := false
 	if _, err := scanLocked(c.Dir, func(r store.Record) {
-		if r.ID != c.ID {
+		if r.ID != c.ID && oneline.Escape(r.ID) != c.ID {
 			return
 		}
 		found = true
@@ -135,9 +136,9 @@
 		if r.Kind == store.Accepted {
 			// Operators' scripts parse the labels, so the labels must not change. "track" is the job class, "outer limit" is the
 			// deadline, and "tag" is the idempotency key.
-			line += fmt.Sprintf(": track %s, outer limit %s, %s, %d bytes", r.JobClass, formatTime(r.Deadline), r.URI, len(r.Body))
+			line += fmt.Sprintf(": track %s, outer limit %s, %s, %d bytes", oneline.Escape(r.JobClass), formatTime(r.Deadline), oneline.Escape(r.URI), len(r.Body))
 			if r.IdempotencyKey != "" {
-				line += ", tag " + r.IdempotencyKey
+				line += ", tag " + oneline.Escape(r.IdempotencyKey)
 			}
 		}
 		if r.Kind == store.Final {
--- a/cmd/birchstair/store_test.go
+++ b/cmd/birchstair/store_test.go
@@ -93,3 +93,37 @@
 	printOutput("a flipped bit", capture(t, storeCheckCmd{dir}.Run))
 	golden.Compare(t, "store.txt", out.String())
 }
+
+// TestStoreTextOnOneLine guards against output that shows jobs or records which are not in the store: IDs, keys and paths come from
+// clients, executors' names from discovery, and earlier versions accepted IDs with line breaks. `store show` takes an ID as it is
+// shown.
+func TestStoreTextOnOneLine(t *testing.T) {
+	dir := t.TempDir()
+	s, err := store.Open(store.Directory(dir), store.Options{SegmentBytes: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	day := time.UnixMilli(1_700_000_000_000).UTC()
+	done := make(chan error, 2)
+	for _, r := range []store.Record{
+		{Kind: store.Accepted, ID: "a\r\nb", At: day, JobClass: "order", Deadline: day, URI: "/caf\xe9", IdempotencyKey: "k\t1"},
+		{Kind: store.AttemptStarted, ID: "a\r\nb", At: day, Epoch: 1, Executor: "e\n1"},
+	} {
+		s.Append(r, func(err error) { done <- err })
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	mustClose(t, s)
+	list := capture(t, storeListCmd{dir}.Run)
+	if lines := strings.Split(strings.TrimSpace(list), "\n"); len(lines) != 2 || !strings.HasPrefix(lines[1], `a\r\nb  order`) {
+		t.Errorf("list:\n%s", list)
+	}
+	want := "2023-11-14 22:13:20.000  accepted: track order, outer limit 2023-11-14 22:13:20.000, /caf\\xe9, 0 bytes, tag k\\t1\n" +
+		"2023-11-14 22:13:20.000  sent under epoch 1 to e\\n1\n"
+	for _, id := range []string{"a\r\nb", `a\r\nb`} {
+		if got := capture(t, storeShowCmd{id, dir}.Run); got != want {
+			t.Errorf("show %q:\n%swant:\n%s", id, got, want)
+		}
+	}
+}
--- a/internal/admin/codec.go
+++ b/internal/admin/codec.go
@@ -9,6 +9,7 @@
 	"unicode/utf8"
 
 	"birchstair/internal/node"
+	"birchstair/internal/oneline"
 	"birchstair/policy"
 )
 
@@ -80,13 +81,27 @@
 	case r.Refusal != "":
 		return encodeFailure(r.Refusal)
 	case r.Lines != nil:
-		return []byte(strings.Join(r.Lines, "\n") + "\n" + replyEnd + "\n")
+		return encodeLines(r.Lines)
 	case r.Metrics != nil:
 		return encodeMetrics(r.Metrics)
 	}
 	return []byte(replyOK + "\n")
 }
 
+// encodeLines encodes a reply of lines. A line can hold names that come from discovery or from peers. An escaped line can't end the
+// reply, or add lines to it.
+func encodeLines(lines []string) []byte {
+	var b []byte
+	for _, line := range lines {
+		b = append(b, oneline.Escape(line)...)
+		b = append(b, '\n')
+	}
+	if len(lines) == 0 {
+		b = append(b, '\n')
+	}
+	return append(b, replyEnd+"\n"...)
+}
+
 func encodeFailure(reason string) []byte {
 	return []byte(replyFail + " " + strings.ReplaceAll(reason, "\n", " ") + "\n")
 }
--- a/internal/admin/codec_test.go
+++ b/internal/admin/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -64,3 +65,14 @@
 	}
 	golden.Compare(t, "codec.txt", out.String())
 }
+
+// TestNamesInReplies guards against a reply that is cut off, or that has lines which the node did not write: the name of a peer or of
+// an executor in a line of the reply can hold line breaks.
+func TestNamesInReplies(t *testing.T) {
+	sent := []string{"neighbour=n1\neof age_ms=3", "drains=e\nfleet offered=9 age_ms=1", "node=caf\xe9"}
+	got, err := decodeReply(node.ReadCluster, strings.Split(string(encode(node.AdminReply{Lines: sent})), "\n"))
+	want := []string{`neighbour=n1\neof age_ms=3`, `drains=e\nfleet offered=9 age_ms=1`, `node=caf\xe9`}
+	if err != nil || !slices.Equal(got, want) {
+		t.Errorf("decoded %q, error %v, want %q", got, err, want)
+	}
+}
