Tell durable and ordinary jobs apart by an ID that no client can choose

Cause: in the state machine durable jobs had IDs that clients of ordinary jobs can choose, and were recognized by how they begin.

Evidence: with the ID order-1 the same node serves the same requests; without [durable] nothing reads the prefix.

Change: in the state machine the ID of a durable job ends in a space, which a header's value can't. Executors, lease queries and the log have the ID as before; the golden files stand. The wire test reads the ID through the inverse function and checks its kind.

--- a/internal/durable/doc.go
+++ b/internal/durable/doc.go
@@ -18,4 +18,5 @@
 //   - recover.go: recovery of the jobs in the store when the node starts
 //   - lease_query.go: queries to executors about attempts that were sent before a restart
 //   - class.go: the durable job classes
+//   - job_id.go: the IDs of durable jobs in the state machine and at executors
 package durable
--- a/internal/durable/effects.go
+++ b/internal/durable/effects.go
@@ -8,7 +8,6 @@
 	"birchstair/internal/leases"
 	"birchstair/internal/node"
 	"birchstair/internal/store"
-	"birchstair/policy"
 )
 
 // step passes one event to the job table, and carries out the effects that the job table returns.
@@ -141,7 +140,7 @@
 		Work:   record.Work,
 		Budget: effect.Budget,
 		Request: node.Request{
-			ID:             policy.JobID(jobIDPrefix + string(effect.ID)),
+			ID:             stateMachineID(effect.ID),
 			Method:         http.MethodPost,
 			URI:            record.URI,
 			Host:           record.Host,
--- a/internal/durable/export_test.go
+++ b/internal/durable/export_test.go
@@ -1,5 +1,19 @@
 package durable
 
+import (
+	"birchstair/internal/leases"
+	"birchstair/policy"
+)
+
+// StateMachineID returns the ID of a durable job in the node's state machine.
+func StateMachineID(id string) policy.JobID { return stateMachineID(leases.ID(id)) }
+
+// CallID returns the ID at executors of a durable job by its ID in the state machine. durable is false for an ordinary job.
+func CallID(job policy.JobID) (call policy.JobID, durable bool) {
+	id, durable := durableID(job)
+	return callID(id), durable
+}
+
 // Fault is a defect that tests inject into a Manager.
 type Fault int
 
--- a/internal/durable/interceptors.go
+++ b/internal/durable/interceptors.go
@@ -65,13 +65,13 @@
 // Answer handles the answers to durable jobs, and passes the answers to ordinary jobs on to the frontend.
 func (e *frontendInterceptor) Answer(answer node.Answer) {
 	m := (*Manager)(e)
-	id, durable := strings.CutPrefix(string(answer.Job), jobIDPrefix)
+	id, durable := durableID(answer.Job)
 	if !durable {
 		m.frontend.Answer(answer)
 		return
 	}
 	m.step(func(now time.Duration) []leases.Effect {
-		return m.jobTable.Answered(now, leases.ID(id), leases.Outcome(answer.Final), answer.Result)
+		return m.jobTable.Answered(now, id, leases.Outcome(answer.Final), answer.Result)
 	})
 }
 
@@ -143,17 +143,17 @@
 // appends nothing and closes the connection.
 func (e *upstreamInterceptor) Write(conn node.ConnID, request node.Attempt) {
 	m := (*Manager)(e)
-	id, durable := strings.CutPrefix(string(request.ID), jobIDPrefix)
+	id, durable := durableID(request.ID)
 	if !durable {
 		m.upstream.Write(conn, request)
 		return
 	}
 	m.mu.Lock()
-	epoch, effects := m.jobTable.AttemptStarted(now(), leases.ID(id), m.executorByAddr[m.connAddrs[conn]])
+	epoch, effects := m.jobTable.AttemptStarted(now(), id, m.executorByAddr[m.connAddrs[conn]])
 	if epoch > 0 {
-		request.Request = m.withEpoch(request.Request, epoch)
-		m.attempts[conn] = &attempt{id: leases.ID(id), epoch: epoch, request: request}
-		m.latestConn[leases.ID(id)] = conn
+		request.Request = m.fencedRequest(request.Request, id, epoch)
+		m.attempts[conn] = &attempt{id: id, epoch: epoch, request: request}
+		m.latestConn[id] = conn
 	}
 	sendBeforeWrite := m.faults.sendBeforeWrite
 	m.mu.Unlock()
@@ -166,9 +166,10 @@
 	m.apply(effects)
 }
 
-// withEpoch returns a copy of a request with this epoch.
-func (m *Manager) withEpoch(request *node.Request, epoch leases.Epoch) *node.Request {
+// fencedRequest returns a copy of a job's request as an executor receives it, with this epoch.
+func (m *Manager) fencedRequest(request *node.Request, id leases.ID, epoch leases.Epoch) *node.Request {
 	fenced := *request
+	fenced.ID = callID(id)
 	fenced.Epoch = uint32(epoch)
 	if m.faults.omitEpoch {
 		fenced.Epoch = 0
--- a/internal/durable/lease_query.go
+++ b/internal/durable/lease_query.go
@@ -37,7 +37,7 @@
 	m.mu.Unlock()
 	found, result := leases.QueryUnanswered, []byte(nil)
 	if addr != "" {
-		found, result = m.requestLease(addr, jobIDPrefix+string(effect.ID), effect.Epoch)
+		found, result = m.requestLease(addr, string(callID(effect.ID)), effect.Epoch)
 	}
 	if m.ctx.Err() != nil {
 		return
--- a/internal/durable/manager.go
+++ b/internal/durable/manager.go
@@ -17,10 +17,6 @@
 	"birchstair/policy"
 )
 
-// jobIDPrefix is the prefix of the IDs that durable jobs have in the node's state machine. It makes these IDs differ from the IDs
-// of ordinary jobs.
-const jobIDPrefix = "durable-"
-
 // Options holds the operator's settings for durable jobs.
 type Options struct {
 	MaxDeadline time.Duration   // longest time until the deadline that a client can request
--- a/internal/durable/request_values_test.go
+++ b/internal/durable/request_values_test.go
@@ -100,3 +100,36 @@
 		})
 	}
 }
+
+// TestOrdinaryJobNamedLikeDurable guards against an ordinary job that is never answered, and a durable job that fails for it: jobs
+// were told apart by the start of their IDs, which the client of an ordinary job chooses. The order of events: a durable job is in
+// flight, and an ordinary job comes under the ID that the durable one has at executors; then another one comes, without such a job.
+func TestOrdinaryJobNamedLikeDurable(t *testing.T) {
+	synctesting.Test(t, func(t *testing.T) {
+		sim := newSimulation(t, 1, scenario{})
+		process := sim.startNode()
+		time.Sleep(time.Second)
+		if !sim.submit("a", "order") {
+			t.Fatal(sim.violations)
+		}
+		for _, id := range []string{"durable-a", "durable-b", "durable-", "durable-a"} {
+			status, _, _ := sim.call("ordinary-"+id, http.MethodPost, "/", "X-Call-Id: "+id+"\r\n", "X-Call-Class: order\r\n", "X-Budget-Ms: 3000\r\n")
+			if status != http.StatusOK {
+				t.Errorf("an ordinary job with the ID %q: status %d, want 200", id, status)
+			}
+		}
+		sim.awaitFinal("a")
+		sim.mu.Lock()
+		if final := sim.finals["a"]; final != "handled" || len(sim.violations) > 0 {
+			t.Errorf("final answer of the durable job: %q, violations %q", final, sim.violations)
+		}
+		if ran := sim.effects["a"]; ran != 3 {
+			t.Errorf("one durable and two ordinary jobs ran %d times, want 3", ran)
+		}
+		sim.finished = true
+		sim.mu.Unlock()
+		process.shutDown()
+		sim.net.Shutdown()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/durable/wire_test.go
+++ b/internal/durable/wire_test.go
@@ -127,8 +127,12 @@
 // printNextJob prints the next batch job that the manager submits to the state machine.
 func (f *fixture) printNextJob() {
 	j := (<-f.events).(node.JobArrived).Job
+	id, isDurable := durable.CallID(j.ID)
+	if !isDurable {
+		f.t.Errorf("job %q is submitted under the ID of an ordinary job", j.ID)
+	}
 	fmt.Fprintf(&f.out, "    to the reducer: class %d, work %v, budget %v, %s %s %s, host %q, content type %q, key %q, body %q\n",
-		j.Class, j.Work, j.Budget, j.ID, j.Method, j.URI, j.Host, j.ContentType, j.IdempotencyKey, j.Body)
+		j.Class, j.Work, j.Budget, id, j.Method, j.URI, j.Host, j.ContentType, j.IdempotencyKey, j.Body)
 }
 
 // TestWire pins the responses of the HTTP handler, the jobs that are submitted to the state machine, and the attempts that are
@@ -201,18 +205,18 @@
 			f.call("its state", http.MethodGet, target, "")
 			f.call("let go too early", http.MethodDelete, target, "")
 			f.up.Dial(node.ConnID(i+1), "never:1")
-			request := node.Request{ID: policy.JobID("durable-" + job.id), URI: "/u", Host: "h", IdempotencyKey: "k", Body: []byte("body")}
+			request := node.Request{ID: durable.StateMachineID(job.id), URI: "/u", Host: "h", IdempotencyKey: "k", Body: []byte("body")}
 			f.up.Write(node.ConnID(i+1), node.Attempt{Request: &request})
 			time.Sleep(time.Second)
 			synctest.Wait()
 			f.durable.Observe(0, node.AttemptEnded{Conn: node.ConnID(i + 1), Outcome: policy.TimedOut}, nil)
-			f.front.Answer(node.Answer{Job: policy.JobID("durable-" + job.id), Final: job.final, Result: []byte("result " + job.id)})
+			f.front.Answer(node.Answer{Job: durable.StateMachineID(job.id), Final: job.final, Result: []byte("result " + job.id)})
 			f.call("its final answer", http.MethodGet, target+"?wait_ms=5000", "")
 			f.call("let go", http.MethodDelete, target, "")
 		}
 		f.call("handed in", http.MethodPut, "/-/jobs/e", "body", class, budget)
 		f.printNextJob()
-		f.front.Answer(node.Answer{Job: "durable-e", Final: node.Rejected})
+		f.front.Answer(node.Answer{Job: durable.StateMachineID("e"), Final: node.Rejected})
 		f.call("rejected, never sent", http.MethodGet, "/-/jobs/e?wait_ms=5000", "")
 		f.call("waited for in vain", http.MethodPut, "/-/jobs/d", "", class, budget)
 		f.printNextJob()
@@ -276,7 +280,7 @@
 			f.call("handed in", http.MethodPut, "/-/jobs/a", "body", "X-Call-Class: order", "X-Budget-Ms: 60000")
 			f.printNextJob()
 			f.up.Dial(1, addr)
-			f.up.Write(1, node.Attempt{Request: &node.Request{ID: "durable-a", URI: "/u"}})
+			f.up.Write(1, node.Attempt{Request: &node.Request{ID: durable.StateMachineID("a"), URI: "/u"}})
 			time.Sleep(time.Second)
 			synctest.Wait()
 			disk.Crash()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -220,7 +221,7 @@
 		line.Str("executor", string(e.Executor))
 	}
 	if e.Job != "" {
-		line.Str("batch_job", string(e.Job))
+		line.Str("batch_job", strings.TrimSpace(string(e.Job))) // the ID of a durable job ends in a space
 	}
 	line.Msg(e.Text)
 }
