--- a/internal/durable/http.go
+++ b/internal/durable/http.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -106,7 +107,7 @@
 	if job.record.URI == "" {
 		job.record.URI = "/"
 	}
-	if uri := job.record.URI; !strings.HasPrefix(uri, "/") || strings.ContainsAny(uri, " \t") {
+	if uri := job.record.URI; !validTarget(uri) {
 		return job, badRequest("X-Path: %.40q is no path", uri)
 	}
 	m.mu.Lock()
@@ -134,6 +135,13 @@
 	return utf8.ValidString(id) && !strings.ContainsFunc(id, unicode.IsControl)
 }
 
+// validTarget reports whether a request to an executor can have this target. It is as strict as net/http is with the targets of
+// ordinary jobs.
+func validTarget(target string) bool {
+	_, err := url.ParseRequestURI(target)
+	return err == nil && strings.HasPrefix(target, "/") && !strings.Contains(target, " ")
+}
+
 // readBudget parses the X-Budget-Ms header, which holds the time until the job's deadline in milliseconds.
 func (m *Manager) readBudget(text string) (time.Duration, error) {
 	maxBudget := m.options.MaxDeadline.Milliseconds()
--- a/internal/durable/request_values_test.go
+++ b/internal/durable/request_values_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -133,3 +134,32 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestPathThatIsNoTarget guards against executors whose connections break for a client's value: X-Path becomes the target of a
+// request, and executors can't parse some targets that a header can hold. A target that ordinary jobs can have is accepted.
+func TestPathThatIsNoTarget(t *testing.T) {
+	synctesting.Test(t, func(t *testing.T) {
+		f := newFixture(t, emulator.NewDisk(rand.New(rand.NewPCG(1, 3))), 10<<20, restartOptions)
+		f.front.SetReady(true)
+		for i, c := range []struct {
+			path   string
+			status int
+		}{
+			{"/%zz", http.StatusBadRequest},
+			{"/a\tb", http.StatusBadRequest},
+			{"/a b", http.StatusBadRequest},
+			{"a", http.StatusBadRequest},
+			{"http://h/a", http.StatusBadRequest},
+			{"/a%20b?c=d&e", http.StatusCreated},
+			{"/caf\xe9/café", http.StatusCreated},
+		} {
+			header := http.Header{"X-Call-Class": {"page"}, "X-Budget-Ms": {"60000"}, "X-Path": {c.path}}
+			if answer := f.put(durable.Path+strconv.Itoa(i), header); answer.Code != c.status {
+				t.Errorf("X-Path %q: %d %s, want %d", c.path, answer.Code, answer.Body, c.status)
+			}
+		}
+		if err := f.durable.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
