Compare windows and deadlines when a recovered job is sent, not when it is read

Cause: the recovery turned the time until window and deadline into a length, which counted from when the node was ready.

Evidence: the kill alone does not show it; the manager without policy and executors does: a budget of 59 s after a wait of 61 s.

Change: Submit names a moment. The job table is held until there is an endpoint list; deadlines that pass are answered, queries wait. An attempt is checked again when it starts and when its record is on the disk, and tells its executor what is left by then.

--- a/internal/durable/effects.go
+++ b/internal/durable/effects.go
@@ -40,6 +40,8 @@
 			m.dispatch(effect)
 		case leases.SendAttempt:
 			m.sendAttempt(effect)
+		case leases.DropAttempt:
+			m.dropAttempt(effect)
 		case leases.QueryAttempt:
 			go m.queryLease(effect)
 		case leases.Publish:
@@ -136,9 +138,8 @@
 	class := m.classes[record.JobClass]
 	m.mu.Unlock()
 	job := node.Job{
-		Class:  class.id,
-		Work:   record.Work,
-		Budget: effect.Budget,
+		Class: class.id,
+		Work:  record.Work,
 		Request: node.Request{
 			ID:             stateMachineID(effect.ID),
 			Method:         http.MethodPost,
@@ -149,19 +150,41 @@
 			Body:           record.Body,
 		},
 	}
-	go m.post(node.JobArrived{Job: job})
+	go func() {
+		job.Budget = max(0, effect.Until-now())
+		m.post(node.JobArrived{Job: job})
+	}()
 }
 
 // sendAttempt sends an attempt to its executor. It is called once the attempt's record is synced. It does nothing if the attempt
-// has ended, or if the job has a later attempt.
+// has ended, or if the job has a later attempt. The executor is told what is left of the attempt's budget.
 func (m *Manager) sendAttempt(effect leases.SendAttempt) {
+	conn, sending := m.latestAttempt(effect.ID, effect.Epoch)
+	if sending == nil {
+		return
+	}
+	request := sending.request
+	request.Budget -= time.Since(sending.startedAt)
+	m.upstream.Write(conn, request)
+}
+
+// dropAttempt closes the connection of an attempt that is not sent. The state machine then knows that the attempt never ran.
+func (m *Manager) dropAttempt(effect leases.DropAttempt) {
+	if conn, dropped := m.latestAttempt(effect.ID, effect.Epoch); dropped != nil {
+		m.upstream.Close(conn)
+	}
+}
+
+// latestAttempt returns the connection and the attempt of this epoch, or nil if the attempt has ended or the job has a later one.
+func (m *Manager) latestAttempt(id leases.ID, epoch leases.Epoch) (node.ConnID, *attempt) {
 	m.mu.Lock()
-	conn := m.latestConn[effect.ID]
-	sending := m.attempts[conn]
-	m.mu.Unlock()
-	if sending != nil && sending.id == effect.ID && sending.epoch == effect.Epoch {
-		m.upstream.Write(conn, sending.request)
+	defer m.mu.Unlock()
+	conn := m.latestConn[id]
+	latest := m.attempts[conn]
+	if latest == nil || latest.id != id || latest.epoch != epoch {
+		return 0, nil
 	}
+	return conn, latest
 }
 
 // publish wakes the clients that wait for a job's final answer.
--- a/internal/durable/interceptors.go
+++ b/internal/durable/interceptors.go
@@ -75,16 +75,17 @@
 	})
 }
 
-// SetReady resumes the recovered jobs when the node becomes ready for the first time, which is when it has an endpoint list. When
+// SetReady releases the recovered jobs when the node becomes ready for the first time, which is when it has an endpoint list. When
 // the node becomes unready, SetReady stops the job table, because a node becomes unready only when it shuts down.
 func (e *frontendInterceptor) SetReady(ready bool) {
 	m := (*Manager)(e)
 	m.mu.Lock()
-	effects := m.recoveryEffects
-	m.recoveryEffects = nil
 	m.ready = ready
-	if !ready {
-		effects = append(effects, m.jobTable.Stop(now())...)
+	var effects []leases.Effect
+	if ready {
+		effects = m.jobTable.Release(now())
+	} else {
+		effects = m.jobTable.Stop(now())
 	}
 	m.mu.Unlock()
 	m.frontend.SetReady(ready)
@@ -152,7 +153,7 @@
 	epoch, effects := m.jobTable.AttemptStarted(now(), id, m.executorByAddr[m.connAddrs[conn]])
 	if epoch > 0 {
 		request.Request = m.fencedRequest(request.Request, id, epoch)
-		m.attempts[conn] = &attempt{id: id, epoch: epoch, request: request}
+		m.attempts[conn] = &attempt{id: id, epoch: epoch, request: request, startedAt: time.Now()}
 		m.latestConn[id] = conn
 	}
 	sendBeforeWrite := m.faults.sendBeforeWrite
--- a/internal/durable/manager.go
+++ b/internal/durable/manager.go
@@ -37,21 +37,20 @@
 	frontend node.Frontend
 	upstream node.Upstream
 
-	mu              sync.Mutex
-	classes         map[string]jobClass // durable classes by the name of their ordinary class
-	jobTable        *leases.JobTable
-	unwritten       map[leases.ID]*store.Record  // records of submissions that are not synced yet
-	doneWaiters     map[leases.ID]chan struct{}  // channels that are closed when a job's final answer is in the store
-	ackWaiters      map[leases.ID]chan error     // channels that receive the result of writing a submission's record
-	attempts        map[node.ConnID]*attempt     // attempts of durable jobs that have not ended, by connection
-	latestConn      map[leases.ID]node.ConnID    // the connection of each job's latest attempt
-	connAddrs       map[node.ConnID]string       // addresses of the connections to executors
-	executorByAddr  map[string]policy.ExecutorID // executors by address, including those removed from the endpoint list
-	addrByExecutor  map[policy.ExecutorID]string // addresses of the executors in the endpoint list
-	timer           *time.Timer                  // wakes the job table at the time of the last leases.Wake effect
-	ready           bool                         // the node is ready, and submissions are accepted
-	recoveryEffects []leases.Effect              // effects of the recovery, which are carried out once the node is ready
-	faults          faults
+	mu             sync.Mutex
+	classes        map[string]jobClass // durable classes by the name of their ordinary class
+	jobTable       *leases.JobTable
+	unwritten      map[leases.ID]*store.Record  // records of submissions that are not synced yet
+	doneWaiters    map[leases.ID]chan struct{}  // channels that are closed when a job's final answer is in the store
+	ackWaiters     map[leases.ID]chan error     // channels that receive the result of writing a submission's record
+	attempts       map[node.ConnID]*attempt     // attempts of durable jobs that have not ended, by connection
+	latestConn     map[leases.ID]node.ConnID    // the connection of each job's latest attempt
+	connAddrs      map[node.ConnID]string       // addresses of the connections to executors
+	executorByAddr map[string]policy.ExecutorID // executors by address, including those removed from the endpoint list
+	addrByExecutor map[policy.ExecutorID]string // addresses of the executors in the endpoint list
+	timer          *time.Timer                  // wakes the job table at the time of the last leases.Wake effect
+	ready          bool                         // the node is ready, and submissions are accepted
+	faults         faults
 }
 
 // faults selects defects that tests inject. Production code sets none of its fields.
@@ -64,9 +63,10 @@
 
 // attempt is an attempt of a durable job. It has been sent to its executor, or will be sent once its record is synced.
 type attempt struct {
-	id      leases.ID
-	epoch   leases.Epoch
-	request node.Attempt
+	id        leases.ID
+	epoch     leases.Epoch
+	request   node.Attempt
+	startedAt time.Time // when the budget in request was right
 }
 
 // New returns a manager of the jobs in a store. The manager owns the store, and Close closes the store. classNames and classes
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -10,8 +10,8 @@
 	"birchstair/policy"
 )
 
-// recover adds all jobs in the store to the job table, in the order of their IDs. It saves the resulting effects in
-// m.recoveryEffects, to be carried out once the node is ready.
+// recover adds all jobs in the store to the job table, in the order of their IDs. No job is submitted and no executor is queried
+// before the node is ready, but jobs whose deadlines pass until then are answered.
 func (m *Manager) recover() {
 	began := time.Now()
 	jobs, lastWrite := m.storedJobs()
@@ -20,15 +20,18 @@
 	if at < lastWrite {
 		m.log.Warn().Dur("behind", lastWrite-at).Msg("the clock is behind the store's last record: dedup windows are taken to be over")
 	}
+	m.jobTable.Hold()
+	var effects []leases.Effect
 	unknownClasses := 0
 	for _, job := range jobs {
 		if _, ok := m.classes[job.Accepted.JobClass]; !ok {
 			unknownClasses++
 		}
-		m.recoveryEffects = append(m.recoveryEffects, m.recoverJob(at, lastWrite, job)...)
+		effects = append(effects, m.recoverJob(at, lastWrite, job)...)
 	}
 	counts := m.jobTable.Counts()
 	m.mu.Unlock()
+	m.apply(effects)
 	stats := m.store.Stats()
 	m.log.Info().
 		Int("waiting", counts[leases.Waiting]+counts[leases.Dispatched]).
--- a/internal/durable/wire_test.go
+++ b/internal/durable/wire_test.go
@@ -40,13 +40,14 @@
 func (frontendStub) Close()                                {}
 
 // upstreamStub is an upstream that prints the attempts that are sent and the connections that are closed.
-type upstreamStub struct{ out *strings.Builder }
+type upstreamStub struct{ *fixture }
 
 func (e upstreamStub) Dial(node.ConnID, string)              {}
-func (e upstreamStub) Close(c node.ConnID)                   { fmt.Fprintf(e.out, "    to executors: close %d\n", c) }
+func (e upstreamStub) Close(c node.ConnID)                   { fmt.Fprintf(&e.out, "    to executors: close %d\n", c) }
 func (e upstreamStub) CheckHealth(policy.ExecutorID, string) {}
 func (e upstreamStub) Write(c node.ConnID, a node.Attempt) {
-	fmt.Fprintf(e.out, "    to executors: on %d, %s %s, host %q, content type %q, key %q, epoch %d, body %q\n",
+	e.budgets = append(e.budgets, a.Budget)
+	fmt.Fprintf(&e.out, "    to executors: on %d, %s %s, host %q, content type %q, key %q, epoch %d, body %q\n",
 		c, a.ID, a.URI, a.Host, a.ContentType, a.IdempotencyKey, a.Epoch, a.Body)
 }
 
@@ -58,6 +59,7 @@
 	front   node.Frontend   // the frontend that the state machine would call
 	up      node.Upstream   // the upstream that the state machine would call
 	events  chan node.Event // events that the manager posts
+	budgets []time.Duration // budgets of the attempts that are sent to executors
 }
 
 // newFixture starts a manager of the jobs on a disk. maxBytes limits the size of its store.
@@ -77,7 +79,7 @@
 	}
 	dial := func(_ context.Context, addr string) (net.Conn, error) { return f.dial(addr) }
 	f.durable = durable.New(options, s, []string{"page", "order", "bill"}, append(classes[:2:2], withKey), dial, zerolog.Nop())
-	f.front, f.up = f.durable.Start(func(event node.Event) { f.events <- event }, frontendStub{}, upstreamStub{&f.out})
+	f.front, f.up = f.durable.Start(func(event node.Event) { f.events <- event }, frontendStub{}, upstreamStub{f})
 	return f
 }
 
--- a/internal/leases/effects.go
+++ b/internal/leases/effects.go
@@ -37,16 +37,21 @@
 type (
 	// Acknowledge confirms to the client that the job is on disk.
 	Acknowledge struct{ ID ID }
-	// Submit gives a job to the policy. The policy must answer the job within the budget, which counts from now.
+	// Submit gives a job to the policy, which must answer the job by the given time.
 	Submit struct {
-		ID     ID
-		Budget time.Duration
+		ID    ID
+		Until time.Duration
 	}
 	// SendAttempt sends an attempt to its executor. It follows only after the record of the attempt is on disk.
 	SendAttempt struct {
 		ID    ID
 		Epoch Epoch
 	}
+	// DropAttempt ends an attempt that must not be sent any more, because writing its record took too long.
+	DropAttempt struct {
+		ID    ID
+		Epoch Epoch
+	}
 	// QueryAttempt asks an executor for the state of an attempt. AttemptQueried reports the answer.
 	QueryAttempt struct {
 		ID       ID
@@ -72,6 +77,7 @@
 func (Acknowledge) effect()   {}
 func (Submit) effect()        {}
 func (SendAttempt) effect()   {}
+func (DropAttempt) effect()   {}
 func (QueryAttempt) effect()  {}
 func (Publish) effect()       {}
 func (Wake) effect()          {}
--- a/internal/leases/job.go
+++ b/internal/leases/job.go
@@ -87,8 +87,9 @@
 type job struct {
 	Job
 	state         State
-	attempts      []Attempt // the attempt with epoch e is attempts[e-1]
-	queryInFlight bool      // whether a QueryAttempt effect is unanswered; used in state Querying only
+	attempts      []Attempt     // the attempt with epoch e is attempts[e-1]
+	queryInFlight bool          // whether a QueryAttempt effect is unanswered; used in state Querying only
+	sendUntil     time.Duration // time until which attempts can be sent; used in state Dispatched only
 	final         Outcome
 	result        []byte
 
@@ -125,5 +126,15 @@
 	return 0
 }
 
+// sendableUntil returns the time until which an attempt can be sent. It is the job's limit when the job was submitted to the
+// policy. If an earlier attempt may have run since, and the job has an idempotency key, it is the end of the dedup window.
+func (j *job) sendableUntil(epoch Epoch) time.Duration {
+	first := j.firstPossibleRun()
+	if first == nil || first.Epoch == epoch || j.Class.Idempotency != policy.IdempotentWithKey {
+		return j.sendUntil
+	}
+	return min(j.sendUntil, first.At+j.Class.DedupWindow)
+}
+
 // markNeverRan records that an attempt provably never ran.
 func (j *job) markNeverRan(epoch Epoch) { j.attempts[epoch-1].NeverRan = true }
--- a/internal/leases/job_table.go
+++ b/internal/leases/job_table.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"birchstair/policy"
@@ -22,6 +23,7 @@
 	jobs       map[ID]*job // all jobs that are not forgotten
 	waiting    waitHeap    // jobs in state Waiting
 	dispatched int         // number of jobs in state Dispatched
+	held       bool        // whether no job is submitted and no executor queried, because the executors are not known yet
 	stopped    bool        // whether the node is shutting down
 
 	timers   timerHeap
@@ -118,24 +120,50 @@
 // submitWaiting submits waiting jobs to the policy until it has Settings.MaxDispatched jobs. Jobs with the earliest
 // deadlines come first.
 func (t *JobTable) submitWaiting(now time.Duration) {
-	for !t.stopped && t.dispatched < t.settings.MaxDispatched && len(t.waiting) > 0 {
+	for !t.held && !t.stopped && t.dispatched < t.settings.MaxDispatched && len(t.waiting) > 0 {
 		j := heap.Pop(&t.waiting).(*job)
-		until := min(j.Deadline, j.retryUntil())
-		if now >= until {
+		switch {
+		case now >= j.Deadline:
 			t.expire(j)
-			continue
+		case now >= j.retryUntil():
+			t.query(now, j)
+		default:
+			j.state, j.sendUntil = Dispatched, min(j.Deadline, j.retryUntil())
+			t.dispatched++
+			t.emit(Submit{j.ID, j.sendUntil})
 		}
-		j.state = Dispatched
-		t.dispatched++
-		t.emit(Submit{j.ID, until - now})
 	}
 }
 
+// Hold stops submitting jobs and querying executors until Release is called. Jobs whose deadlines pass in the meantime are
+// answered.
+func (t *JobTable) Hold() { t.held = true }
+
+// Release submits and queries what was held back. What is no longer safe to send is not submitted.
+func (t *JobTable) Release(now time.Duration) []Effect {
+	if !t.held {
+		return t.finish(now)
+	}
+	t.held = false
+	var querying []*job
+	for _, j := range t.jobs {
+		if j.state == Querying && !j.queryInFlight {
+			querying = append(querying, j)
+		}
+	}
+	slices.SortFunc(querying, func(a, b *job) int { return a.sequence - b.sequence })
+	for _, j := range querying {
+		t.query(now, j)
+	}
+	return t.finish(now)
+}
+
 // AttemptStarted reports that the policy starts an attempt of a job on an executor. It returns the epoch of the
-// attempt, or 0 if the job is not in state Dispatched. The attempt is sent once its record is on disk.
+// attempt, or 0 if the job is not in state Dispatched or if it is too late to send the job. The attempt is sent once its
+// record is on disk.
 func (t *JobTable) AttemptStarted(now time.Duration, id ID, executor policy.ExecutorID) (Epoch, []Effect) {
 	j := t.jobs[id]
-	if j == nil || j.state != Dispatched {
+	if j == nil || j.state != Dispatched || now >= j.sendableUntil(0) {
 		return 0, t.finish(now)
 	}
 	attempt := Attempt{Epoch: Epoch(len(j.attempts) + 1), Executor: executor, At: now}
@@ -145,9 +173,14 @@
 }
 
 // AttemptStored reports that the record of an attempt is on disk. The attempt is sent, unless the job has left state
-// Dispatched or the policy has started a later attempt in the meantime.
+// Dispatched or the policy has started a later attempt in the meantime. If it is too late to send it, it is dropped.
 func (t *JobTable) AttemptStored(now time.Duration, id ID, epoch Epoch) []Effect {
-	if j := t.jobs[id]; j != nil && j.state == Dispatched && int(epoch) == len(j.attempts) {
+	j := t.jobs[id]
+	switch {
+	case j == nil || j.state != Dispatched || int(epoch) != len(j.attempts):
+	case now >= j.sendableUntil(epoch):
+		t.emit(DropAttempt{id, epoch})
+	default:
 		t.emit(SendAttempt{id, epoch})
 	}
 	return t.finish(now)
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -32,9 +32,11 @@
 	case Acknowledge:
 		return "acknowledge " + string(e.ID)
 	case Submit:
-		return fmt.Sprintf("submit %s to the policy for %v", e.ID, e.Budget)
+		return fmt.Sprintf("submit %s to the policy until %v", e.ID, e.Until)
 	case SendAttempt:
 		return fmt.Sprintf("send attempt %d of %s", e.Epoch, e.ID)
+	case DropAttempt:
+		return fmt.Sprintf("drop attempt %d of %s", e.Epoch, e.ID)
 	case QueryAttempt:
 		return fmt.Sprintf("query %s about attempt %d of %s", e.Executor, e.Epoch, e.ID)
 	case Publish:
@@ -99,6 +101,8 @@
 	traceShutdown(tr)
 	traceRecovery(tr, settings)
 	traceQueries(tr, withQueries)
+	traceHeld(tr, settings, withQueries)
+	traceTooLate(tr, settings)
 	golden.Compare(t, "transitions.txt", tr.out.String())
 }
 
@@ -190,6 +194,51 @@
 	tr.call("the executor answers: finished", tr.table.AttemptQueried(at(70), "j", 1, QueryFinished, []byte("r")))
 }
 
+// recoverHeld starts a node like recover, and holds its table until it is released.
+func (tr *trace) recoverHeld(title string, settings Settings, class JobClass, neverRan bool) {
+	tr.table = NewJobTable(settings)
+	tr.table.Hold()
+	tr.call(fmt.Sprintf("# %s, held, recovered at 5 s, sent at 2 s", title), tr.table.Recover(at(5), at(2), Job{"j", class, at(60)},
+		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, nil, 0))
+}
+
+func traceHeld(tr *trace, settings, withQueries Settings) {
+	tr.recoverHeld("dedup group of all executors", settings, keyedAll, false)
+	tr.call("released at 8 s, inside the window", tr.table.Release(at(8)))
+	tr.recoverHeld("dedup group of all executors", settings, keyedAll, false)
+	tr.call("released at 9 s, when the window ends", tr.table.Release(at(9)))
+	tr.recoverHeld("dedup group of all executors, executors can be queried", withQueries, keyedAll, false)
+	tr.call("released at 10 s, outside the window", tr.table.Release(at(10)))
+	tr.recoverHeld("idempotent", settings, idempotent, false)
+	tr.call("at the deadline", tr.table.Wake(at(60)))
+	tr.call("released at 61 s", tr.table.Release(at(61)))
+	tr.recoverHeld("at most once, never ran", settings, atMostOnce, true)
+	tr.call("at the deadline", tr.table.Wake(at(60)))
+	tr.recoverHeld("at most once, may have run, executors can be queried", withQueries, atMostOnce, false)
+	tr.call("released at 20 s", tr.table.Release(at(20)))
+	tr.call("released again", tr.table.Release(at(20)))
+	tr.recoverHeld("at most once, may have run, executors can be queried", withQueries, atMostOnce, false)
+	tr.call("at the deadline", tr.table.Wake(at(60)))
+}
+
+func traceTooLate(tr *trace, settings Settings) {
+	for _, class := range []JobClass{keyedAll, keyedZone, idempotent} {
+		tr.section(fmt.Sprintf("dedup window of %v: records of attempts take long to write", class.DedupWindow))
+		tr.table = NewJobTable(settings)
+		tr.submit("j", class, 1, 20)
+		tr.jobStored("j", 1)
+		tr.startAttempt("j", 2)
+		tr.call("the record of attempt 1 is on disk at 3 s", tr.table.AttemptStored(at(3), "j", 1))
+		tr.startAttempt("j", 8)
+		tr.call("the record of attempt 2 is on disk at 10 s", tr.table.AttemptStored(at(10), "j", 2))
+		tr.call("attempt 2 ended", tr.table.AttemptEnded(at(10), "j", 2, true))
+		tr.startAttempt("j", 11)
+		tr.startAttempt("j", 19)
+		tr.call("the record of the last attempt is on disk at the deadline", tr.table.AttemptStored(at(20), "j", Epoch(len(tr.table.jobs["j"].attempts))))
+		tr.startAttempt("j", 20)
+	}
+}
+
 // Of ten thousand recovered jobs the policy gets only as many at a time as it has room for. Every job is either
 // submitted or waiting.
 func TestManyRecovered(t *testing.T) {
--- a/internal/leases/recovery.go
+++ b/internal/leases/recovery.go
@@ -33,15 +33,22 @@
 }
 
 // query asks the executor for the state of the job's earliest attempt that may have run. If executors don't support
-// leases, it can't be found out whether that attempt ran, and the job fails.
+// leases, it can't be found out whether that attempt ran, and the job fails. While the table is held, the query waits for
+// Release.
 func (t *JobTable) query(now time.Duration, j *job) {
 	if !t.settings.QueryExecutors {
 		t.finalize(j, Failed, nil)
 		return
 	}
-	first := j.firstPossibleRun()
-	j.state, j.queryInFlight = Querying, true
+	j.state, j.queryInFlight = Querying, !t.held
 	j.cancelTimers()
+	if t.held {
+		if now < j.Deadline {
+			t.schedule(j.Deadline, j)
+		}
+		return
+	}
+	first := j.firstPossibleRun()
 	// Even past its deadline, the job waits at least one QueryInterval for the answer to this query.
 	t.schedule(max(j.Deadline, now+t.settings.QueryInterval), j)
 	t.emit(QueryAttempt{j.ID, first.Epoch, first.Executor})
