Keep the terms with which a durable job was accepted, over reloads and restarts

Cause: the record held the name of the class alone, and terms were looked up by it when they were needed.

Evidence: with the class unchanged the same events fail the job; the policy keeps old classes under their numbers.

Change: the record holds idempotency, dedup group and window; a job keeps the number of its class. After a restart the job table refuses attempts that the stored terms forbid and withdraws the job from the policy. Records without terms count as at most once. Not included: the limit on attempts, which counts anew after a restart.

Golden directories stand; TestRetryTermsEncoding pins the new field.

--- a/internal/durable/class.go
+++ b/internal/durable/class.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"birchstair/internal/leases"
+	"birchstair/internal/store"
 	"birchstair/policy"
 )
 
@@ -32,6 +33,28 @@
 	}
 }
 
+// retryTerms returns the terms of a class as they are stored with each job.
+func retryTerms(class leases.JobClass) *store.RetryTerms {
+	return &store.RetryTerms{
+		Idempotency: uint8(class.Idempotency),
+		DedupGroup:  uint8(class.DedupGroup),
+		DedupWindow: class.DedupWindow,
+	}
+}
+
+// storedClass returns the class of a job with these terms. Records of earlier versions have no terms. A job of theirs is taken for
+// at most once, the strictest class, because it is unknown what was promised when it was accepted.
+func storedClass(terms *store.RetryTerms) leases.JobClass {
+	if terms == nil {
+		return leases.JobClass{Idempotency: policy.AtMostOnce}
+	}
+	return leases.JobClass{
+		Idempotency: policy.Idempotency(terms.Idempotency),
+		DedupGroup:  policy.DedupGroup(terms.DedupGroup),
+		DedupWindow: terms.DedupWindow,
+	}
+}
+
 // AddClasses appends a durable class for each ordinary class. A durable class has maxDeadline as its deadline and as its latency
 // objective, so that a durable job that finishes before maxDeadline counts as on time.
 func AddClasses(settings policy.Settings, maxDeadline time.Duration) policy.Settings {
--- a/internal/durable/effects.go
+++ b/internal/durable/effects.go
@@ -38,6 +38,8 @@
 			m.mu.Unlock()
 		case leases.Submit:
 			m.dispatch(effect)
+		case leases.Withdraw:
+			go m.post(node.ClientLeft{Job: stateMachineID(effect.ID)}) // from a new goroutine for the same reason as in dispatch
 		case leases.SendAttempt:
 			m.sendAttempt(effect)
 		case leases.DropAttempt:
@@ -134,11 +136,8 @@
 		return
 	}
 	record := stored.Accepted
-	m.mu.Lock()
-	class := m.classes[record.JobClass]
-	m.mu.Unlock()
 	job := node.Job{
-		Class: class.id,
+		Class: effect.Class,
 		Work:  record.Work,
 		Request: node.Request{
 			ID:             stateMachineID(effect.ID),
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -62,14 +62,15 @@
 	return jobs, lastWrite
 }
 
-// recoverJob adds one job to the job table. If the job's class is no longer configured, the job's idempotency is unknown and the
-// job must not run again. Such a job is treated as an at-most-once job whose deadline has passed. recoverJob must be called with
-// m.mu held.
+// recoverJob adds one job to the job table. The job keeps the terms with which it was accepted, whatever its class is now. If the
+// job's class is no longer configured, the job can't be submitted to the policy. Such a job is treated as an at-most-once job whose
+// deadline has passed. recoverJob must be called with m.mu held.
 func (m *Manager) recoverJob(at, lastWrite time.Duration, job store.JobState) []leases.Effect {
 	class, known := m.classes[job.Accepted.JobClass]
+	accepted := storedClass(job.Accepted.RetryTerms)
 	deadline := sinceEpoch(job.Accepted.Deadline)
 	if !known {
-		class.lease.Idempotency = policy.AtMostOnce
+		accepted = storedClass(nil)
 		deadline = min(deadline, at)
 	}
 	var attempts []leases.Attempt
@@ -88,6 +89,12 @@
 		answer := leases.Outcome(job.Final.Outcome)
 		final, result, finalAt = &answer, job.Final.Body, sinceEpoch(job.Final.At)
 	}
-	recovered := leases.Job{ID: leases.ID(job.Accepted.ID), Class: class.lease, Deadline: deadline}
+	recovered := leases.Job{
+		ID:          leases.ID(job.Accepted.ID),
+		Class:       accepted,
+		Deadline:    deadline,
+		PolicyClass: class.id,
+		LaxPolicy:   accepted != class.lease,
+	}
 	return m.jobTable.Recover(at, lastWrite, recovered, attempts, final, result, finalAt)
 }
--- a/internal/durable/submit.go
+++ b/internal/durable/submit.go
@@ -47,7 +47,9 @@
 	m.unwritten[id] = record
 	written := make(chan error, 1)
 	m.ackWaiters[id] = written
-	accepted := leases.Job{ID: id, Class: m.classes[record.JobClass].lease, Deadline: sinceEpoch(record.Deadline)}
+	class := m.classes[record.JobClass]
+	record.RetryTerms = retryTerms(class.lease)
+	accepted := leases.Job{ID: id, Class: class.lease, Deadline: sinceEpoch(record.Deadline), PolicyClass: class.id}
 	effects, _ := m.jobTable.Accept(sinceEpoch(record.At), accepted) // can't fail, because State has found no job with this ID
 	m.mu.Unlock()
 	m.apply(effects)
--- a/internal/durable/wire_test.go
+++ b/internal/durable/wire_test.go
@@ -62,23 +62,32 @@
 	budgets []time.Duration // budgets of the attempts that are sent to executors
 }
 
+// fixtureClasses are the ordinary job classes page, order and bill of a fixture.
+func fixtureClasses() []policy.JobClass {
+	return append(classes[:2:2], policy.JobClass{
+		Idempotency:      policy.IdempotentWithKey,
+		DedupGroup:       policy.DedupAllExecutors,
+		DedupWindow:      time.Minute,
+		LatencyObjective: time.Second,
+		Deadline:         5 * time.Second,
+	})
+}
+
 // newFixture starts a manager of the jobs on a disk. maxBytes limits the size of its store.
 func newFixture(t *testing.T, disk *emulator.Disk, maxBytes int64, options durable.Options) *fixture {
+	t.Helper()
+	return newFixtureWithClasses(t, disk, maxBytes, options, fixtureClasses())
+}
+
+func newFixtureWithClasses(t *testing.T, disk *emulator.Disk, maxBytes int64, options durable.Options, classes []policy.JobClass) *fixture {
 	t.Helper()
 	s, err := store.Open(disk, store.Options{SegmentBytes: 20000, MaxBytes: maxBytes})
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &fixture{t: t, events: make(chan node.Event, 16)}
-	withKey := policy.JobClass{
-		Idempotency:      policy.IdempotentWithKey,
-		DedupGroup:       policy.DedupAllExecutors,
-		DedupWindow:      time.Minute,
-		LatencyObjective: time.Second,
-		Deadline:         5 * time.Second,
-	}
 	dial := func(_ context.Context, addr string) (net.Conn, error) { return f.dial(addr) }
-	f.durable = durable.New(options, s, []string{"page", "order", "bill"}, append(classes[:2:2], withKey), dial, zerolog.Nop())
+	f.durable = durable.New(options, s, []string{"page", "order", "bill"}, classes, dial, zerolog.Nop())
 	f.front, f.up = f.durable.Start(func(event node.Event) { f.events <- event }, frontendStub{}, upstreamStub{f})
 	return f
 }
--- a/internal/leases/effects.go
+++ b/internal/leases/effects.go
@@ -40,8 +40,11 @@
 	// Submit gives a job to the policy, which must answer the job by the given time.
 	Submit struct {
 		ID    ID
+		Class policy.JobClassID
 		Until time.Duration
 	}
+	// Withdraw takes a job back from the policy, which starts no more attempts and gives no answer.
+	Withdraw struct{ ID ID }
 	// SendAttempt sends an attempt to its executor. It follows only after the record of the attempt is on disk.
 	SendAttempt struct {
 		ID    ID
@@ -76,6 +79,7 @@
 func (StoreForget) effect()   {}
 func (Acknowledge) effect()   {}
 func (Submit) effect()        {}
+func (Withdraw) effect()      {}
 func (SendAttempt) effect()   {}
 func (DropAttempt) effect()   {}
 func (QueryAttempt) effect()  {}
--- a/internal/leases/job.go
+++ b/internal/leases/job.go
@@ -55,8 +55,13 @@
 // Job is a durable job as it was submitted. All times in this package are wall clock times, as durations since 1970.
 type Job struct {
 	ID       ID
-	Class    JobClass
+	Class    JobClass      // as it was when the job was accepted
 	Deadline time.Duration // time by which the job must have its final answer
+
+	// PolicyClass is the class by which the policy treats the job. After a restart with another configuration it can differ from
+	// Class. LaxPolicy is set then: the policy may start attempts that Class forbids.
+	PolicyClass policy.JobClassID
+	LaxPolicy   bool
 }
 
 // Attempt is an attempt to run a job on an executor.
@@ -90,6 +95,7 @@
 	attempts      []Attempt     // the attempt with epoch e is attempts[e-1]
 	queryInFlight bool          // whether a QueryAttempt effect is unanswered; used in state Querying only
 	sendUntil     time.Duration // time until which attempts can be sent; used in state Dispatched only
+	inFlight      int           // number of attempts that this process has started and that have not ended
 	final         Outcome
 	result        []byte
 
@@ -136,5 +142,11 @@
 	return min(j.sendUntil, first.At+j.Class.DedupWindow)
 }
 
+// mayStart reports whether the job's class allows another attempt, if the policy may start attempts that the class forbids. Which
+// executors form a dedup group is known only to the policy, so such a job is sent again only if all executors form one group.
+func (j *job) mayStart() bool {
+	return !j.LaxPolicy || j.retryUntil() > 0
+}
+
 // markNeverRan records that an attempt provably never ran.
 func (j *job) markNeverRan(epoch Epoch) { j.attempts[epoch-1].NeverRan = true }
--- a/internal/leases/job_table.go
+++ b/internal/leases/job_table.go
@@ -130,7 +130,7 @@
 		default:
 			j.state, j.sendUntil = Dispatched, min(j.Deadline, j.retryUntil())
 			t.dispatched++
-			t.emit(Submit{j.ID, j.sendUntil})
+			t.emit(Submit{j.ID, j.PolicyClass, j.sendUntil})
 		}
 	}
 }
@@ -159,19 +159,35 @@
 }
 
 // AttemptStarted reports that the policy starts an attempt of a job on an executor. It returns the epoch of the
-// attempt, or 0 if the job is not in state Dispatched or if it is too late to send the job. The attempt is sent once its
-// record is on disk.
+// attempt, or 0 if the job is not in state Dispatched, if it is too late to send the job or if its class allows no further
+// attempt. The attempt is sent once its record is on disk.
 func (t *JobTable) AttemptStarted(now time.Duration, id ID, executor policy.ExecutorID) (Epoch, []Effect) {
 	j := t.jobs[id]
 	if j == nil || j.state != Dispatched || now >= j.sendableUntil(0) {
 		return 0, t.finish(now)
 	}
+	if !j.mayStart() {
+		t.withdrawIdle(j)
+		return 0, t.finish(now)
+	}
+	j.inFlight++
 	attempt := Attempt{Epoch: Epoch(len(j.attempts) + 1), Executor: executor, At: now}
 	j.attempts = append(j.attempts, attempt)
 	t.emit(StoreAttempt{id, attempt})
 	return attempt.Epoch, t.finish(now)
 }
 
+// withdrawIdle answers a job whose class allows no further attempt, and takes it back from the policy. If an attempt is in flight,
+// that attempt's end decides the answer.
+func (t *JobTable) withdrawIdle(j *job) {
+	if j.inFlight > 0 {
+		return
+	}
+	t.dispatched--
+	t.finalize(j, Failed, nil)
+	t.emit(Withdraw{j.ID})
+}
+
 // AttemptStored reports that the record of an attempt is on disk. The attempt is sent, unless the job has left state
 // Dispatched or the policy has started a later attempt in the meantime. If it is too late to send it, it is dropped.
 func (t *JobTable) AttemptStored(now time.Duration, id ID, epoch Epoch) []Effect {
@@ -189,7 +205,12 @@
 // AttemptEnded reports that an attempt has ended. If the attempt provably never ran, a record of this is written: after
 // a crash, the node would otherwise have to assume that the attempt may have run.
 func (t *JobTable) AttemptEnded(now time.Duration, id ID, epoch Epoch, neverRan bool) []Effect {
-	if j := t.jobs[id]; j != nil && neverRan && epoch >= 1 && int(epoch) <= len(j.attempts) && !j.attempts[epoch-1].NeverRan {
+	j := t.jobs[id]
+	if j == nil || epoch < 1 || int(epoch) > len(j.attempts) {
+		return t.finish(now)
+	}
+	j.inFlight = max(0, j.inFlight-1)
+	if neverRan && !j.attempts[epoch-1].NeverRan {
 		j.markNeverRan(epoch)
 		t.emit(StoreNeverRan{id, epoch})
 	}
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -35,6 +35,8 @@
 		return fmt.Sprintf("submit %s to the policy until %v", e.ID, e.Until)
 	case SendAttempt:
 		return fmt.Sprintf("send attempt %d of %s", e.Epoch, e.ID)
+	case Withdraw:
+		return fmt.Sprintf("withdraw %s from the policy", e.ID)
 	case DropAttempt:
 		return fmt.Sprintf("drop attempt %d of %s", e.Epoch, e.ID)
 	case QueryAttempt:
@@ -64,7 +66,7 @@
 func (tr *trace) section(title string) { fmt.Fprintf(&tr.out, "# %s\n", title) }
 
 func (tr *trace) submit(id ID, class JobClass, now, deadline float64) {
-	effects, ok := tr.table.Accept(at(now), Job{id, class, at(deadline)})
+	effects, ok := tr.table.Accept(at(now), Job{ID: id, Class: class, Deadline: at(deadline)})
 	tr.call(fmt.Sprintf("%s is submitted at %v s: %v", id, now, ok), effects)
 }
 
@@ -81,7 +83,7 @@
 // attempt provably never ran.
 func (tr *trace) recover(title string, settings Settings, now, last float64, class JobClass, neverRan bool) {
 	tr.table = NewJobTable(settings)
-	tr.call(fmt.Sprintf("# %s, recovered at %.0f s, sent at 2 s", title, now), tr.table.Recover(at(now), at(last), Job{"j", class, at(60)},
+	tr.call(fmt.Sprintf("# %s, recovered at %.0f s, sent at 2 s", title, now), tr.table.Recover(at(now), at(last), Job{ID: "j", Class: class, Deadline: at(60)},
 		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, nil, 0))
 }
 
@@ -103,6 +105,7 @@
 	traceQueries(tr, withQueries)
 	traceHeld(tr, settings, withQueries)
 	traceTooLate(tr, settings)
+	traceLaxPolicy(tr, settings)
 	golden.Compare(t, "transitions.txt", tr.out.String())
 }
 
@@ -149,7 +152,7 @@
 	tr.section("during a shutdown only a success becomes final")
 	tr.table = NewJobTable(Settings{MaxDispatched: 3, AnswerTTL: 100 * time.Second})
 	for _, id := range []ID{"x", "y", "z"} {
-		tr.table.Accept(at(1), Job{id, atMostOnce, at(60)})
+		tr.table.Accept(at(1), Job{ID: id, Class: atMostOnce, Deadline: at(60)})
 		tr.table.JobStored(at(1), id)
 	}
 	tr.startAttempt("y", 2)
@@ -198,7 +201,7 @@
 func (tr *trace) recoverHeld(title string, settings Settings, class JobClass, neverRan bool) {
 	tr.table = NewJobTable(settings)
 	tr.table.Hold()
-	tr.call(fmt.Sprintf("# %s, held, recovered at 5 s, sent at 2 s", title), tr.table.Recover(at(5), at(2), Job{"j", class, at(60)},
+	tr.call(fmt.Sprintf("# %s, held, recovered at 5 s, sent at 2 s", title), tr.table.Recover(at(5), at(2), Job{ID: "j", Class: class, Deadline: at(60)},
 		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, nil, 0))
 }
 
@@ -239,6 +242,27 @@
 	}
 }
 
+// traceLaxPolicy plays jobs of classes that the policy, with another configuration, takes for idempotent.
+func traceLaxPolicy(tr *trace, settings Settings) {
+	for _, class := range []struct {
+		name string
+		JobClass
+	}{{"at most once", atMostOnce}, {"dedup group of all executors", keyedAll}, {"dedup group of a zone", keyedZone}, {"idempotent", idempotent}} {
+		tr.section(class.name + ", and the policy takes the job for idempotent")
+		tr.table = NewJobTable(settings)
+		job := Job{ID: "j", Class: class.JobClass, Deadline: at(60), PolicyClass: 3, LaxPolicy: true}
+		tr.call("recovered, never sent", tr.table.Recover(at(1), at(1), job, nil, nil, nil, 0))
+		tr.startAttempt("j", 2)
+		tr.call("attempt 1 ended and never ran", tr.table.AttemptEnded(at(2), "j", 1, true))
+		tr.startAttempt("j", 3)
+		tr.startAttempt("j", 4)
+		tr.call("attempt 2 ended, and may have run", tr.table.AttemptEnded(at(5), "j", 2, false))
+		tr.call("attempt 3 ended, and may have run", tr.table.AttemptEnded(at(5), "j", 3, false))
+		tr.startAttempt("j", 6)
+		tr.startAttempt("j", 7)
+	}
+}
+
 // Of ten thousand recovered jobs the policy gets only as many at a time as it has room for. Every job is either
 // submitted or waiting.
 func TestManyRecovered(t *testing.T) {
@@ -252,7 +276,7 @@
 		}
 	}
 	for i := range 10000 {
-		countSubmitted(table.Recover(0, 0, Job{ID(fmt.Sprint(i)), idempotent, at(float64(100 + i%7))}, nil, nil, nil, 0))
+		countSubmitted(table.Recover(0, 0, Job{ID: ID(fmt.Sprint(i)), Class: idempotent, Deadline: at(float64(100 + i%7))}, nil, nil, nil, 0))
 	}
 	if submitted != 50 {
 		t.Fatalf("%d jobs were submitted at once, want 50", submitted)
--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -29,6 +29,15 @@
 	Executor       text          `cbor:"13,keyasint,omitzero"`
 	NeverRan       bool          `cbor:"14,keyasint,omitempty"`
 	Outcome        uint8         `cbor:"15,keyasint,omitempty"`
+	RetryTerms     *wireTerms    `cbor:"16,keyasint,omitempty"`
+}
+
+// wireTerms is the encoding of RetryTerms: a CBOR array with these fields in this order.
+type wireTerms struct {
+	_           struct{} `cbor:",toarray"`
+	Idempotency uint8
+	DedupGroup  uint8
+	DedupWindow time.Duration
 }
 
 // text is a string of any bytes. It is encoded as a CBOR text string if it is UTF-8, and otherwise as a CBOR byte string, because
@@ -114,7 +123,22 @@
 		Executor:       text(r.Executor),
 		NeverRan:       r.NeverRan,
 		Outcome:        r.Outcome,
+		RetryTerms:     newWireTerms(r.RetryTerms),
+	}
+}
+
+func newWireTerms(terms *RetryTerms) *wireTerms {
+	if terms == nil {
+		return nil
+	}
+	return &wireTerms{Idempotency: terms.Idempotency, DedupGroup: terms.DedupGroup, DedupWindow: terms.DedupWindow}
+}
+
+func (w *wireTerms) terms() *RetryTerms {
+	if w == nil {
+		return nil
 	}
+	return &RetryTerms{Idempotency: w.Idempotency, DedupGroup: w.DedupGroup, DedupWindow: w.DedupWindow}
 }
 
 func (w *wireRecord) record() Record {
@@ -134,5 +158,6 @@
 		Executor:       string(w.Executor),
 		NeverRan:       w.NeverRan,
 		Outcome:        w.Outcome,
+		RetryTerms:     w.RetryTerms.terms(),
 	}
 }
--- a/internal/store/codec_test.go
+++ b/internal/store/codec_test.go
@@ -37,6 +37,7 @@
 		Executor:       value,
 		NeverRan:       true,
 		Outcome:        2,
+		RetryTerms:     &RetryTerms{Idempotency: 1, DedupGroup: 2, DedupWindow: 7500 * time.Millisecond},
 	}
 }
 
@@ -100,7 +101,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b, err := mode.Marshal(earlierRecord(r))
+	b, err := mode.Marshal(earlierRecord{Kind: r.Kind, ID: r.ID, At: r.At, JobClass: r.JobClass, Deadline: r.Deadline, Work: r.Work, URI: r.URI,
+		Host: r.Host, ContentType: r.ContentType, IdempotencyKey: r.IdempotencyKey, Body: r.Body, Epoch: r.Epoch, Executor: r.Executor,
+		NeverRan: r.NeverRan, Outcome: r.Outcome})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -113,6 +116,7 @@
 func TestEarlierText(t *testing.T) {
 	for _, value := range []string{latin1, "\xff", "jõgi", "plain"} {
 		r := recordWithText(value)
+		r.RetryTerms = nil // earlier versions had none
 		earlier := encodeEarlier(t, r)
 		decoded, _, err := decodeRecord(earlier)
 		if err != nil {
@@ -177,6 +181,9 @@
 		}
 		r := Record{Kind: Kind(kind), ID: id, At: at, JobClass: header, Work: time.Duration(work), URI: header, Host: header, ContentType: header,
 			IdempotencyKey: header, Body: body, Epoch: epoch, Executor: executor, NeverRan: neverRan, Outcome: outcome}
+		if neverRan {
+			r.RetryTerms = &RetryTerms{Idempotency: outcome, DedupGroup: kind, DedupWindow: time.Duration(work)}
+		}
 		b, err := appendRecord(nil, r)
 		if err != nil {
 			return
@@ -194,3 +201,13 @@
 		}
 	})
 }
+
+// TestRetryTermsEncoding pins the bytes of the terms in a record. The golden directories are those of versions without terms.
+func TestRetryTermsEncoding(t *testing.T) {
+	r := Record{Kind: Accepted, ID: "a", At: time.UnixMicro(0).UTC(), RetryTerms: &RetryTerms{Idempotency: 1, DedupGroup: 2, DedupWindow: 7500 * time.Millisecond}}
+	b, err := appendRecord(nil, r)
+	const want = "a4" + "0101" + "026161" + "03fb0000000000000000" + "10" + "8301021b00000001bf08eb00"
+	if err != nil || hex.EncodeToString(b) != want {
+		t.Errorf("encoded as %x, error %v, want %s", b, err, want)
+	}
+}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -40,6 +40,8 @@
 	ContentType    string
 	IdempotencyKey string
 	Body           []byte // body of the request; in a Final record, body of the result
+	// Terms of the job's class when the job was accepted; nil in records of earlier versions.
+	RetryTerms *RetryTerms
 
 	// The fields from Epoch to NeverRan describe an attempt. They are used in AttemptStarted and AttemptEnded records.
 	Epoch    uint32
@@ -48,3 +50,11 @@
 
 	Outcome uint8 // the leases.Outcome of the final answer; set in Final records
 }
+
+// RetryTerms are the properties of a job class that decide whether a job may run again after an attempt that may have run. They are
+// those of policy.JobClass.
+type RetryTerms struct {
+	Idempotency uint8
+	DedupGroup  uint8
+	DedupWindow time.Duration
+}
