Name the job of a record that can't be decoded, and what earlier versions wrote

What operators saw: a record that can't be decoded was told by the first byte of its frame, which holds many records, without the job; that a directory holds an earlier version's text or frames was not told at all.

Change: the error names the record's byte and, where the ID can be decoded, the job. Scan counts records with text strings that are not UTF-8 and frames over 4 MiB, and `store check` prints the counts; the lines of other segments stay as they are.

--- a/cmd/birchstair/store.go
+++ b/cmd/birchstair/store.go
@@ -63,11 +63,7 @@
 func (c storeCheckCmd) Run() error {
 	segments, err := scanLocked(c.Dir, func(store.Record) {})
 	for _, s := range segments {
-		incomplete := ""
-		if s.Torn {
-			incomplete = ", with an incomplete record at the end, which was not acknowledged and is removed at the next start"
-		}
-		fmt.Printf("%s: %d records in %d bytes%s\n", s.Name, s.Records, s.CompleteBytes, incomplete)
+		fmt.Printf("%s: %d records in %d bytes%s\n", s.Name, s.Records, s.CompleteBytes, describeSegment(s))
 	}
 	if err != nil {
 		return err
@@ -79,6 +75,20 @@
 	return nil
 }
 
+// describeSegment returns what is special about a segment, as operators see it.
+func describeSegment(s store.Segment) (text string) {
+	if s.EarlierText > 0 {
+		text += fmt.Sprintf(", %d of them with text that is not UTF-8, as an earlier version wrote it", s.EarlierText)
+	}
+	if s.EarlierFrames > 0 {
+		text += fmt.Sprintf(", with %d frames of over 4 MiB, as an earlier version wrote them", s.EarlierFrames)
+	}
+	if s.Torn {
+		text += ", with an incomplete record at the end, which was not acknowledged and is removed at the next start"
+	}
+	return text
+}
+
 // Run prints a line for each batch job in the store.
 func (c storeListCmd) Run() error {
 	states := store.JobStates{}
--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -61,6 +61,9 @@
 	UTF8:               cbor.UTF8DecodeInvalid,
 }.DecMode())
 
+// strictRecordDecoding decodes what this version encodes.
+var strictRecordDecoding = must(cbor.DecOptions{ByteStringToString: cbor.ByteStringToStringAllowed}.DecMode())
+
 // must returns v, or panics on an error. The options above are constant, so an error is a mistake in this file.
 func must[T any](v T, err error) T {
 	if err != nil {
@@ -84,12 +87,13 @@
 	return append(b, encoded...), nil
 }
 
-// decodeRecord decodes the record at the start of b. rest holds the bytes after the record.
+// decodeRecord decodes the record at the start of b. rest holds the bytes after the record. An error names the record's job, if
+// at least its ID can be decoded.
 func decodeRecord(b []byte) (r Record, rest []byte, err error) {
 	var wire wireRecord
 	rest, err = recordDecoding.UnmarshalFirst(b, &wire)
 	if err != nil {
-		return r, nil, fmt.Errorf("the frame's checksum is correct, but a record can't be decoded: %w", err)
+		return r, nil, fmt.Errorf("the frame's checksum is correct, but a record of job %q can't be decoded: %w", decodeID(b), err)
 	}
 	r = wire.record()
 	if err := r.validate(); err != nil {
@@ -98,6 +102,22 @@
 	return r, rest, nil
 }
 
+// decodeID returns the ID in the record at the start of b, or an empty string if it can't be decoded either.
+func decodeID(b []byte) string {
+	var wire struct {
+		ID text `cbor:"2,keyasint"`
+	}
+	recordDecoding.UnmarshalFirst(b, &wire) //nolint:errcheck // the ID stays empty
+	return string(wire.ID)
+}
+
+// isEarlierEncoding reports whether the encoding of a record has text strings that are not UTF-8, which only earlier versions wrote.
+func isEarlierEncoding(encoded []byte) bool {
+	var wire wireRecord
+	_, err := strictRecordDecoding.UnmarshalFirst(encoded, &wire)
+	return err != nil
+}
+
 // validate returns an error if a record is invalid. Neither an encoded nor a decoded record can be invalid.
 func (r *Record) validate() error {
 	if r.Kind < Accepted || r.Kind > Released || r.ID == "" {
--- a/internal/store/codec_test.go
+++ b/internal/store/codec_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -146,6 +148,10 @@
 	if err := os.WriteFile(dir+"/"+segmentName(1), segment, fileMode); err != nil {
 		t.Fatal(err)
 	}
+	segments, err := Scan(Directory(dir), func(uint64, Record, int) {})
+	if err != nil || len(segments) != 1 || segments[0].EarlierText != 1 || segments[0].EarlierFrames != 0 {
+		t.Errorf("scanned %+v, error %v, want one record with earlier text", segments, err)
+	}
 	for _, step := range []string{"opened", "compacted and opened again"} {
 		s, err := Open(Directory(dir), Options{SegmentBytes: 1 << 20})
 		if err != nil {
@@ -166,6 +172,41 @@
 	}
 }
 
+// TestUndecodableRecordIsNamed guards against damage that an operator can't trace to a job: a frame is intact, but a record in its
+// midst can't be decoded, such as one of a later version. The error names the segment, the record's first byte and the job.
+func TestUndecodableRecordIsNamed(t *testing.T) {
+	dir := t.TempDir()
+	valid, err := appendRecord(nil, Record{Kind: Accepted, ID: "job-1", At: recordTime})
+	if err != nil {
+		t.Fatal(err)
+	}
+	undecodable, err := cbor.Marshal(map[int]any{1: 1, 2: "job-2", 3: "yesterday"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name     string
+		damage   []byte
+		wantText string
+	}{
+		{"a time that is none", undecodable, `a record of job "job-2" can't be decoded`},
+		{"no record", []byte{0xff}, `a record of job "" can't be decoded`},
+		{"no ID", []byte{0xa1, 1, 1}, `a record is invalid: kind 1, job ""`},
+	} {
+		first := encodeFrame(valid)
+		second := encodeFrame(slices.Concat(valid, c.damage, valid))
+		if err := os.WriteFile(dir+"/"+segmentName(1), slices.Concat(encodeSegmentHeader(1), first, second), fileMode); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Open(Directory(dir), Options{SegmentBytes: 1 << 20})
+		var corruption *CorruptionError
+		at := int64(segmentHeaderBytes + len(first) + frameHeaderBytes + len(valid))
+		if !errors.As(err, &corruption) || corruption.Segment != segmentName(1) || corruption.Offset != at || !strings.Contains(corruption.Reason, c.wantText) {
+			t.Errorf("%s: error %v, want one at byte %d that says %s", c.name, err, at, c.wantText)
+		}
+	}
+}
+
 // FuzzRecord checks that every record that can be encoded is decoded to the same record, so that nothing is acknowledged that
 // the next start can't read.
 func FuzzRecord(f *testing.F) {
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -62,8 +62,9 @@
 }
 
 // decodeFrame decodes the frame at the start of b and returns the frame's size in bytes. It calls visit with each record of the
-// frame and the record's size in bytes. The error is errTorn if b doesn't start with a complete frame with a correct checksum.
-func decodeFrame(b []byte, visit func(r Record, size int)) (size int, err error) {
+// frame and the record's encoding. The error is errTorn if b doesn't start with a complete frame with a correct checksum. If a
+// record can't be decoded, size is the offset of that record.
+func decodeFrame(b []byte, visit func(r Record, encoded []byte)) (size int, err error) {
 	records, ok := frameRecords(b)
 	if !ok {
 		return 0, errTorn
@@ -71,9 +72,9 @@
 	for rest := records; len(rest) > 0; {
 		r, after, err := decodeRecord(rest)
 		if err != nil {
-			return 0, err
+			return frameHeaderBytes + len(records) - len(rest), err
 		}
-		visit(r, len(rest)-len(after))
+		visit(r, rest[:len(rest)-len(after)])
 		rest = after
 	}
 	return frameHeaderBytes + len(records), nil
@@ -101,7 +102,7 @@
 		if next < 0 {
 			return false
 		}
-		if _, err := decodeFrame(b[at+next:], func(Record, int) {}); err == nil {
+		if _, err := decodeFrame(b[at+next:], func(Record, []byte) {}); err == nil {
 			return true
 		}
 		at += next + 1
--- a/internal/store/frame_test.go
+++ b/internal/store/frame_test.go
@@ -108,6 +108,10 @@
 	if err := os.WriteFile(dir+"/"+segmentName(1), segment, fileMode); err != nil {
 		t.Fatal(err)
 	}
+	segments, err := Scan(Directory(dir), func(uint64, Record, int) {})
+	if err != nil || len(segments) != 1 || segments[0].EarlierFrames != 1 || segments[0].EarlierText != 0 {
+		t.Errorf("scanned %+v, error %v, want one earlier frame", segments, err)
+	}
 	s := openAt(t, dir)
 	checkJobs(t, s, jobs, resultBytes)
 	if err := s.Compact(nil); err != nil {
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -1,6 +1,9 @@
 package store
 
-import "time"
+import (
+	"time"
+	"unicode/utf8"
+)
 
 // Kind is a kind of record. The numeric values are part of the format on disk.
 type Kind uint8
@@ -51,6 +54,16 @@
 	Outcome uint8 // the leases.Outcome of the final answer; set in Final records
 }
 
+// isUTF8 reports whether all text of a record is UTF-8.
+func (r *Record) isUTF8() bool {
+	for _, text := range [...]string{r.ID, r.JobClass, r.URI, r.Host, r.ContentType, r.IdempotencyKey, r.Executor} {
+		if !utf8.ValidString(text) {
+			return false
+		}
+	}
+	return true
+}
+
 // RetryTerms are the properties of a job class that decide whether a job may run again after an attempt that may have run. They are
 // those of policy.JobClass.
 type RetryTerms struct {
--- a/internal/store/record_test.go
+++ b/internal/store/record_test.go
@@ -31,13 +31,13 @@
 	reencoded := encodeSegmentHeader(1)
 	for at := segmentHeaderBytes; at < len(segment); {
 		var records []byte
-		size, err := decodeFrame(segment[at:], func(r Record, size int) {
+		size, err := decodeFrame(segment[at:], func(r Record, encoded []byte) {
 			before := len(records)
 			if records, err = appendRecord(records, r); err != nil {
 				t.Fatal(err)
 			}
-			if len(records)-before != size {
-				t.Errorf("record %s of %s: encoded in %d bytes, want %d", r.Kind, r.ID, len(records)-before, size)
+			if len(records)-before != len(encoded) {
+				t.Errorf("record %s of %s: encoded in %d bytes, want %d", r.Kind, r.ID, len(records)-before, len(encoded))
 			}
 		})
 		if err != nil {
--- a/internal/store/scan.go
+++ b/internal/store/scan.go
@@ -12,6 +12,10 @@
 	Records       int   // number of records in complete frames
 	CompleteBytes int64 // size up to the end of the last complete frame; 0 if the segment's header is incomplete
 	Torn          bool  // the last frame or the segment's header is incomplete
+
+	// What only earlier versions wrote, and this version reads.
+	EarlierText   int // number of records with text strings that are not UTF-8
+	EarlierFrames int // number of frames that are larger than those of this version
 }
 
 // Scan reads all segments in order and calls visit with every record and the record's size in bytes. A torn tail is allowed only in
@@ -64,16 +68,22 @@
 	}
 	offset := segmentHeaderBytes
 	for offset < len(b) {
-		size, err := decodeFrame(b[offset:], func(r Record, size int) {
-			visit(r, size)
+		size, err := decodeFrame(b[offset:], func(r Record, encoded []byte) {
+			visit(r, len(encoded))
 			segment.Records++
+			if !r.isUTF8() && isEarlierEncoding(encoded) {
+				segment.EarlierText++
+			}
 		})
 		if errors.Is(err, errTorn) && last && !containsFrame(b[offset:]) {
 			segment.Torn = true
 			break
 		}
 		if err != nil {
-			return segment, &CorruptionError{segment.Name, int64(offset), err.Error()}
+			return segment, &CorruptionError{segment.Name, int64(offset + size), err.Error()}
+		}
+		if size > maxFrameBytes+frameHeaderBytes {
+			segment.EarlierFrames++
 		}
 		offset += size
 	}
