Keep results of durable jobs on disk, not in memory

Cause: `most` is compared when a job is accepted; its result came later and stayed in memory until the job was removed.

Evidence: memory grows with the bytes of results, 57 MiB for 1,000; 0.9 MiB once they are dropped after the sync.

Change: the store keeps the location and the checksum of each result and reads it when a client asks or a compaction moves it; the job table keeps none. Compaction starts a new segment where one is full. Disk has ReadAt.

--- a/internal/durable/http.go
+++ b/internal/durable/http.go
@@ -49,7 +49,13 @@
 		w.WriteHeader(status)
 		return
 	}
-	writeStatus(w, status, m.status(leases.ID(id)))
+	current, err := m.status(leases.ID(id))
+	if err != nil {
+		m.log.Error().Err(err).Str("batch_job", id).Msg("a result could not be read")
+		writeError(w, errResult)
+		return
+	}
+	writeStatus(w, status, current)
 }
 
 // handle carries out a request and returns the HTTP status of its response.
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -83,11 +83,10 @@
 		})
 	}
 	var final *leases.Outcome
-	var result []byte
 	var finalAt time.Duration
 	if job.Final != nil {
 		answer := leases.Outcome(job.Final.Outcome)
-		final, result, finalAt = &answer, job.Final.Body, sinceEpoch(job.Final.At)
+		final, finalAt = &answer, sinceEpoch(job.Final.At)
 	}
 	recovered := leases.Job{
 		ID:          leases.ID(job.Accepted.ID),
@@ -96,5 +95,5 @@
 		PolicyClass: class.id,
 		LaxPolicy:   accepted != class.lease,
 	}
-	return m.jobTable.Recover(at, lastWrite, recovered, attempts, final, result, finalAt)
+	return m.jobTable.Recover(at, lastWrite, recovered, attempts, final, finalAt)
 }
--- a/internal/durable/submit.go
+++ b/internal/durable/submit.go
@@ -19,6 +19,7 @@
 	errNotFound = errors.New("no such job")
 	errNotFinal = errors.New("the job has no final answer")
 	errStore    = errors.New("the submission could not be written")
+	errResult   = errors.New("the result could not be read")
 )
 
 // submission is a job that a client submits.
@@ -134,18 +135,24 @@
 	return nil
 }
 
-// status returns the status of a job, as clients receive it.
-func (m *Manager) status(id leases.ID) jobStatus {
+// status returns the status of a job, as clients receive it. The error is that of reading the result from the store.
+func (m *Manager) status(id leases.ID) (jobStatus, error) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	state, ok := m.jobTable.State(id)
-	if !ok {
-		return jobStatus{ID: string(id), State: removedState}
-	}
-	status := jobStatus{ID: string(id), State: stateNames[state]}
+	state, known := m.jobTable.State(id)
+	var final leases.Outcome
 	if state == leases.Done {
-		final, result := m.jobTable.Answer(id)
-		status.Final, status.Result = finalNames[final], result
+		final = m.jobTable.Answer(id)
+	}
+	m.mu.Unlock()
+	switch {
+	case !known:
+		return jobStatus{ID: string(id), State: removedState}, nil
+	case state != leases.Done:
+		return jobStatus{ID: string(id), State: stateNames[state]}, nil
+	}
+	result, err := m.store.Result(string(id))
+	if errors.Is(err, store.ErrNoResult) { // the job was removed since
+		return jobStatus{ID: string(id), State: removedState}, nil
 	}
-	return status
+	return jobStatus{ID: string(id), State: stateNames[state], Final: finalNames[final], Result: result}, err
 }
--- a/internal/emulator/disk.go
+++ b/internal/emulator/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"slices"
@@ -151,6 +152,18 @@
 	return slices.Clone(f.written), nil
 }
 
+// ReadAt implements store.Disk.
+func (d *Disk) ReadAt(name string, offset int64, size int) ([]byte, error) {
+	b, err := d.Read(name)
+	if err != nil {
+		return nil, err
+	}
+	if offset+int64(size) > int64(len(b)) {
+		return nil, fmt.Errorf("%s: read beyond the end of the file: %w", name, io.ErrUnexpectedEOF)
+	}
+	return b[offset : offset+int64(size)], nil
+}
+
 // Create implements store.Disk. The file is certain to survive a crash only after SyncDir.
 func (d *Disk) Create(name string) (store.File, error) {
 	d.mu.Lock()
--- a/internal/leases/effects.go
+++ b/internal/leases/effects.go
@@ -61,12 +61,8 @@
 		Epoch    Epoch
 		Executor policy.ExecutorID
 	}
-	// Publish sends the final answer to all clients that wait for it.
-	Publish struct {
-		ID     ID
-		Final  Outcome
-		Result []byte
-	}
+	// Publish tells all clients that wait for the final answer that it is on disk.
+	Publish struct{ ID ID }
 )
 
 // Wake asks the caller to call JobTable.Wake at the given time. A later Wake effect replaces an earlier one.
--- a/internal/leases/job.go
+++ b/internal/leases/job.go
@@ -97,7 +97,6 @@
 	sendUntil     time.Duration // time until which attempts can be sent; used in state Dispatched only
 	inFlight      int           // number of attempts that this process has started and that have not ended
 	final         Outcome
-	result        []byte
 
 	sequence  int // position in the order of creation; among jobs with the same deadline, the lowest is submitted first
 	heapIndex int // index in JobTable.waiting
--- a/internal/leases/job_table.go
+++ b/internal/leases/job_table.go
@@ -47,11 +47,8 @@
 	return j.state, true
 }
 
-// Answer returns the final answer of a job in state Done.
-func (t *JobTable) Answer(id ID) (Outcome, []byte) {
-	j := t.jobs[id]
-	return j.final, j.result
-}
+// Answer returns the final answer of a job in state Done, without the result, which is on disk.
+func (t *JobTable) Answer(id ID) Outcome { return t.jobs[id].final }
 
 // Counts returns the number of jobs by state.
 func (t *JobTable) Counts() (counts [len(stateNames)]int) {
@@ -238,7 +235,7 @@
 
 // finalize gives a job its final answer, and emits the effect that writes it to disk.
 func (t *JobTable) finalize(j *job, final Outcome, result []byte) {
-	j.state, j.final, j.result = StoringFinal, final, result
+	j.state, j.final = StoringFinal, final
 	j.cancelTimers()
 	t.emit(StoreFinal{j.ID, final, result})
 }
@@ -257,7 +254,7 @@
 func (t *JobTable) FinalStored(now time.Duration, id ID) []Effect {
 	if j := t.jobs[id]; j != nil && j.state == StoringFinal {
 		t.retain(j, now+t.settings.AnswerTTL)
-		t.emit(Publish{id, j.final, j.result})
+		t.emit(Publish{id})
 	}
 	return t.finish(now)
 }
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -84,7 +84,7 @@
 func (tr *trace) recover(title string, settings Settings, now, last float64, class JobClass, neverRan bool) {
 	tr.table = NewJobTable(settings)
 	tr.call(fmt.Sprintf("# %s, recovered at %.0f s, sent at 2 s", title, now), tr.table.Recover(at(now), at(last), Job{ID: "j", Class: class, Deadline: at(60)},
-		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, nil, 0))
+		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, 0))
 }
 
 func at(seconds float64) time.Duration { return time.Duration(seconds * 1e9) }
@@ -202,7 +202,7 @@
 	tr.table = NewJobTable(settings)
 	tr.table.Hold()
 	tr.call(fmt.Sprintf("# %s, held, recovered at 5 s, sent at 2 s", title), tr.table.Recover(at(5), at(2), Job{ID: "j", Class: class, Deadline: at(60)},
-		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, nil, 0))
+		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, 0))
 }
 
 func traceHeld(tr *trace, settings, withQueries Settings) {
@@ -251,7 +251,7 @@
 		tr.section(class.name + ", and the policy takes the job for idempotent")
 		tr.table = NewJobTable(settings)
 		job := Job{ID: "j", Class: class.JobClass, Deadline: at(60), PolicyClass: 3, LaxPolicy: true}
-		tr.call("recovered, never sent", tr.table.Recover(at(1), at(1), job, nil, nil, nil, 0))
+		tr.call("recovered, never sent", tr.table.Recover(at(1), at(1), job, nil, nil, 0))
 		tr.startAttempt("j", 2)
 		tr.call("attempt 1 ended and never ran", tr.table.AttemptEnded(at(2), "j", 1, true))
 		tr.startAttempt("j", 3)
@@ -276,7 +276,7 @@
 		}
 	}
 	for i := range 10000 {
-		countSubmitted(table.Recover(0, 0, Job{ID: ID(fmt.Sprint(i)), Class: idempotent, Deadline: at(float64(100 + i%7))}, nil, nil, nil, 0))
+		countSubmitted(table.Recover(0, 0, Job{ID: ID(fmt.Sprint(i)), Class: idempotent, Deadline: at(float64(100 + i%7))}, nil, nil, 0))
 	}
 	if submitted != 50 {
 		t.Fatalf("%d jobs were submitted at once, want 50", submitted)
--- a/internal/leases/recovery.go
+++ b/internal/leases/recovery.go
@@ -10,11 +10,11 @@
 // answer. lastRecorded is the latest time in any record on disk. If now is before lastRecorded, the clock was set back,
 // and it is unknown how long ago an attempt was sent. The executors may then have forgotten the job's idempotency key.
 // Therefore a job that has such a key gets a dedup window of 0.
-func (t *JobTable) Recover(now, lastRecorded time.Duration, recovered Job, attempts []Attempt, final *Outcome, result []byte, finalAt time.Duration) []Effect {
+func (t *JobTable) Recover(now, lastRecorded time.Duration, recovered Job, attempts []Attempt, final *Outcome, finalAt time.Duration) []Effect {
 	j := t.add(recovered)
 	j.attempts = attempts
 	if final != nil {
-		j.final, j.result = *final, result
+		j.final = *final
 		t.retain(j, max(now, finalAt+t.settings.AnswerTTL))
 		return t.finish(now)
 	}
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -105,9 +105,10 @@
 
 // commitFrame is the content of one frame.
 type commitFrame struct {
-	builder frameBuilder
-	writes  []pendingWrite
-	sizes   []int // encoded size of each record in bytes
+	builder   frameBuilder
+	writes    []pendingWrite
+	sizes     []int    // encoded size of each record in bytes
+	checksums []uint32 // checksum of each encoded record
 }
 
 // encodeNext encodes the records at the start of a batch that fit into one frame. It calls the callback of each record that
@@ -115,7 +116,7 @@
 func (s *Store) encodeNext(batch []pendingWrite) (frame commitFrame, rest []pendingWrite) {
 	frame.builder.maxBytes = s.maxFrameBytes
 	for i, w := range batch {
-		size, err := frame.builder.add(w.record)
+		encoded, err := frame.builder.add(w.record)
 		if errors.Is(err, errFrameFull) {
 			return frame, batch[i:]
 		}
@@ -124,7 +125,8 @@
 			continue
 		}
 		frame.writes = append(frame.writes, w)
-		frame.sizes = append(frame.sizes, size)
+		frame.sizes = append(frame.sizes, len(encoded))
+		frame.checksums = append(frame.checksums, recordChecksum(encoded))
 	}
 	return frame, nil
 }
@@ -147,8 +149,10 @@
 func (s *Store) applyFrame(frame commitFrame, encodedBytes int) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	offset := s.segmentBytes[s.lastSegment] + frameHeaderBytes
 	for i, w := range frame.writes {
-		s.apply(s.lastSegment, w.record, frame.sizes[i])
+		s.apply(location{s.lastSegment, offset, frame.sizes[i], frame.checksums[i]}, w.record)
+		offset += int64(frame.sizes[i])
 	}
 	s.segmentBytes[s.lastSegment] += int64(encodedBytes)
 	s.syncs++
--- a/internal/store/compaction.go
+++ b/internal/store/compaction.go
@@ -21,7 +21,7 @@
 		if progress != nil {
 			progress(int(oldest-first)+1, int(last-first))
 		}
-		if err := s.compactSegment(oldest); err != nil {
+		if err := s.compactSegment(oldest, !all); err != nil {
 			return err
 		}
 	}
@@ -36,29 +36,27 @@
 }
 
 // compactSegment compacts the oldest segment. It copies all records of the jobs whose first record is in that segment to the last
-// segment, and then removes the oldest segment. The copies are written as frames of at most maxFrameBytes, so that the memory
-// needed does not depend on the segment. If the process crashes between two frames, recovery finds some records twice, and ignores
-// the copies.
-func (s *Store) compactSegment(oldest uint64) error {
-	frame := frameBuilder{maxBytes: s.maxFrameBytes}
-	moved := map[string]int{}
+// segment, and then removes the oldest segment. If split is set, it starts a new segment whenever the last one is full. The copies
+// are written as frames of at most maxFrameBytes, so that the memory needed does not depend on the segment. If the process crashes
+// between two frames, recovery finds some records twice, and ignores the copies.
+func (s *Store) compactSegment(oldest uint64, split bool) error {
+	c := compaction{store: s, split: split, frame: frameBuilder{maxBytes: s.maxFrameBytes}, moved: map[string]*movedJob{}}
 	for _, id := range s.jobsStartingIn(oldest) {
-		size, err := s.copyJob(id, &frame)
-		if err != nil {
+		if err := c.copyJob(id); err != nil {
 			return err
 		}
-		moved[id] = size
 	}
-	if err := s.writeCopies(&frame); err != nil {
+	if err := c.writeFrame(); err != nil {
 		return err
 	}
+	s.relocate(c.moved) // before the segment is removed, because Result reads from where a result is
 	if err := s.disk.Remove(segmentName(oldest)); err != nil {
 		return err
 	}
 	if err := s.disk.SyncDir(); err != nil {
 		return err
 	}
-	s.accountCompaction(oldest, moved)
+	s.forgetSegment(oldest)
 	return nil
 }
 
@@ -75,51 +73,120 @@
 	return ids
 }
 
-// copyJob adds all records of a job to a frame, and writes the frame whenever it is full. It returns the encoded size of the records
-// in bytes.
-func (s *Store) copyJob(id string, frame *frameBuilder) (total int, err error) {
-	job, _ := s.Get(id)
+// compaction is the state of the compaction of one segment.
+type compaction struct {
+	store  *Store
+	split  bool
+	frame  frameBuilder
+	placed []placedRecord // records in the frame
+	moved  map[string]*movedJob
+}
+
+// placedRecord is a record in the frame that is being built.
+type placedRecord struct {
+	id       string
+	kind     Kind
+	bytes    int
+	checksum uint32
+}
+
+// movedJob is where the copies of a job's records are.
+type movedJob struct {
+	extents []extent
+	result  location // location of the Final record, if the job has one
+}
+
+// copyJob adds all records of a job to the frame, and writes the frame whenever it is full.
+func (c *compaction) copyJob(id string) error {
+	job, _ := c.store.Get(id)
 	for _, r := range job.Records() {
-		size, err := frame.add(r)
-		if errors.Is(err, errFrameFull) {
-			if err := s.writeCopies(frame); err != nil {
-				return total, err
+		if r.Kind == Final {
+			result, err := c.store.Result(id)
+			if err != nil {
+				return err
 			}
-			size, err = frame.add(r)
+			r.Body = result
 		}
-		if err != nil {
-			return total, err
+		if err := c.copyRecord(r); err != nil {
+			return err
 		}
-		total += size
 	}
-	return total, nil
+	return nil
+}
+
+func (c *compaction) copyRecord(r Record) error {
+	encoded, err := c.frame.add(r)
+	if errors.Is(err, errFrameFull) {
+		if err := c.writeFrame(); err != nil {
+			return err
+		}
+		encoded, err = c.frame.add(r)
+	}
+	if err != nil {
+		return err
+	}
+	c.placed = append(c.placed, placedRecord{r.ID, r.Kind, len(encoded), recordChecksum(encoded)})
+	return nil
 }
 
-// writeCopies writes and syncs a frame of copied records, if there are any.
-func (s *Store) writeCopies(frame *frameBuilder) error {
-	encoded := frame.take()
+// writeFrame writes and syncs the frame, if it has any records, and notes where they are.
+func (c *compaction) writeFrame() error {
+	encoded := c.frame.take()
 	if len(encoded) == 0 {
 		return nil
 	}
+	s := c.store
 	if err := s.writeAndSync(encoded); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	offset := s.segmentBytes[s.lastSegment] + frameHeaderBytes
+	for _, r := range c.placed {
+		c.place(r, location{s.lastSegment, offset, r.bytes, r.checksum})
+		offset += int64(r.bytes)
+	}
+	c.placed = c.placed[:0]
 	s.segmentBytes[s.lastSegment] += int64(len(encoded))
-	return nil
+	if !c.split || s.segmentBytes[s.lastSegment] < s.options.SegmentBytes {
+		return nil
+	}
+	return s.startSegment()
 }
 
-// accountCompaction updates the sizes of segments and live records after a compaction, which has copied the jobs in moved to the
-// last segment and removed the oldest one. moved maps each job's ID to the size of its records in bytes.
-func (s *Store) accountCompaction(oldest uint64, moved map[string]int) {
+// place notes where the copy of a record is.
+func (c *compaction) place(r placedRecord, at location) {
+	job := c.moved[r.id]
+	if job == nil {
+		job = &movedJob{}
+		c.moved[r.id] = job
+	}
+	job.extents = addExtent(job.extents, at)
+	if r.kind == Final {
+		job.result = at
+	}
+}
+
+// relocate updates the locations of the records of jobs that were copied.
+func (s *Store) relocate(moved map[string]*movedJob) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, size := range moved {
+	for id, job := range moved {
 		s.dropExtents(id)
-		s.extents[id] = []extent{{s.lastSegment, size}}
-		s.liveBytes[s.lastSegment] += int64(size)
+		s.extents[id] = job.extents
+		for _, e := range job.extents {
+			s.liveBytes[e.segment] += int64(e.bytes)
+		}
+		if _, ok := s.results[id]; ok {
+			s.results[id] = job.result
+		}
 	}
+}
+
+// forgetSegment removes a segment that is no longer on disk, the oldest one, from the counts of bytes.
+func (s *Store) forgetSegment(oldest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.segmentBytes, oldest)
 	delete(s.liveBytes, oldest)
 	s.firstSegment = oldest + 1
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -19,6 +19,8 @@
 	List() ([]string, error)
 	// Read returns the contents of a file.
 	Read(name string) ([]byte, error)
+	// ReadAt returns size bytes of a file, from an offset on. It fails if the file has fewer.
+	ReadAt(name string, offset int64, size int) ([]byte, error)
 	// Create creates a file. It fails if the file exists. The new name is durable after SyncDir.
 	Create(name string) (File, error)
 	// Remove removes a file. The removal is durable after SyncDir.
@@ -78,6 +80,17 @@
 // Read implements Disk.
 func (d Directory) Read(name string) ([]byte, error) { return os.ReadFile(d.path(name)) }
 
+// ReadAt implements Disk.
+func (d Directory) ReadAt(name string, offset int64, size int) ([]byte, error) {
+	file, err := os.Open(d.path(name))
+	if err != nil {
+		return nil, err
+	}
+	b := make([]byte, size)
+	_, err = file.ReadAt(b, offset)
+	return b, errors.Join(err, file.Close())
+}
+
 // Create implements Disk.
 func (d Directory) Create(name string) (File, error) {
 	return os.OpenFile(d.path(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -27,19 +27,19 @@
 	records  []byte
 }
 
-// add appends a record and returns its encoded size in bytes. The error is errFrameFull if the record needs a new frame, or
-// wraps ErrInvalidRecord. The frame does not change on an error.
-func (f *frameBuilder) add(r Record) (size int, err error) {
+// add appends a record and returns its encoding, which is valid until the next call. The error is errFrameFull if the record needs
+// a new frame, or wraps ErrInvalidRecord. The frame does not change on an error.
+func (f *frameBuilder) add(r Record) (encoded []byte, err error) {
 	records, err := appendRecord(f.records, r)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	if len(records) > f.maxBytes {
-		return 0, errFrameFull
+		return nil, errFrameFull
 	}
-	size = len(records) - len(f.records)
+	encoded = records[len(f.records):]
 	f.records = records
-	return size, nil
+	return encoded, nil
 }
 
 // take returns the encoded frame and empties the builder. It returns nil if there are no records.
--- a/internal/store/frame_test.go
+++ b/internal/store/frame_test.go
@@ -43,8 +43,8 @@
 func checkJobs(t *testing.T, s *Store, jobs, resultBytes int) {
 	t.Helper()
 	for i := range jobs {
-		if job, ok := s.Get(fmt.Sprint("job-", i)); !ok || job.Final == nil || len(job.Final.Body) != resultBytes {
-			t.Fatalf("job %d of %d is missing or has no result of %d bytes", i, jobs, resultBytes)
+		if result, err := s.Result(fmt.Sprint("job-", i)); err != nil || len(result) != resultBytes {
+			t.Fatalf("job %d of %d has a result of %d bytes, error %v, want %d bytes", i, jobs, len(result), err, resultBytes)
 		}
 	}
 }
--- a/internal/store/recovery.go
+++ b/internal/store/recovery.go
@@ -5,7 +5,7 @@
 // recoverSegments reads all segments and starts a new segment. Records are appended only to the new segment, because a crash may
 // have left the others incomplete.
 func (s *Store) recoverSegments() error {
-	segments, err := Scan(s.disk, s.apply)
+	segments, err := scan(s.disk, s.apply)
 	if err != nil {
 		return err
 	}
--- a/internal/store/scan.go
+++ b/internal/store/scan.go
@@ -21,6 +21,11 @@
 // Scan reads all segments in order and calls visit with every record and the record's size in bytes. A torn tail is allowed only in
 // the last segment. If anything else is damaged or missing, the error names the segment.
 func Scan(disk Disk, visit func(segment uint64, r Record, size int)) (segments []Segment, err error) {
+	return scan(disk, func(at location, r Record) { visit(at.segment, r, at.bytes) })
+}
+
+// scan is like Scan, and calls visit with the location of each record.
+func scan(disk Disk, visit func(at location, r Record)) (segments []Segment, err error) {
 	numbers, err := segmentNumbers(disk)
 	if err != nil {
 		return nil, err
@@ -30,7 +35,7 @@
 			return segments, &CorruptionError{segmentName(number - 1), 0, "this segment is missing"}
 		}
 		last := i == len(numbers)-1
-		segment, err := scanSegment(disk, number, last, func(r Record, size int) { visit(number, r, size) })
+		segment, err := scanSegment(disk, number, last, visit)
 		if err != nil {
 			return segments, err
 		}
@@ -53,7 +58,7 @@
 	return numbers, nil
 }
 
-func scanSegment(disk Disk, number uint64, last bool, visit func(r Record, size int)) (Segment, error) {
+func scanSegment(disk Disk, number uint64, last bool, visit func(at location, r Record)) (Segment, error) {
 	segment := Segment{Name: segmentName(number), Number: number}
 	b, err := disk.Read(segment.Name)
 	if err != nil {
@@ -68,8 +73,10 @@
 	}
 	offset := segmentHeaderBytes
 	for offset < len(b) {
+		next := int64(offset + frameHeaderBytes)
 		size, err := decodeFrame(b[offset:], func(r Record, encoded []byte) {
-			visit(r, len(encoded))
+			visit(location{number, next, len(encoded), recordChecksum(encoded)}, r)
+			next += int64(len(encoded))
 			segment.Records++
 			if !r.isUTF8() && isEarlierEncoding(encoded) {
 				segment.EarlierText++
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -6,7 +6,7 @@
 type JobState struct {
 	Accepted *Record   // the job's Accepted record; immutable
 	Attempts []Attempt // the job's attempts, in the order of their AttemptStarted records
-	Final    *Record   // the job's Final record; nil while the job has no final answer
+	Final    *Record   // the job's Final record without its body, which Store.Result reads; nil while the job has no final answer
 }
 
 // Attempt is the state of one attempt. An attempt is recorded before it is sent.
@@ -42,6 +42,7 @@
 		}
 	case Final:
 		if job.Final == nil {
+			r.Body = nil
 			job.Final = &r
 		}
 	case Released:
@@ -59,7 +60,7 @@
 	return nil
 }
 
-// Records returns records that restore the state when Apply is called with each of them in this order.
+// Records returns records that restore the state when Apply is called with each of them in this order. The Final record has no body.
 func (s *JobState) Records() []Record {
 	records := []Record{*s.Accepted}
 	for _, a := range s.Attempts {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -32,6 +32,7 @@
 	failed       error          // the error that made the store fail, wrapping ErrFailed; nil if it has not failed
 	jobs         JobStates
 	extents      map[string][]extent // extents of each job, by job ID, in ascending order of segments
+	results      map[string]location // locations of the Final records, by job ID
 	liveBytes    map[uint64]int64    // size of the live records in each segment, by segment number
 	segmentBytes map[uint64]int64    // size of each segment, by segment number
 	firstSegment uint64              // number of the oldest segment
@@ -61,6 +62,7 @@
 		maxFrameBytes: maxFrameBytes,
 		jobs:          JobStates{},
 		extents:       map[string][]extent{},
+		results:       map[string]location{},
 		liveBytes:     map[uint64]int64{},
 		segmentBytes:  map[uint64]int64{},
 		done:          make(chan struct{}),
@@ -87,7 +89,7 @@
 	return errors.Join(s.file.Close(), s.lock.Close())
 }
 
-// Get returns the state of a batch job, as it is on disk. It returns false if the store has no such job.
+// Get returns the state of a batch job, as it is on disk, without the result. It returns false if the store has no such job.
 func (s *Store) Get(id string) (JobState, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -97,7 +99,7 @@
 	return JobState{}, false
 }
 
-// ForEach calls visit with the state of every batch job, in no particular order.
+// ForEach calls visit with the state of every batch job, without the result, in no particular order.
 func (s *Store) ForEach(visit func(JobState)) {
 	s.mu.Lock()
 	var jobs []JobState
@@ -140,21 +142,29 @@
 	return total
 }
 
-// apply applies a record to the state of the record's job, and updates the sizes of live records. size is the record's size on disk
-// in bytes.
-func (s *Store) apply(segment uint64, r Record, size int) {
+// apply applies a record at a location to the state of the record's job, and updates the sizes of live records.
+func (s *Store) apply(at location, r Record) {
+	known := s.jobs[r.ID] != nil
 	s.jobs.Apply(r)
 	if s.jobs[r.ID] == nil {
 		s.dropExtents(r.ID)
+		delete(s.results, r.ID)
 		return
 	}
-	extents := s.extents[r.ID]
-	if last := len(extents) - 1; last >= 0 && extents[last].segment == segment {
-		extents[last].bytes += size
-	} else {
-		s.extents[r.ID] = append(extents, extent{segment, size})
+	s.extents[r.ID] = addExtent(s.extents[r.ID], at)
+	s.liveBytes[at.segment] += int64(at.bytes)
+	if r.Kind == Final && known {
+		s.results[r.ID] = at
 	}
-	s.liveBytes[segment] += int64(size)
+}
+
+// addExtent adds a record to the extents of its job.
+func addExtent(extents []extent, at location) []extent {
+	if last := len(extents) - 1; last >= 0 && extents[last].segment == at.segment {
+		extents[last].bytes += at.bytes
+		return extents
+	}
+	return append(extents, extent{at.segment, at.bytes})
 }
 
 // dropExtents removes a job's extents, so that the job's records no longer count as live.
