Ask only the executor of an attempt about its lease, not whoever has its address

What callers would see: with leases = true, an at-most-once job runs again after a kill, if its executor is no longer listed and another one has its address: that one is asked, and answers "never".

Cause: addresses were kept until an entry said "gone"; a complete list without the executor, or its address at another, did not count.

Change: a complete list replaces all addresses, and an address leads to the executor that was listed with it last.

--- a/internal/durable/interceptors.go
+++ b/internal/durable/interceptors.go
@@ -23,15 +23,22 @@
 	}
 }
 
-// updateEndpoints updates the recorded addresses of executors after an update of the endpoint list.
+// updateEndpoints updates the recorded addresses of executors after an update of the endpoint list. An address leads to one executor
+// alone: a lease query that reaches another one would be answered "never" about an attempt that may have run.
 func (m *Manager) updateEndpoints(event node.EndpointsUpdated) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if event.Kind == policy.CompleteUpdate {
+		clear(m.addrByExecutor)
+	}
 	for _, endpoint := range event.Endpoints {
 		if endpoint.State == policy.Removed {
 			delete(m.addrByExecutor, endpoint.Executor)
 			continue
 		}
+		if previous := m.executorByAddr[endpoint.Addr]; previous != endpoint.Executor && m.addrByExecutor[previous] == endpoint.Addr {
+			delete(m.addrByExecutor, previous)
+		}
 		m.addrByExecutor[endpoint.Executor] = endpoint.Addr
 		m.executorByAddr[endpoint.Addr] = endpoint.Executor
 	}
--- a/internal/durable/request_values_test.go
+++ b/internal/durable/request_values_test.go
@@ -163,3 +163,62 @@
 		}
 	})
 }
+
+// TestLeaseQueryReachesItsExecutor guards against an at-most-once job that runs twice: its executor is no longer listed, and another
+// one has its address, which was asked about the job and answered that it had never run. The order of events: an attempt is sent to
+// e0, the node crashes, and the lists that the next process gets name the address for e1.
+func TestLeaseQueryReachesItsExecutor(t *testing.T) {
+	options := restartOptions
+	options.Leases.QueryExecutors = true
+	const addr = "never:1"
+	at := func(executor policy.ExecutorID, state policy.EndpointState) node.Endpoint {
+		return node.Endpoint{Endpoint: policy.Endpoint{Executor: executor, State: state}, Addr: addr}
+	}
+	for _, c := range []struct {
+		title   string
+		updates []node.EndpointsUpdated
+		asked   bool
+	}{
+		{"the executor is listed", []node.EndpointsUpdated{
+			{Kind: policy.CompleteUpdate, Endpoints: []node.Endpoint{at("e0", policy.Available)}}}, true},
+		{"a complete list without it", []node.EndpointsUpdated{
+			{Kind: policy.CompleteUpdate, Endpoints: []node.Endpoint{at("e0", policy.Available)}},
+			{Kind: policy.CompleteUpdate}}, false},
+		{"another executor has its address", []node.EndpointsUpdated{
+			{Kind: policy.CachedUpdate, Endpoints: []node.Endpoint{at("e0", policy.Available)}},
+			{Kind: policy.IncrementalUpdate, Endpoints: []node.Endpoint{at("e1", policy.Available)}}}, false},
+		{"it is removed", []node.EndpointsUpdated{
+			{Kind: policy.CompleteUpdate, Endpoints: []node.Endpoint{at("e0", policy.Available)}},
+			{Kind: policy.IncrementalUpdate, Endpoints: []node.Endpoint{at("e0", policy.Removed)}}}, false},
+	} {
+		t.Run(c.title, func(t *testing.T) {
+			synctesting.Test(t, func(t *testing.T) {
+				disk := emulator.NewDisk(rand.New(rand.NewPCG(1, 3)))
+				f := newFixture(t, disk, 10<<20, options)
+				f.durable.Observe(0, node.EndpointsUpdated{Kind: policy.CompleteUpdate, Endpoints: []node.Endpoint{at("e0", policy.Available)}}, nil)
+				f.front.SetReady(true)
+				f.put("/-/jobs/a", http.Header{"X-Call-Class": {"order"}, "X-Budget-Ms": {"60000"}})
+				request := f.nextRequest()
+				f.up.Dial(1, addr)
+				f.up.Write(1, node.Attempt{Request: &request})
+				time.Sleep(time.Second)
+				synctest.Wait()
+				disk.Crash()
+				f.durable.Close() //nolint:errcheck // the disk has crashed
+				restarted := newFixture(t, disk, 10<<20, options)
+				for _, update := range c.updates {
+					restarted.durable.Observe(0, update, nil)
+				}
+				restarted.front.SetReady(true)
+				time.Sleep(time.Second)
+				synctest.Wait()
+				if asked := strings.Contains(restarted.out.String(), "asks "+addr); asked != c.asked {
+					t.Errorf("asked %s: %v, want %v: %s", addr, asked, c.asked, restarted.out.String())
+				}
+				if err := restarted.durable.Close(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
