Carry out the effects of the job table in the order in which it returns them

What callers would see: an ID that is submitted while its old answer is removed gets 201, and the job is lost.

Cause: effects were carried out after the table's lock was released, so those of two goroutines could change places: the removal was appended to the log after the new job's record, which it removes by its ID. Wake effects could cross as well.

Change: effects are queued under the lock; one goroutine at a time carries them out.

--- a/internal/durable/effects.go
+++ b/internal/durable/effects.go
@@ -13,12 +13,33 @@
 // step passes one event to the job table, and carries out the effects that the job table returns.
 func (m *Manager) step(event func(now time.Duration) []leases.Effect) {
 	m.mu.Lock()
-	effects := event(now())
+	m.effects = append(m.effects, event(now())...)
 	m.mu.Unlock()
-	m.apply(effects)
+	m.applyEffects()
 }
 
-// apply carries out effects in their order. It must be called without m.mu held.
+// applyEffects carries out the effects in m.effects. Effects of all goroutines are carried out in the order in which the job table
+// returned them, by one goroutine at a time: records of a job must not change places, nor must the times at which the table is
+// woken. If another goroutine carries out effects, it does these as well. applyEffects must be called without m.mu held.
+func (m *Manager) applyEffects() {
+	m.mu.Lock()
+	if m.applying {
+		m.mu.Unlock()
+		return
+	}
+	m.applying = true
+	for len(m.effects) > 0 {
+		effects := m.effects
+		m.effects = nil
+		m.mu.Unlock()
+		m.apply(effects)
+		m.mu.Lock()
+	}
+	m.applying = false
+	m.mu.Unlock()
+}
+
+// apply carries out effects in their order. Only applyEffects calls it.
 func (m *Manager) apply(effects []leases.Effect) {
 	for _, effect := range effects {
 		switch effect := effect.(type) {
--- a/internal/durable/interceptors.go
+++ b/internal/durable/interceptors.go
@@ -60,9 +60,9 @@
 	if m.latestConn[ended.id] == conn {
 		delete(m.latestConn, ended.id)
 	}
-	effects := m.jobTable.AttemptEnded(now(), ended.id, ended.epoch, neverRan || m.faults.allEndsAsNeverRan)
+	m.effects = append(m.effects, m.jobTable.AttemptEnded(now(), ended.id, ended.epoch, neverRan || m.faults.allEndsAsNeverRan)...)
 	m.mu.Unlock()
-	m.apply(effects)
+	m.applyEffects()
 }
 
 // frontendInterceptor implements node.Frontend. It handles the state machine's calls that concern durable jobs, and passes the
@@ -88,15 +88,14 @@
 	m := (*Manager)(e)
 	m.mu.Lock()
 	m.ready = ready
-	var effects []leases.Effect
 	if ready {
-		effects = m.jobTable.Release(now())
+		m.effects = append(m.effects, m.jobTable.Release(now())...)
 	} else {
-		effects = m.jobTable.Stop(now())
+		m.effects = append(m.effects, m.jobTable.Stop(now())...)
 	}
 	m.mu.Unlock()
 	m.frontend.SetReady(ready)
-	m.apply(effects)
+	m.applyEffects()
 }
 
 // UpdateJobClasses updates the durable classes, and passes the ordinary classes on to the frontend. The durable classes are not
@@ -158,6 +157,7 @@
 	}
 	m.mu.Lock()
 	epoch, effects := m.jobTable.AttemptStarted(now(), id, m.executorByAddr[m.connAddrs[conn]])
+	m.effects = append(m.effects, effects...)
 	if epoch > 0 {
 		request.Request = m.fencedRequest(request.Request, id, epoch)
 		m.attempts[conn] = &attempt{id: id, epoch: epoch, request: request, startedAt: time.Now()}
@@ -171,7 +171,7 @@
 	if epoch == 0 {
 		m.upstream.Close(conn)
 	}
-	m.apply(effects)
+	m.applyEffects()
 }
 
 // fencedRequest returns a copy of a job's request as an executor receives it, with this epoch.
--- a/internal/durable/manager.go
+++ b/internal/durable/manager.go
@@ -50,6 +50,8 @@
 	addrByExecutor map[policy.ExecutorID]string // addresses of the executors in the endpoint list
 	timer          *time.Timer                  // wakes the job table at the time of the last leases.Wake effect
 	ready          bool                         // the node is ready, and submissions are accepted
+	effects        []leases.Effect              // effects of the job table that are not carried out yet, in the order in which it returned them
+	applying       bool                         // a goroutine carries out effects
 	faults         faults
 }
 
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -21,17 +21,16 @@
 		m.log.Warn().Dur("behind", lastWrite-at).Msg("the clock is behind the store's last record: dedup windows are taken to be over")
 	}
 	m.jobTable.Hold()
-	var effects []leases.Effect
 	unknownClasses := 0
 	for _, job := range jobs {
 		if _, ok := m.classes[job.Accepted.JobClass]; !ok {
 			unknownClasses++
 		}
-		effects = append(effects, m.recoverJob(at, lastWrite, job)...)
+		m.effects = append(m.effects, m.recoverJob(at, lastWrite, job)...)
 	}
 	counts := m.jobTable.Counts()
 	m.mu.Unlock()
-	m.apply(effects)
+	m.applyEffects()
 	stats := m.store.Stats()
 	m.log.Info().
 		Int("waiting", counts[leases.Waiting]+counts[leases.Dispatched]).
--- a/internal/durable/submit.go
+++ b/internal/durable/submit.go
@@ -52,8 +52,9 @@
 	record.RetryTerms = retryTerms(class.lease)
 	accepted := leases.Job{ID: id, Class: class.lease, Deadline: sinceEpoch(record.Deadline), PolicyClass: class.id}
 	effects, _ := m.jobTable.Accept(sinceEpoch(record.At), accepted) // can't fail, because State has found no job with this ID
+	m.effects = append(m.effects, effects...)
 	m.mu.Unlock()
-	m.apply(effects)
+	m.applyEffects()
 	select {
 	case err := <-written:
 		if err != nil {
@@ -124,8 +125,9 @@
 	m.mu.Lock()
 	_, known := m.jobTable.State(id)
 	effects, ok := m.jobTable.Forget(now(), id)
+	m.effects = append(m.effects, effects...)
 	m.mu.Unlock()
-	m.apply(effects)
+	m.applyEffects()
 	switch {
 	case !known:
 		return errNotFound
