Give an executor's start the same number in gossip at every node

What would be seen: a drain that an older node reports does not count at a node that started after the executor, and it goes on sending: the report seems to be about a start one millisecond earlier.

Cause: the start is computed from the node's own start, which lies within a millisecond, and rounded towards zero: up for executors that started before the node, down for those after it.

Change: rounded up on both sides, which gives the executor's own millisecond.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -195,3 +195,16 @@
 	}
 	return 0
 }
+
+// TestStartIDs guards against a drain that does not count at some nodes: nodes that started before an executor and nodes that
+// started after it gave its start numbers that differ by a millisecond, as a node's own start lies within one.
+func TestStartIDs(t *testing.T) {
+	executorStart := time.UnixMilli(1_764_600_000_123)
+	for _, before := range []time.Duration{-time.Hour, -1500 * time.Microsecond, -time.Microsecond, 0, time.Microsecond, 999 * time.Microsecond, time.Millisecond, time.Hour + time.Nanosecond} {
+		nodeStart := executorStart.Add(-before)
+		s := New(Defaults("me", uint64(nodeStart.UnixMilli()), 1))
+		if id := s.startID(executorStart.Sub(nodeStart), false); id != executorStart.UnixMilli() {
+			t.Errorf("a node that started %v before the executor: start %d, want %d", before, id, executorStart.UnixMilli())
+		}
+	}
+}
--- a/internal/cluster/drains.go
+++ b/internal/cluster/drains.go
@@ -76,12 +76,17 @@
 }
 
 // startID returns a number for a start of an executor, in Unix milliseconds, or 0 if it started long ago. The number is
-// the same on every node, although each node counts its own time from another moment.
+// the same on every node, although each node counts its own time from another moment. The start is a whole Unix
+// millisecond, and Epoch is the node's start rounded down to one, so startedAt is rounded up.
 func (s *State) startID(startedAt time.Duration, startedLongAgo bool) int64 {
 	if startedLongAgo {
 		return 0
 	}
-	return s.settings.Epoch + startedAt.Milliseconds()
+	milliseconds := startedAt.Milliseconds()
+	if startedAt > time.Duration(milliseconds)*time.Millisecond {
+		milliseconds++
+	}
+	return s.settings.Epoch + milliseconds
 }
 
 // ObserveEndpoint records the state of an executor in this node's own endpoint list.
