Store: commits and compaction write frames and find records by one piece of code

Read again: a commit and a compaction each computed where the records of a frame come to lie, with their own lists of sizes and checksums, each counted the segment's bytes, and each started a new segment where one was full.

Change: the frame builder knows the locations in its frame; writeFrame and startSegmentIfFull serve both. A test of a job being known before a Final record is gone, as the state says it.

--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -105,10 +105,8 @@
 
 // commitFrame is the content of one frame.
 type commitFrame struct {
-	builder   frameBuilder
-	writes    []pendingWrite
-	sizes     []int    // encoded size of each record in bytes
-	checksums []uint32 // checksum of each encoded record
+	builder frameBuilder
+	writes  []pendingWrite
 }
 
 // encodeNext encodes the records at the start of a batch that fit into one frame. It calls the callback of each record that
@@ -116,7 +114,7 @@
 func (s *Store) encodeNext(batch []pendingWrite) (frame commitFrame, rest []pendingWrite) {
 	frame.builder.maxBytes = s.maxFrameBytes
 	for i, w := range batch {
-		encoded, err := frame.builder.add(w.record)
+		err := frame.builder.add(w.record)
 		if errors.Is(err, errFrameFull) {
 			return frame, batch[i:]
 		}
@@ -125,8 +123,6 @@
 			continue
 		}
 		frame.writes = append(frame.writes, w)
-		frame.sizes = append(frame.sizes, len(encoded))
-		frame.checksums = append(frame.checksums, recordChecksum(encoded))
 	}
 	return frame, nil
 }
@@ -134,28 +130,42 @@
 // commit writes and syncs a frame and applies its records. Then, if necessary, it starts a new segment and compacts the oldest
 // segments.
 func (s *Store) commit(frame commitFrame) error {
-	encoded := frame.builder.take()
-	if err := s.writeAndSync(encoded); err != nil {
+	locations, err := s.writeFrame(&frame.builder)
+	if err != nil {
 		return err
 	}
-	if err := s.applyFrame(frame, len(encoded)); err != nil {
+	s.mu.Lock()
+	for i, w := range frame.writes {
+		s.apply(locations[i], w.record)
+	}
+	s.syncs++
+	s.mu.Unlock()
+	if err := s.startSegmentIfFull(); err != nil {
 		return err
 	}
 	return s.compact(false, nil)
 }
 
-// applyFrame applies the records of a synced frame. If the last segment has reached Options.SegmentBytes, applyFrame starts a new
-// segment.
-func (s *Store) applyFrame(frame commitFrame, encodedBytes int) error {
+// writeFrame writes and syncs a frame to the last segment, and empties the builder. It returns the locations of the records.
+func (s *Store) writeFrame(builder *frameBuilder) ([]location, error) {
+	frame, locations := builder.take()
+	if err := s.writeAndSync(frame); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	offset := s.segmentBytes[s.lastSegment] + frameHeaderBytes
-	for i, w := range frame.writes {
-		s.apply(location{s.lastSegment, offset, frame.sizes[i], frame.checksums[i]}, w.record)
-		offset += int64(frame.sizes[i])
+	for i := range locations {
+		locations[i].segment = s.lastSegment
+		locations[i].offset += s.segmentBytes[s.lastSegment]
 	}
-	s.segmentBytes[s.lastSegment] += int64(encodedBytes)
-	s.syncs++
+	s.segmentBytes[s.lastSegment] += int64(len(frame))
+	return locations, nil
+}
+
+// startSegmentIfFull starts a new segment if the last one has reached Options.SegmentBytes.
+func (s *Store) startSegmentIfFull() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.segmentBytes[s.lastSegment] < s.options.SegmentBytes {
 		return nil
 	}
--- a/internal/store/compaction.go
+++ b/internal/store/compaction.go
@@ -78,16 +78,14 @@
 	store  *Store
 	split  bool
 	frame  frameBuilder
-	placed []placedRecord // records in the frame
+	copies []recordKey // records in the frame
 	moved  map[string]*movedJob
 }
 
-// placedRecord is a record in the frame that is being built.
-type placedRecord struct {
-	id       string
-	kind     Kind
-	bytes    int
-	checksum uint32
+// recordKey names a record that is copied.
+type recordKey struct {
+	id   string
+	kind Kind
 }
 
 // movedJob is where the copies of a job's records are.
@@ -115,54 +113,48 @@
 }
 
 func (c *compaction) copyRecord(r Record) error {
-	encoded, err := c.frame.add(r)
+	err := c.frame.add(r)
 	if errors.Is(err, errFrameFull) {
 		if err := c.writeFrame(); err != nil {
 			return err
 		}
-		encoded, err = c.frame.add(r)
+		err = c.frame.add(r)
 	}
 	if err != nil {
 		return err
 	}
-	c.placed = append(c.placed, placedRecord{r.ID, r.Kind, len(encoded), recordChecksum(encoded)})
+	c.copies = append(c.copies, recordKey{r.ID, r.Kind})
 	return nil
 }
 
 // writeFrame writes and syncs the frame, if it has any records, and notes where they are.
 func (c *compaction) writeFrame() error {
-	encoded := c.frame.take()
-	if len(encoded) == 0 {
+	if len(c.copies) == 0 {
 		return nil
 	}
-	s := c.store
-	if err := s.writeAndSync(encoded); err != nil {
+	locations, err := c.store.writeFrame(&c.frame)
+	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	offset := s.segmentBytes[s.lastSegment] + frameHeaderBytes
-	for _, r := range c.placed {
-		c.place(r, location{s.lastSegment, offset, r.bytes, r.checksum})
-		offset += int64(r.bytes)
-	}
-	c.placed = c.placed[:0]
-	s.segmentBytes[s.lastSegment] += int64(len(encoded))
-	if !c.split || s.segmentBytes[s.lastSegment] < s.options.SegmentBytes {
+	for i, key := range c.copies {
+		c.place(key, locations[i])
+	}
+	c.copies = c.copies[:0]
+	if !c.split {
 		return nil
 	}
-	return s.startSegment()
+	return c.store.startSegmentIfFull()
 }
 
 // place notes where the copy of a record is.
-func (c *compaction) place(r placedRecord, at location) {
-	job := c.moved[r.id]
+func (c *compaction) place(key recordKey, at location) {
+	job := c.moved[key.id]
 	if job == nil {
 		job = &movedJob{}
-		c.moved[r.id] = job
+		c.moved[key.id] = job
 	}
 	job.extents = addExtent(job.extents, at)
-	if r.kind == Final {
+	if key.kind == Final {
 		job.result = at
 	}
 }
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -23,33 +23,32 @@
 
 // frameBuilder collects the encoded records of a frame.
 type frameBuilder struct {
-	maxBytes int // largest size of the records
-	records  []byte
+	maxBytes  int // largest size of the records
+	records   []byte
+	locations []location // locations of the records in the frame: the offsets count from the frame's start
 }
 
-// add appends a record and returns its encoding, which is valid until the next call. The error is errFrameFull if the record needs
-// a new frame, or wraps ErrInvalidRecord. The frame does not change on an error.
-func (f *frameBuilder) add(r Record) (encoded []byte, err error) {
+// add appends a record. The error is errFrameFull if the record needs a new frame, or wraps ErrInvalidRecord. The frame does not
+// change on an error.
+func (f *frameBuilder) add(r Record) error {
 	records, err := appendRecord(f.records, r)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if len(records) > f.maxBytes {
-		return nil, errFrameFull
+		return errFrameFull
 	}
-	encoded = records[len(f.records):]
-	f.records = records
-	return encoded, nil
+	encoded := records[len(f.records):]
+	at := location{offset: int64(frameHeaderBytes + len(f.records)), bytes: len(encoded), checksum: recordChecksum(encoded)}
+	f.records, f.locations = records, append(f.locations, at)
+	return nil
 }
 
-// take returns the encoded frame and empties the builder. It returns nil if there are no records.
-func (f *frameBuilder) take() []byte {
-	if len(f.records) == 0 {
-		return nil
-	}
-	frame := encodeFrame(f.records)
-	f.records = f.records[:0]
-	return frame
+// take returns the encoded frame and the locations of its records, and empties the builder.
+func (f *frameBuilder) take() (frame []byte, locations []location) {
+	frame, locations = encodeFrame(f.records), f.locations
+	f.records, f.locations = f.records[:0], nil
+	return frame, locations
 }
 
 // encodeFrame encodes a frame that holds the given encoded records.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -144,7 +144,6 @@
 
 // apply applies a record at a location to the state of the record's job, and updates the sizes of live records.
 func (s *Store) apply(at location, r Record) {
-	known := s.jobs[r.ID] != nil
 	s.jobs.Apply(r)
 	if s.jobs[r.ID] == nil {
 		s.dropExtents(r.ID)
@@ -153,7 +152,7 @@
 	}
 	s.extents[r.ID] = addExtent(s.extents[r.ID], at)
 	s.liveBytes[at.segment] += int64(at.bytes)
-	if r.Kind == Final && known {
+	if r.Kind == Final {
 		s.results[r.ID] = at
 	}
 }
