One check for text without control characters, in place of three

Read again: package gossip (a node's name), package durable (a job's ID) and oneline.Escape each had the same two conditions. The reply of lines had a case of its own for no lines, which joining them does not need.

Change: oneline.Valid, called by the three. Which names and IDs are refused, and every reply, stay as they are; tests untouched.

--- a/internal/admin/codec.go
+++ b/internal/admin/codec.go
@@ -91,15 +91,11 @@
 // encodeLines encodes a reply of lines. A line can hold names that come from discovery or from peers. An escaped line can't end the
 // reply, or add lines to it.
 func encodeLines(lines []string) []byte {
-	var b []byte
-	for _, line := range lines {
-		b = append(b, oneline.Escape(line)...)
-		b = append(b, '\n')
+	escaped := make([]string, len(lines))
+	for i, line := range lines {
+		escaped[i] = oneline.Escape(line)
 	}
-	if len(lines) == 0 {
-		b = append(b, '\n')
-	}
-	return append(b, replyEnd+"\n"...)
+	return []byte(strings.Join(escaped, "\n") + "\n" + replyEnd + "\n")
 }
 
 func encodeFailure(reason string) []byte {
--- a/internal/durable/http.go
+++ b/internal/durable/http.go
@@ -7,10 +7,9 @@
 	"strconv"
 	"strings"
 	"time"
-	"unicode"
-	"unicode/utf8"
 
 	"birchstair/internal/leases"
+	"birchstair/internal/oneline"
 	"birchstair/internal/store"
 )
 
@@ -97,7 +96,7 @@
 // readSubmission parses and validates the ID and the headers of a submission, and then reads the body. Of the values that an
 // executor receives, net/http has checked those of headers, but not the ID, which was decoded from the path.
 func (m *Manager) readSubmission(r *http.Request, id string) (job submission, err error) {
-	if !validID(id) {
+	if !oneline.Valid(id) { // executors receive the ID in a header and return it in JSON
 		return job, badRequest("the id: %.40q is not UTF-8, or has a control character in it", id)
 	}
 	header := r.Header
@@ -135,12 +134,6 @@
 	return job, err
 }
 
-// validID reports whether a new job can have this ID. Executors receive the ID in a header and return it in JSON, so it must have no
-// control characters and be UTF-8.
-func validID(id string) bool {
-	return utf8.ValidString(id) && !strings.ContainsFunc(id, unicode.IsControl)
-}
-
 // validTarget reports whether a request to an executor can have this target. It is as strict as net/http is with the targets of
 // ordinary jobs.
 func validTarget(target string) bool {
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"net/netip"
-	"strings"
-	"unicode"
-	"unicode/utf8"
 
 	"birchstair/internal/cluster"
+	"birchstair/internal/oneline"
 	"birchstair/policy"
 )
 
@@ -25,7 +23,7 @@
 // the listen address is advertised. An error names the key of the invalid value.
 func ParseOptions(name cluster.NodeName, number policy.NodeID, listen, advertise string, seeds []string) (Options, error) {
 	options := Options{Name: name, Node: number}
-	if !isName(string(name)) {
+	if !oneline.Valid(string(name)) {
 		return options, fmt.Errorf("fleet.name: %.40q is not UTF-8, or has a control character in it", name)
 	}
 	var err error
@@ -47,8 +45,3 @@
 	}
 	return options, nil
 }
-
-// isName reports whether peers can decode a name and show it to operators.
-func isName(name string) bool {
-	return utf8.ValidString(name) && !strings.ContainsFunc(name, unicode.IsControl)
-}
--- a/internal/oneline/oneline.go
+++ b/internal/oneline/oneline.go
@@ -1,4 +1,5 @@
-// Package oneline shows text of other processes, such as IDs, on one line of an output that operators and their scripts read.
+// Package oneline checks and shows text of other processes, such as IDs, that has to fit on one line: of an output that operators
+// and their scripts read, or of a protocol.
 package oneline
 
 import (
@@ -8,10 +9,14 @@
 	"unicode/utf8"
 )
 
-// Escape returns text unchanged if it is UTF-8 without control characters. Otherwise it escapes the text like a Go string literal,
-// without the quotes.
+// Valid reports whether text is UTF-8 without control characters.
+func Valid(text string) bool {
+	return utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
+// Escape returns valid text unchanged. It escapes other text like a Go string literal, without the quotes.
 func Escape(text string) string {
-	if utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl) {
+	if Valid(text) {
 		return text
 	}
 	quoted := strconv.Quote(text)
