Durable tests: one end of a simulation, and no skipped input of the fuzzer

Read again: four tests ended a simulation by the same lines; they call sim.end. FuzzSubmission skipped inputs with line feeds; it drops the line feeds instead, so that every input is checked. No assertion changes.

--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -38,12 +38,7 @@
 		}
 		process = sim.interruptNode(process, crashed)
 		clients.Wait()
-		process.kill()
-		sim.mu.Lock()
-		sim.finished = true
-		sim.mu.Unlock()
-		sim.net.Shutdown()
-		time.Sleep(10 * time.Second)
+		sim.end(process.kill)
 		sim.check()
 		for _, final := range sim.finals {
 			finals[final]++
--- a/internal/durable/request_values_test.go
+++ b/internal/durable/request_values_test.go
@@ -40,11 +40,8 @@
 			if ran := sim.effects["victim"]; ran != 1 {
 				t.Errorf("with an ID that ends in %q the other job ran %d times, want 1", suffix, ran)
 			}
-			sim.finished = true
 			sim.mu.Unlock()
-			process.shutDown()
-			sim.net.Shutdown()
-			time.Sleep(10 * time.Second)
+			sim.end(process.shutDown)
 		})
 	}
 }
@@ -127,11 +124,8 @@
 		if ran := sim.effects["a"]; ran != 3 {
 			t.Errorf("one durable and two ordinary jobs ran %d times, want 3", ran)
 		}
-		sim.finished = true
 		sim.mu.Unlock()
-		process.shutDown()
-		sim.net.Shutdown()
-		time.Sleep(10 * time.Second)
+		sim.end(process.shutDown)
 	})
 }
 
--- a/internal/durable/simulation_test.go
+++ b/internal/durable/simulation_test.go
@@ -394,3 +394,13 @@
 	sim.startDiscovery()
 	return sim
 }
+
+// end stops the node, and then all else that runs on the virtual clock.
+func (sim *simulation) end(stopNode func()) {
+	stopNode()
+	sim.mu.Lock()
+	sim.finished = true
+	sim.mu.Unlock()
+	sim.net.Shutdown()
+	time.Sleep(10 * time.Second)
+}
--- a/internal/durable/submission_test.go
+++ b/internal/durable/submission_test.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -209,9 +208,7 @@
 			r.restart()
 		}
 		r.checkRequests(byID, killed)
-		r.process.kill()
-		r.net.Shutdown()
-		time.Sleep(10 * time.Second)
+		r.end(r.process.kill)
 		violations = r.violations
 	})
 	return violations, accepted
@@ -343,9 +340,8 @@
 	f.Add("verify-1%0d%0aX-A:1", "n", "", "", "", []byte("body"), false)
 	f.Add("order%252F17", "h\xe9", "caf\xe9", "", "/caf\xe9", []byte("\r\n\r\nPOST / HTTP/1.1\r\n\r\n"), true)
 	f.Fuzz(func(t *testing.T, id, host, key, contentType, path string, body []byte, killed bool) {
-		values := []string{id, host, key, contentType, path}
-		if slices.ContainsFunc(values, func(value string) bool { return strings.Contains(value, "\n") }) {
-			t.Skip("a line feed ends a header, so that this is another request")
+		for _, value := range []*string{&id, &host, &key, &contentType, &path} {
+			*value = strings.ReplaceAll(*value, "\n", "") // a line feed ends a header, which would make another request
 		}
 		s := rawSubmission{target: durable.Path + id, host: host, key: key, contentType: contentType, path: path, body: body, result: "done"}
 		violations, _ := runSubmissions(t, []rawSubmission{s}, killed)
