Log why jobs, attempts and clients' connections end other than well

Change: an answer carries a typed reason, an attempt its executor and number; package eventlog observes the steps of the state machine and logs `client left`, `attempt failed`, `attempt given up`, `attempt not sent`, `job retried`, `job rejected` and `job failed` with the job's ID and the reason; the front end reports `request refused` and `client connection closed`.

--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -33,6 +33,7 @@
 	deadline       time.Time // the read deadline that net/http has set; zero if it has set none
 	closeMode      closeMode
 	finalCheckDone bool // the last read before a close has started, and has not returned a byte
+	readTimedOut   bool // net/http's deadline has ended a read
 
 	client          *waitingClient // the client whose answer is pending; nil if no answer is pending
 	gotFirstByte    bool           // net/http's background read has returned one byte; net/http does not notice a close after it
@@ -102,6 +103,13 @@
 	return f.chunked && !f.hasContentLength && f.completeHeads == c.requestCount
 }
 
+// timedOut reports whether net/http's deadline has ended a read.
+func (c *clientConn) timedOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readTimedOut
+}
+
 // markClosed records that net/http has closed the connection, and releases the bytes that read-ahead has reserved.
 func (c *clientConn) markClosed() {
 	c.mu.Lock()
@@ -165,6 +173,7 @@
 	}
 	ownDeadline := errors.Is(err, os.ErrDeadlineExceeded) && (c.deadline.IsZero() || c.deadline.After(time.Now()))
 	if !ownDeadline {
+		c.readTimedOut = c.readTimedOut || errors.Is(err, os.ErrDeadlineExceeded)
 		return true
 	}
 	if c.closeMode == stayOpen || !c.canClose() {
--- a/internal/frontend/conn_table.go
+++ b/internal/frontend/conn_table.go
@@ -46,6 +46,7 @@
 type connTable struct {
 	net.Listener
 	limits          ConnLimits
+	reporter        Reporter
 	sharedReadAhead atomic.Int64 // bytes of maxSharedReadAhead that are still available to all connections
 
 	mu           sync.Mutex
@@ -75,11 +76,23 @@
 	element  *list.Element
 	hadJob   bool // a batch job has been read on the connection
 	openedAt time.Time
+	closing  closeReason // why the table has started to close the connection last
 }
 
+// closeReason says why the server closes a connection.
+type closeReason string
+
+const (
+	closedForLimit    closeReason = "over the connection limit"
+	closedForShutdown closeReason = "shutdown"
+	closedForDrain    closeReason = "client drain"
+	closedForTimeout  closeReason = "the request or the next one did not come in time"
+)
+
 func newConnTable(limits ConnLimits) *connTable {
 	t := &connTable{
 		limits:       limits,
+		reporter:     noReporter{},
 		entries:      map[net.Conn]*connEntry{},
 		newConns:     list.New(),
 		idleConns:    list.New(),
@@ -123,11 +136,12 @@
 	case http.StateIdle:
 		e.conn.markIdle()
 		if t.lameDuck || e.list == t.closingConns {
-			t.startClosing(e, closeIfIdle) // if a request has arrived by now, it is still served
+			t.startClosing(e, closeIfIdle, closedForShutdown) // if a request has arrived by now, it is still served
 		} else if e.hadJob {
 			t.moveTo(e, t.idleConns)
 		}
 	case http.StateClosed, http.StateHijacked:
+		t.reportClosed(e)
 		e.conn.markClosed()
 		t.moveTo(e, nil)
 		delete(t.entries, c)
@@ -163,7 +177,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lameDuck = true
-	t.closeIdle()
+	t.closeIdle(closedForShutdown)
 	return t.closingConns.Len()
 }
 
@@ -173,7 +187,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lameDuck, t.shuttingDown = true, true
-	t.closeIdle()
+	t.closeIdle(closedForShutdown)
 	t.waitWhile(func() bool { return t.closingConns.Len() > 0 }, timeout)
 }
 
@@ -183,7 +197,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for t.newConns.Len() > 0 {
-		t.startClosing(firstEntry(t.newConns), closeIfIdle)
+		t.startClosing(firstEntry(t.newConns), closeIfIdle, closedForShutdown)
 	}
 	t.waitWhile(func() bool { return t.open > 0 }, timeout)
 }
@@ -215,12 +229,12 @@
 		t.drainLoopRunning = false
 		return false
 	}
-	t.closeIdle()
+	t.closeIdle(closedForDrain)
 	for element := t.newConns.Front(); element != nil; {
 		e := element.Value.(*connEntry)
 		element = element.Next() // read before startClosing removes e from the list
 		if time.Since(e.openedAt) >= newConnGrace {
-			t.startClosing(e, closeIfIdle)
+			t.startClosing(e, closeIfIdle, closedForDrain)
 		}
 	}
 	return true
@@ -243,24 +257,42 @@
 		if from.Len() == 0 {
 			break
 		}
-		t.startClosing(firstEntry(from), mode)
+		t.startClosing(firstEntry(from), mode, closedForLimit)
 	}
 }
 
 // closeIdle starts to close all idle connections.
-func (t *connTable) closeIdle() {
+func (t *connTable) closeIdle(reason closeReason) {
 	for t.idleConns.Len() > 0 {
-		t.startClosing(firstEntry(t.idleConns), closeIfIdle)
+		t.startClosing(firstEntry(t.idleConns), closeIfIdle, reason)
 	}
 }
 
 // startClosing starts to close a connection. net/http's goroutine for the connection closes it as soon as that loses no
 // request.
-func (t *connTable) startClosing(e *connEntry, mode closeMode) {
+func (t *connTable) startClosing(e *connEntry, mode closeMode, reason closeReason) {
+	if e.list != t.closingConns {
+		e.closing = reason
+	}
 	t.moveTo(e, t.closingConns)
 	e.conn.closeWhenSafe(mode)
 }
 
+// reportClosed reports a connection that the server has closed. It reports nothing if the client has closed it, or if it was closed
+// after an answer that said so.
+func (t *connTable) reportClosed(e *connEntry) {
+	reason := closeReason("")
+	switch {
+	case e.list == t.closingConns:
+		reason = e.closing
+	case e.conn.timedOut():
+		reason = closedForTimeout
+	default:
+		return
+	}
+	t.reporter.ConnectionClosed(e.conn.RemoteAddr().String(), string(reason))
+}
+
 // moveTo removes a connection from its list and adds it to another list. If the other list is nil, the connection is then in no
 // list. Unless the other list is closingConns, moveTo also cancels a started close of the connection.
 func (t *connTable) moveTo(e *connEntry, to *list.List) {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -32,12 +32,31 @@
 	nodeStopped chan struct{} // closed when the event loop has ended, so that no more answers come
 
 	closeTimeout time.Duration // how long Close waits until answers are written
+	reporter     Reporter
 
 	mu             sync.Mutex
 	pending        map[policy.JobID]chan node.Answer // channels on which handlers wait for final answers, by job ID
 	prefixHandlers map[string]http.Handler           // handlers by path prefix; not changed after Serve is called
 }
 
+// Reporter is told why requests and connections end in any way other than well. Its methods must not block. client is the address of
+// the client.
+type Reporter interface {
+	// RequestRefused reports that the server itself has answered a request. id is empty if the request names no valid job.
+	RequestRefused(id policy.JobID, client, reason string)
+	// ConnectionClosed reports that the server has closed a connection.
+	ConnectionClosed(client, reason string)
+}
+
+// noReporter is a Reporter that drops all reports.
+type noReporter struct{}
+
+// RequestRefused implements Reporter.
+func (noReporter) RequestRefused(policy.JobID, string, string) {}
+
+// ConnectionClosed implements Reporter.
+func (noReporter) ConnectionClosed(string, string) {}
+
 // connContextKey is the key under which a request's context holds its clientConn.
 type connContextKey struct{}
 
@@ -56,6 +75,7 @@
 		conns:        newConnTable(limits),
 		nodeStopped:  make(chan struct{}),
 		closeTimeout: defaultCloseTimeout,
+		reporter:     noReporter{},
 		pending:      map[policy.JobID]chan node.Answer{},
 	}
 	s.UpdateJobClasses(classes)
@@ -76,6 +96,9 @@
 	return s
 }
 
+// SetReporter sets the reporter. It must be called before Serve.
+func (s *Server) SetReporter(r Reporter) { s.reporter, s.conns.reporter = r, r }
+
 // HandlePrefix registers a handler for requests whose path begins with prefix. It must be called before Serve. The server's
 // limits on connections, header size and time apply to these requests too.
 func (s *Server) HandlePrefix(prefix string, handler http.Handler) {
@@ -140,7 +163,7 @@
 	conn := r.Context().Value(connContextKey{}).(*clientConn)
 	if chunksOnly := conn.countRequest(); r.ContentLength < 0 {
 		if !chunksOnly {
-			lengthAndChunks.writeTo(w)
+			s.refuse(w, r, "", lengthAndChunks)
 			return
 		}
 		// requestFramer does not parse chunks and can't tell where this request ends. So no request may follow on this connection.
@@ -153,7 +176,7 @@
 	for prefix, handler := range s.prefixHandlers {
 		if strings.HasPrefix(r.URL.Path, prefix) {
 			if r.ContentLength < 0 {
-				chunksNotAllowed.writeTo(w)
+				s.refuse(w, r, "", chunksNotAllowed)
 				return
 			}
 			handler.ServeHTTP(w, r)
@@ -162,18 +185,24 @@
 	}
 	job, invalid := s.decode(w, r)
 	if invalid != nil {
-		invalid.writeTo(w)
+		s.refuse(w, r, "", invalid)
 		return
 	}
 	s.serveJob(w, r, conn, job)
 }
 
+// refuse answers a request that is not posted to the state machine. id is the job's ID, or empty if the request is not a valid job.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, id policy.JobID, reason *requestError) {
+	s.reporter.RequestRefused(id, r.RemoteAddr, reason.reason)
+	reason.writeTo(w)
+}
+
 // serveJob posts a batch job to the state machine, waits for its final answer and writes it.
 func (s *Server) serveJob(w http.ResponseWriter, r *http.Request, conn *clientConn, job node.Job) {
 	answer := s.register(job.ID)
 	if answer == nil {
 		s.post(node.JobDeclined{Class: job.Class})
-		duplicateID.writeTo(w)
+		s.refuse(w, r, job.ID, duplicateID)
 		return
 	}
 	job.NearConnectionLimit = s.conns.jobReceived(conn)
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -232,7 +232,7 @@
 func (n *Node) writeAttempt(c *conn) {
 	c.state, c.progressed, c.writtenAt = connBusy, false, n.now
 	n.metrics.countAttempt()
-	n.emit(WriteAttempt{c.id, Attempt{
+	n.emit(WriteAttempt{Conn: c.id, Executor: c.executor.id, Number: c.attempt, Attempt: Attempt{
 		Request:       &c.job.Request,
 		Budget:        max(c.job.deadline-n.now, minAttemptBudget),
 		NotIdempotent: n.classes.idempotency[c.job.Class] != policy.Idempotent,
@@ -341,7 +341,7 @@
 	case ev.Outcome == policy.InvalidRequest:
 		// The request itself is invalid. A retry on another executor would fail as well, and would count as a failure
 		// of a healthy executor.
-		n.answer(j, Answer{Final: Failed})
+		n.answer(j, Answer{Final: Failed, Reason: ReasonInvalid})
 		n.emit(Log{Text: ev.Detail, Executor: c.executor.id, Job: j.ID})
 	case c.abandoned && ev.ConnBroken && ev.Outcome == policy.ConnectFailed:
 		// This node closed the connection before the last byte was written.
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -29,6 +29,7 @@
 //
 //	events.go       events and the values they carry
 //	effects.go      effects
+//	reason.go       why jobs are answered without a result
 //	node.go         Node, Limits, Policy and Step
 //	dispatch.go     calls the handler of an event
 //	tasks.go        the policy's due tasks and the timer
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -19,6 +19,7 @@
 		Final      Final
 		Result     []byte
 		RetryAfter time.Duration // time after which the client is advised to retry; 0 for no advice
+		Reason     Reason        // why the job did not succeed; for the log
 	}
 	// UpdateJobClasses replaces the job classes that the frontend accepts.
 	UpdateJobClasses struct{ Classes []NumberedClass }
@@ -45,8 +46,10 @@
 	}
 	// WriteAttempt sends an attempt on a connection. The connection is idle or has just come up.
 	WriteAttempt struct {
-		Conn    ConnID
-		Attempt Attempt
+		Conn     ConnID
+		Attempt  Attempt
+		Executor policy.ExecutorID // for the log
+		Number   policy.AttemptID  // number of the job's attempt, from 0; for the log
 	}
 	// CloseConn closes a connection. If the connection is still being dialed, the dialing stops.
 	CloseConn struct{ Conn ConnID }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -112,12 +112,12 @@
 		// The client left and submitted the job again under the same ID, while an attempt from before is still in
 		// flight.
 		n.metrics.countAnswer(in.Class, Failed)
-		n.emit(Answer{Job: in.ID, Final: Failed})
+		n.emit(Answer{Job: in.ID, Final: Failed, Reason: ReasonIDInUse})
 		return
 	}
-	if in.NearConnectionLimit || n.jobs.bodyBytes+len(in.Body) > n.limits.MaxBodyBytes {
+	if reason := n.overLimit(&in); reason != NoReason {
 		n.metrics.countAnswer(in.Class, Rejected)
-		n.emit(Answer{Job: in.ID, Final: Rejected, RetryAfter: n.limits.RetryAfter})
+		n.emit(Answer{Job: in.ID, Final: Rejected, RetryAfter: n.limits.RetryAfter, Reason: reason})
 		return
 	}
 	j := &job{Job: in, deadline: n.shutdown.limitDeadline(n.now + in.Budget)}
@@ -134,6 +134,17 @@
 	n.jobs.deciding = nil
 }
 
+// overLimit returns which resource limit a new job would exceed, or NoReason.
+func (n *Node) overLimit(in *Job) Reason {
+	switch {
+	case in.NearConnectionLimit:
+		return ReasonConnLimit
+	case n.jobs.bodyBytes+len(in.Body) > n.limits.MaxBodyBytes:
+		return ReasonBodyLimit
+	}
+	return NoReason
+}
+
 // answer gives a job its final answer, unless it is already answered or its client has gone.
 func (n *Node) answer(j *job, a Answer) {
 	if j.answered {
@@ -181,9 +192,9 @@
 	case policy.Send:
 		n.startAttempt(j, decision.Executor)
 	case policy.Reject:
-		n.answer(j, Answer{Final: Rejected, RetryAfter: decision.RetryAfter})
+		n.answer(j, Answer{Final: Rejected, RetryAfter: decision.RetryAfter, Reason: ReasonPolicy})
 	case policy.Fail:
-		n.answer(j, Answer{Final: Failed})
+		n.answer(j, Answer{Final: Failed, Reason: ReasonPolicy})
 	}
 }
 
@@ -214,7 +225,7 @@
 			return
 		}
 		if n.now >= j.deadline {
-			n.answer(j, Answer{Final: Failed})
+			n.answer(j, Answer{Final: Failed, Reason: ReasonDeadline})
 			n.policy.ClientLeft(n.now, j.ID)
 			continue
 		}
@@ -231,7 +242,7 @@
 func (n *Node) policyPanicked(text string) {
 	n.emit(Log{Text: text})
 	if j := n.jobs.deciding; j != nil && len(j.conns) == 0 {
-		n.answer(j, Answer{Final: Failed})
+		n.answer(j, Answer{Final: Failed, Reason: ReasonPolicyPanic})
 	}
 	n.jobs.deciding = nil
 	n.setTimer(n.now + panicBackoff)
--- /dev/null
+++ b/internal/node/reason.go
@@ -0,0 +1,33 @@
+package node
+
+// Reason says why a job was answered in any way other than with a result. It is only logged.
+type Reason int
+
+// The reasons.
+const (
+	NoReason            Reason = iota // the job succeeded
+	ReasonPolicy                      // the policy rejected the job or gave it up
+	ReasonConnLimit                   // the frontend was nearly out of connections
+	ReasonBodyLimit                   // the request bodies of all jobs would take too much memory
+	ReasonIDInUse                     // a job with the same ID has an attempt in flight
+	ReasonDeadline                    // the deadline has passed
+	ReasonInvalid                     // the executor found the request invalid
+	ReasonPolicyPanic                 // the policy panicked
+	ReasonFrontendEnded               // the frontend has failed
+)
+
+// reasonTexts are the reasons as they are logged.
+var reasonTexts = [...]string{
+	NoReason:            "",
+	ReasonPolicy:        "policy",
+	ReasonConnLimit:     "near the connection limit",
+	ReasonBodyLimit:     "over the memory for request bodies",
+	ReasonIDInUse:       "a job with this ID is in flight",
+	ReasonDeadline:      "the deadline has passed",
+	ReasonInvalid:       "the executor found the request invalid",
+	ReasonPolicyPanic:   "the policy panicked",
+	ReasonFrontendEnded: "the frontend has ended",
+}
+
+// String returns the reason as it is logged.
+func (r Reason) String() string { return reasonTexts[r] }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -61,7 +61,7 @@
 		return
 	}
 	for n.jobs.inFlight() > 0 {
-		n.answer(n.jobs.first(), Answer{Final: Failed})
+		n.answer(n.jobs.first(), Answer{Final: Failed, Reason: ReasonFrontendEnded})
 	}
 	n.emit(Exit{})
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -15,6 +15,7 @@
 	"birchstair/internal/config"
 	"birchstair/internal/discovery"
 	"birchstair/internal/durable"
+	"birchstair/internal/eventlog"
 	"birchstair/internal/frontend"
 	"birchstair/internal/gossip"
 	"birchstair/internal/hotrestart"
@@ -113,10 +114,12 @@
 // newInstance creates a node with only the parts that every node has.
 func newInstance(o Options) *instance {
 	n := &instance{Options: o, loop: node.NewLoop(o.StartTime)}
-	n.loop.Observe = o.Observer
+	events := eventlog.New(o.Log)
+	n.loop.Observe = observers(events.Observe, o.Observer)
 	n.stateMachine = node.New(o.Policy, o.Limits, JobClasses(o.Settings))
 	ownClasses := n.stateMachine.JobClasses()[:len(o.Settings.JobClassNames)] // the job classes without those of durable batch jobs
 	n.frontend = frontend.New(ownClasses, o.ClientLimits, n.loop.Post)
+	n.frontend.SetReporter(events)
 	n.upstream = upstream.New(o.DialExecutor, o.Settings.ReportsLoad(), upstream.HealthCheckConfig{
 		Path:    o.Settings.Probe.Path,
 		Timeout: o.Settings.Probe.Timeout,
@@ -133,6 +136,17 @@
 	return n
 }
 
+// observers returns an observer that calls first and then second, which can be nil.
+func observers(first, second node.Observer) node.Observer {
+	if second == nil {
+		return first
+	}
+	return func(now time.Duration, ev node.Event, effects []node.Effect) {
+		first(now, ev, effects)
+		second(now, ev, effects)
+	}
+}
+
 // newWatcher returns the watcher of the endpoint list.
 func newWatcher(o Options, post func(node.Event)) *discovery.Watcher {
 	timing := discovery.NewTiming(o.Settings.DrainGrace, !o.Settings.Policy.EndpointsPolled)
@@ -191,12 +205,7 @@
 	}
 	n.edges.Frontend, n.edges.Upstream = n.Durable.Start(n.loop.Post, n.frontend, n.upstream)
 	n.frontend.HandlePrefix(durable.Path, n.Durable)
-	n.loop.Observe = func(now time.Duration, ev node.Event, effects []node.Effect) {
-		n.Durable.Observe(now, ev, effects)
-		if n.Observer != nil {
-			n.Observer(now, ev, effects)
-		}
-	}
+	n.loop.Observe = observers(n.Durable.Observe, n.loop.Observe)
 }
 
 // serveClients serves clients in the background. If the listener fails, the error is sent to the returned channel and the node
