--- a/internal/service/client_races_test.go
+++ b/internal/service/client_races_test.go
@@ -32,6 +32,7 @@
 	endpointState chan policy.EndpointState // the next state in which discovery lists the executor
 	halts         emulator.Breakpoints      // stop calls of the clients' connections
 	loopStop      atomic.Pointer[loopStop]
+	runTime       atomic.Int64 // how long the executor takes for an attempt, in nanoseconds
 
 	mu                                    sync.Mutex
 	runs                                  map[policy.JobID]int
@@ -57,7 +58,8 @@
 func startNode(t *testing.T, first policy.EndpointState, repeat string) *testNode {
 	w := &testNode{t: t, runs: map[policy.JobID]int{}, ended: make(chan error, 1), endpointState: make(chan policy.EndpointState, 1), pendingDials: make(chan chan struct{}, 10)}
 	at := listener(t)
-	go (&platform.Executor{ID: "e", RunTime: func() time.Duration { return time.Millisecond }, OnEffect: func(job policy.JobID) {
+	w.runTime.Store(int64(time.Millisecond))
+	go (&platform.Executor{ID: "e", RunTime: func() time.Duration { return time.Duration(w.runTime.Load()) }, OnEffect: func(job policy.JobID) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.runs[job]++
--- a/internal/testgate/outcome.go
+++ b/internal/testgate/outcome.go
@@ -24,12 +24,13 @@
 	failed   []testName
 	panicked []string            // packages in which a panic ended the process, so that some tests did not run
 	packages []string            // packages that failed
+	tested   map[string]bool     // packages whose tests were run
 	output   map[testName]string // output of tests that are running or have failed; of a whole package under the empty name
 	passed   int                 // number of tests that passed, without subtests
 }
 
 func newOutcome() *outcome {
-	return &outcome{running: map[testName]bool{}, output: map[testName]string{}}
+	return &outcome{running: map[testName]bool{}, tested: map[string]bool{}, output: map[testName]string{}}
 }
 
 // read processes the output of go test -json up to its end. It copies the summary of each package to out.
@@ -51,6 +52,7 @@
 	switch event.Action {
 	case "run":
 		o.running[test] = true
+		o.tested[event.Package] = true
 	case "output", "build-output":
 		o.addOutput(test, event, out)
 	case "pass", "skip":
@@ -128,7 +130,7 @@
 	}
 	slices.Sort(v.broken)
 	for i := range list {
-		if entry := &list[i]; entry.appliesTo(architecture) && !slices.Contains(v.known, entry) {
+		if entry := &list[i]; entry.appliesTo(architecture) && o.tested[entry.Package] && !slices.Contains(v.known, entry) {
 			v.mended = append(v.mended, entry)
 		}
 	}
