Notice a client's reset behind unread bytes, and each error of a broken connection

What callers saw: jobs were sent to executors up to 0.45 s after their clients had closed their connections.

Cause: right before an attempt's first byte, Ended looks at the client's socket. If bytes were unread, it asked for the TCP state and took CLOSE_WAIT alone for an end. A client that closes with unread bytes on its side resets the connection, and its state is then CLOSE, while the node can still read what came before. Besides, an error of the read other than ECONNRESET, EPIPE and ETIMEDOUT, such as EHOSTUNREACH, and an interrupted call counted as "not known", and so as a client that is there.

Evidence: TestEndedByResetBehindUnreadData failed before ("false, known true"); of TestClientsLeaveBehindUnreadBytes the part "reset" failed before and passes now, with nothing else changed.

Fix: all states in which the peer has ended its side count, and all errors that mean a broken connection; EINTR is tried again. Errors of the call or the machine stay "not known".

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -41,7 +41,7 @@
 		var data bool
 		data, ended, known = peek(fd)
 		if data {
-			ended = inCloseWait(fd)
+			ended = peerClosed(fd)
 		}
 	})
 	return ended, known && err == nil
@@ -61,26 +61,63 @@
 }
 
 // peek looks at the next byte of a socket without reading it. data is true if a read would return data, and end is true
-// if a read would return the end of the connection or an error. known is false if neither can be determined.
+// if a read would return the end of the connection or an error of the connection. known is false if neither can be
+// determined.
 func peek(fd uintptr) (data, end, known bool) {
 	var b [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch {
-	case err == nil:
-		return n > 0, n <= 0, true
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
-		return false, true, true
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == nil:
+			return n > 0, n <= 0, true
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case isConnectionError(err):
+			return false, true, true
+		}
+		return false, false, errors.Is(err, syscall.EAGAIN)
+	}
+}
+
+// isConnectionError reports whether an error of a read means that the connection is broken. Other errors are about the
+// call or the machine, such as ENOMEM.
+func isConnectionError(err error) bool {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return false
+	}
+	switch errno {
+	case syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EHOSTDOWN, syscall.ENETUNREACH,
+		syscall.ENETDOWN, syscall.ENETRESET, syscall.ECONNABORTED, syscall.ECONNREFUSED, syscall.ENOTCONN, syscall.ESHUTDOWN,
+		syscall.EPROTO:
+		return true
 	}
-	return false, false, errors.Is(err, syscall.EAGAIN)
+	return false
 }
 
-// inCloseWait returns whether the TCP state of the socket shows that the peer has closed its sending side. If the state
-// cannot be read, it returns false, because a batch job must not be canceled unless its client has certainly left.
-func inCloseWait(fd uintptr) bool {
-	const tcpCloseWait = 8 // TCP_CLOSE_WAIT, as a value of tcpi_state, the first byte of struct tcp_info
+// States of a TCP connection, as values of tcpi_state, the first byte of struct tcp_info. In these states the peer has
+// closed its sending side or has reset the connection. After a reset, data that arrived before can still be read.
+const (
+	tcpTimeWait  = 6
+	tcpClose     = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+	tcpClosing   = 11
+)
+
+// peerClosed returns whether the TCP state of the socket shows that the peer has closed or reset the connection. If the
+// state cannot be read, it returns false, because a batch job must not be canceled unless its client has certainly left.
+func peerClosed(fd uintptr) bool {
 	var info [8]byte
 	size := uint32(len(info))
 	_, _, errno := syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
 		uintptr(unsafe.Pointer(&info[0])), uintptr(unsafe.Pointer(&size)), 0)
-	return errno == 0 && size > 0 && info[0] == tcpCloseWait
+	if errno != 0 || size == 0 {
+		return false
+	}
+	switch info[0] {
+	case tcpTimeWait, tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
+		return true
+	}
+	return false
 }
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -99,5 +101,27 @@
 		peerAction{"half-close", func(_ testing.TB, c *net.TCPConn) { c.CloseWrite() }, true},
 		peerAction{"close", func(_ testing.TB, c *net.TCPConn) { c.Close() }, true},
 		peerAction{"reset", func(_ testing.TB, c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
-		peerAction{"data, then close", func(t testing.TB, c *net.TCPConn) { send(t, c, "ab"); c.Close() }, true})
+		peerAction{"data, then close", func(t testing.TB, c *net.TCPConn) { send(t, c, "ab"); c.Close() }, true},
+		peerAction{"data, then half-close", func(t testing.TB, c *net.TCPConn) { send(t, c, "ab"); c.CloseWrite() }, true})
+}
+
+// TestEndedByResetBehindUnreadData checks that a reset is found while data that arrived before it is unread, and that the data can
+// still be read after that.
+func TestEndedByResetBehindUnreadData(t *testing.T) {
+	checkQuery(t, Ended,
+		peerAction{"data, then reset", func(t testing.TB, c *net.TCPConn) { send(t, c, "ab"); c.SetLinger(0); c.Close() }, true})
+}
+
+// TestConnectionErrors checks which errors of a read mean that the connection is broken.
+func TestConnectionErrors(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.ECONNABORTED, syscall.ENOTCONN} {
+		if !isConnectionError(os.NewSyscallError("recvfrom", errno)) {
+			t.Errorf("%v is no error of the connection", errno)
+		}
+	}
+	for _, err := range []error{syscall.EAGAIN, syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EBADF, io.EOF} {
+		if isConnectionError(err) {
+			t.Errorf("%v is an error of the connection", err)
+		}
+	}
 }
