Cut off request headers after 100 fields, before net/http allocates memory for them

What callers saw: a node's process passed its memory limit and was killed; its clients' connections broke.

Cause: net/http bounds a header by its bytes alone (20 KiB here). It keeps every field as a map entry, a slice and a string, and sizes the map by the lines that it has buffered, so a header of some thousand fields of five bytes takes 20 times its bytes. 640 clients that send such headers, finished or not, need more than the 192 MiB of the deployment.

Fix: the bytes of a connection pass the request framer before net/http sees them. It counts fields, and ends a header after the hundredth field; net/http gets nothing behind that, and the request is answered with 431 and a close. A header with up to 100 fields is read as before.

--- a/cmd/birchstair/client_memory_test.go
+++ b/cmd/birchstair/client_memory_test.go
@@ -141,6 +141,7 @@
 		maxHead  = 15 << 10
 	)
 	fields := shortFields(maxHead)
+	longFields := strings.Repeat("X-Field: "+strings.Repeat("f", 180)+"\r\n", maxHead/200)
 	cut := func(text string) string { return text[:len(text)-1] }
 	for _, c := range []struct {
 		name    string
@@ -160,11 +161,19 @@
 		{"slow writers", time.Millisecond, true, func(i int, c net.Conn) {
 			slowWriter(c, jobText(fmt.Sprint("page-", i), "page", fields, maxBody), 1<<10, 30*time.Millisecond)
 		}},
+		{"slow writers of few fields", time.Millisecond, true, func(i int, c net.Conn) {
+			slowWriter(c, jobText(fmt.Sprint("page-", i), "page", longFields, maxBody), 1<<10, 30*time.Millisecond)
+		}},
 		{"heads of short fields, sent ahead", duration, true, func(i int, c net.Conn) {
 			for k := range 5 {
 				writeAll(c, jobText(fmt.Sprint("page-", i, "-", k), "page", fields, maxBody))
 			}
 		}},
+		{"heads of long fields, sent ahead", duration, true, func(i int, c net.Conn) {
+			for k := range 5 {
+				writeAll(c, jobText(fmt.Sprint("page-", i, "-", k), "page", longFields, maxBody))
+			}
+		}},
 		{"requests sent ahead of answers that are not read", duration, false, func(i int, c net.Conn) {
 			for k := range 5 {
 				writeAll(c, jobText(fmt.Sprint("page-", i, "-", k), "page", "", maxBody))
--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -93,14 +93,22 @@
 	c.answeredCount = c.requestCount
 }
 
-// countRequest counts a request that is passed to the handler. chunksOnly reports that the request has a chunked body and no
-// Content-Length header.
-func (c *clientConn) countRequest() (chunksOnly bool) {
+// framing is what the bytes of a request tell that net/http does not.
+type framing struct {
+	chunksOnly    bool // the request has a chunked body and no Content-Length header
+	tooManyFields bool // the header was cut off, and neither the rest of it nor a body can be read
+}
+
+// countRequest counts a request that is passed to the handler, and returns its framing.
+func (c *clientConn) countRequest() framing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestCount++
 	f := &c.framer
-	return f.chunked && !f.hasContentLength && f.completeHeads == c.requestCount
+	if f.completeHeads != c.requestCount {
+		return framing{}
+	}
+	return framing{chunksOnly: f.chunked && !f.hasContentLength, tooManyFields: f.tooManyFields}
 }
 
 // timedOut reports whether net/http's deadline has ended a read.
@@ -151,17 +159,18 @@
 	}
 	for {
 		n, err := c.Conn.Read(b)
-		if c.afterRead(b, n, err) {
-			return n, err
+		if readable, done := c.afterRead(b, n, err); done {
+			return readable, err
 		}
 	}
 }
 
-// afterRead processes the result of a read into b. If done is true, Read returns this result; otherwise Read reads again.
-func (c *clientConn) afterRead(b []byte, n int, err error) (done bool) {
+// afterRead processes the result of a read into b. If done is true, Read returns this result, with the number of bytes that net/http
+// may read; otherwise Read reads again.
+func (c *clientConn) afterRead(b []byte, n int, err error) (readable int, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.framer.observe(b[:n])
+	readable = c.framer.observe(b[:n])
 	if n > 0 {
 		if c.closeMode != stayOpen {
 			c.finalCheckDone = false
@@ -169,18 +178,18 @@
 		}
 		c.gotFirstByte = len(b) == 1
 		c.startReadAhead()
-		return true
+		return readable, true
 	}
 	ownDeadline := errors.Is(err, os.ErrDeadlineExceeded) && (c.deadline.IsZero() || c.deadline.After(time.Now()))
 	if !ownDeadline {
 		c.readTimedOut = c.readTimedOut || errors.Is(err, os.ErrDeadlineExceeded)
-		return true
+		return readable, true
 	}
 	if c.closeMode == stayOpen || !c.canClose() {
 		c.applyReadDeadline()
-		return false
+		return 0, false
 	}
-	return c.finalCheckDone || !c.finalCheck()
+	return 0, c.finalCheckDone || !c.finalCheck()
 }
 
 // finalCheck checks whether bytes of a request are unread after closeWhenSafe has interrupted a read. The check is needed
--- a/internal/frontend/codec.go
+++ b/internal/frontend/codec.go
@@ -61,6 +61,7 @@
 
 	lengthAndChunks    = &requestError{http.StatusLengthRequired, "a body comes with Content-Length or in chunks, not with both", true}
 	chunksNotAllowed   = &requestError{http.StatusLengthRequired, "a body here comes with Content-Length, not in chunks", true}
+	tooManyFields      = &requestError{http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the header has over %d fields", maxHeaderFields), true}
 	unsupportedVersion = &requestError{http.StatusHTTPVersionNotSupported, "batch jobs come by HTTP/1.1", true}
 )
 
--- a/internal/frontend/read_ahead.go
+++ b/internal/frontend/read_ahead.go
@@ -73,9 +73,8 @@
 	defer c.mu.Unlock()
 	n = copy(b, a.buffered)
 	a.buffered = a.buffered[n:]
-	c.framer.observe(b[:n])
 	if n > 0 {
-		return n, nil, true
+		return c.framer.observe(b[:n]), nil, true
 	}
 	if a.err != nil {
 		return 0, a.err, true
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -161,8 +161,13 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.setConnectionClose(w)
 	conn := r.Context().Value(connContextKey{}).(*clientConn)
-	if chunksOnly := conn.countRequest(); r.ContentLength < 0 {
-		if !chunksOnly {
+	framing := conn.countRequest()
+	if framing.tooManyFields {
+		s.refuse(w, r, "", tooManyFields)
+		return
+	}
+	if r.ContentLength < 0 {
+		if !framing.chunksOnly {
 			s.refuse(w, r, "", lengthAndChunks)
 			return
 		}
