Send no attempt for a client whose close may be behind unread bytes

What callers saw: jobs were sent to executors up to 0.45 s after their clients had closed their connections, several attempts each.

Cause: a client's close arrives after all bytes that it has sent. A connection read 80 KiB ahead of its answers, and all of them 2 MiB more; then the node stopped reading. Once the kernel's buffer is full, the close stays in the client's kernel: the socket looks open, and the node took that for a client that waits. Besides, while requests that were read ahead were being served, nothing was read at all.

Fix: the check before an attempt's first byte has three results. While bytes are unread, it waits until the connection has read ahead as far as it may, for 20 ms at most; if bytes are left, it is not known whether the client is there, and nothing is sent: the job is rejected, or fails if it may have run and is not idempotent. Reading ahead goes on for each request until its answer, into chunks of 4 KiB that are counted: 8 KiB are always allowed, 2 MiB at most on a connection, a sixteenth of the node's memory on all.

Tests: those of package frontend ask for State in place of Gone, and for the budget's fields in place of the old ones; they check what they checked.

--- a/cmd/birchstair/serve.go
+++ b/cmd/birchstair/serve.go
@@ -164,7 +164,7 @@
 	clients, executors := conf.ConnLimits()
 	clientsShared, executorsShared := conf.HandoffConnLimits()
 	s := &conf.Settings
-	o.ClientLimits = frontend.ConnLimits{Max: clients, MaxShared: clientsShared}
+	o.ClientLimits = frontend.ConnLimits{Max: clients, MaxShared: clientsShared, MemoryBytes: conf.MemoryBytes}
 	o.Limits = node.Limits{
 		Quantum:         s.Policy.Quantum,
 		MaxIdle:         s.IdleTimeout * 4 / 5,
--- a/internal/eventlog/observer.go
+++ b/internal/eventlog/observer.go
@@ -16,6 +16,12 @@
 	policy.ConnectionLost: "connection lost",
 }
 
+// clientStates names the states of a client for which an attempt is not sent.
+var clientStates = map[node.ClientState]string{
+	node.ClientGone:    "the client has left",
+	node.ClientUnknown: "the client may have left",
+}
+
 // Observe logs an event of the state machine and its effects. It implements node.Observer.
 func (l *Logger) Observe(_ time.Duration, event node.Event, effects []node.Effect) {
 	l.mu.Lock()
@@ -36,7 +42,7 @@
 		}
 		delete(l.attempts, event.Conn)
 	case node.AttemptNotSent:
-		l.attemptOver(event.Conn, "attempt not sent", "the client has left")
+		l.attemptOver(event.Conn, "attempt not sent", clientStates[event.Client])
 		delete(l.attempts, event.Conn)
 	case node.ConnClosed:
 		l.attemptOver(event.Conn, "attempt not sent", "the connection closed before its first byte")
--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -5,7 +5,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"birchstair/internal/socket"
@@ -37,9 +36,9 @@
 
 	client          *waitingClient // the client whose answer is pending; nil if no answer is pending
 	gotFirstByte    bool           // net/http's background read has returned one byte; net/http does not notice a close after it
-	readAhead       *readAhead     // bytes read while an answer was pending; nil if there are none
-	sharedReadAhead *atomic.Int64  // bytes of maxSharedReadAhead that are still available to all connections
-	closed          bool           // net/http has closed the connection
+	readAhead       readAhead
+	readAheadBudget *byteBudget // memory for what all connections read ahead beyond minReadAhead
+	closed          bool        // net/http has closed the connection
 }
 
 // closeMode says whether a connection must be closed, and whether a request that has arrived only in part keeps it open.
@@ -123,8 +122,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	if c.readAhead != nil && c.readAhead.done {
-		c.release(c.readAhead)
+	if !c.readAhead.running {
+		c.releaseReadAhead()
 	}
 }
 
@@ -144,7 +143,7 @@
 // readDeadline returns the deadline for reads. It is in the past while the reader must be interrupted: to stop reading ahead,
 // or to check whether the connection can be closed. Otherwise it is net/http's deadline.
 func (c *clientConn) readDeadline() time.Time {
-	stopping := c.readAhead != nil && c.readAhead.stopping && !c.readAhead.done
+	stopping := c.readAhead.running && c.readAhead.stopping
 	if stopping || c.closeMode != stayOpen && c.canClose() && !c.finalCheckDone {
 		return pastDeadline
 	}
--- a/internal/frontend/close_races_test.go
+++ b/internal/frontend/close_races_test.go
@@ -247,7 +247,7 @@
 	from.send(next[:3])
 	c.waitUntil("the connection is read ahead", func() bool {
 		ahead := false
-		c.eachConn(func(conn *clientConn) { ahead = ahead || conn.readAhead != nil })
+		c.eachConn(func(conn *clientConn) { ahead = ahead || conn.readAhead.running })
 		return ahead
 	})
 	from.send(next[3:5000])
@@ -276,7 +276,7 @@
 	return node.Job{}
 }
 
-// TestGoneBeforeRead has a client leave while the reader of its connection is stopped. Gone must report that by the state of the
+// TestGoneBeforeRead has a client leave while the reader of its connection is stopped. State must report that by the state of the
 // socket, also after more bytes than are read ahead, and the server must post ClientLeft exactly once.
 func TestGoneBeforeRead(t *testing.T) {
 	for _, leave := range []struct {
@@ -289,7 +289,7 @@
 		{"half-closes", "", func(c *net.TCPConn) { c.CloseWrite() }},
 		{"closes after a byte of its next request", "P", func(c *net.TCPConn) { c.Close() }},
 		{"closes after a complete next request", jobRequest("never-1"), func(c *net.TCPConn) { c.Close() }},
-		{"closes after more bytes than one connection may read ahead", strings.Repeat("a", maxReadAhead+8<<10), func(c *net.TCPConn) { c.Close() }},
+		{"closes after more bytes than one connection may read ahead", strings.Repeat("a", minReadAhead+8<<10), func(c *net.TCPConn) { c.Close() }},
 		{"closes after far more bytes, while no other connection reads ahead", strings.Repeat("a", 1<<20), func(c *net.TCPConn) { c.Close() }},
 	} {
 		t.Run(leave.title, func(t *testing.T) {
@@ -297,34 +297,34 @@
 			from := c.dial()
 			from.send(jobRequest("wait-1"))
 			client := c.nextJob().Client
-			if client.Gone() {
-				t.Fatal("Gone reports that the client has left before it leaves")
+			if client.State() == node.ClientGone {
+				t.Fatal("State is that of a client that has left before it leaves")
 			}
 			stop := halts.OnConn(1, emulator.AfterRead, 0)
 			far := len(leave.early) >= 1<<20
-			if len(leave.early) > maxReadAhead {
+			if len(leave.early) > minReadAhead {
 				stop.Release()
 			}
 			if !far {
-				c.server.conns.sharedReadAhead.Store(0) // as if other connections had reserved all of it
+				c.server.conns.readAhead.setLimit(0) // as if other connections had reserved all of it
 			}
 			from.send(leave.early)
 			switch {
 			case far:
-			case len(leave.early) > maxReadAhead:
+			case len(leave.early) > minReadAhead:
 				c.waitUntil("the read-ahead limit is reached", func() bool {
 					done := false
-					c.eachConn(func(conn *clientConn) { done = conn.readAhead != nil && conn.readAhead.done })
+					c.eachConn(func(conn *clientConn) { done = conn.readAhead.limited })
 					return done
 				})
 			case leave.early != "":
 				c.awaitStop(stop)
 			}
-			if client.Gone() {
-				t.Error("Gone reports that the client has left after it sent more, before it leaves")
+			if client.State() == node.ClientGone {
+				t.Error("State is that of a client that has left after it sent more, before it leaves")
 			}
 			leave.end(from.Conn.(*net.TCPConn))
-			c.waitUntil("Gone reports that the client has left", client.Gone)
+			c.waitUntil("State reports that the client has left", func() bool { return client.State() == node.ClientGone })
 			c.printEvent()
 			stop.Release()
 			c.waitUntil("the connection is closed", func() bool { open, _, _ := c.server.conns.counts(); return open == 0 })
@@ -332,31 +332,31 @@
 				t.Errorf("the server posts %q and %d more events, want %q", got, len(c.events), want)
 			}
 			if far {
-				c.waitUntil("the reserved bytes are released", func() bool { return c.server.conns.sharedReadAhead.Load() == maxSharedReadAhead })
+				c.waitUntil("the reserved bytes are released", func() bool { return c.server.conns.readAhead.used.Load() == 0 })
 			}
 		})
 	}
 }
 
-// TestNotGoneWhileClientWaits checks that Gone is false for a client that sends part of its next request early, until its own
+// TestNotGoneWhileClientWaits checks that State is not "gone" for a client that sends part of its next request early, until its own
 // answer is written, and that it stays true for the first batch job while the second one is pending.
 func TestNotGoneWhileClientWaits(t *testing.T) {
 	c, _ := newHaltableNode(t, 10)
 	from := c.dial()
 	from.send(jobRequest("wait-1") + jobRequest("wait-2")[:20])
 	first := c.nextJob().Client
-	if first.Gone() {
-		t.Error("Gone reports that the client has left after it sent part of its next request")
+	if first.State() != node.ClientWaits {
+		t.Error("State is that of a client that has left after it sent part of its next request")
 	}
 	c.server.Answer(node.Answer{Job: "wait-1", Result: []byte("one")})
 	c.printAnswer(from)
-	if !first.Gone() {
-		t.Error("Gone is false for a client that has its answer")
+	if first.State() != node.ClientGone {
+		t.Error("State is not that of a client that has left, for one that has its answer")
 	}
 	from.send(jobRequest("wait-2")[20:])
 	second := c.nextJob().Client
-	if second.Gone() || !first.Gone() {
-		t.Errorf("Gone of the second batch job: %v, want false; of the first: %v, want true", second.Gone(), first.Gone())
+	if second.State() != node.ClientWaits || first.State() != node.ClientGone {
+		t.Errorf("State of the second batch job: %v, want waiting; of the first: %v, want gone", second.State(), first.State())
 	}
 	c.server.Answer(node.Answer{Job: "wait-2", Result: []byte("two")})
 	c.printAnswer(from)
@@ -371,8 +371,8 @@
 	c, _ := newHaltableNode(t, 10)
 	from := c.dial()
 	from.send(jobRequest("wait-0"))
-	if c.nextJob().Client.Gone() {
-		t.Fatal("Gone reports that the client has left")
+	if c.nextJob().Client.State() != node.ClientWaits {
+		t.Fatal("State is that of a client that has left")
 	}
 	const next = 40
 	go func() {
@@ -380,7 +380,7 @@
 			from.send(jobRequest(fmt.Sprint("handled-", i+1), "Content-Length: 30000") + strings.Repeat("b", 30000))
 		}
 	}()
-	c.waitUntil("the connection has read far ahead", func() bool { return c.server.conns.sharedReadAhead.Load() <= maxSharedReadAhead-10*30000 })
+	c.waitUntil("the connection has read far ahead", func() bool { return c.server.conns.readAhead.used.Load() >= 10*30000 })
 	c.server.Answer(node.Answer{Job: "wait-0", Result: []byte("the result")})
 	c.printAnswer(from)
 	for i := range next {
@@ -393,7 +393,7 @@
 		t.Errorf("%d answers, want %d", got, next+1)
 	}
 	from.Close()
-	c.waitUntil("the reserved bytes are released", func() bool { return c.server.conns.sharedReadAhead.Load() == maxSharedReadAhead })
+	c.waitUntil("the reserved bytes are released", func() bool { return c.server.conns.readAhead.used.Load() == 0 })
 }
 
 // TestStop checks that after the event loop has ended, a pending batch job is rejected, and so is one that arrives on a connection
--- a/internal/frontend/conn_table.go
+++ b/internal/frontend/conn_table.go
@@ -1,18 +1,22 @@
 package frontend
 
 import (
+	"cmp"
 	"container/list"
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
-// ConnLimits bounds the number of open connections from clients.
+// ConnLimits bounds the number of open connections from clients, and what they take.
 type ConnLimits struct {
 	Max       int // largest number of connections while this is the node's only process
 	MaxShared int // largest number of connections per process during a hot restart, when the node has two processes
+
+	// MemoryBytes is the memory that the node may use, in bytes; 0 for defaultMemoryBytes. Parts of it bound what is stored for
+	// clients. Each process has half of it during a hot restart.
+	MemoryBytes int64
 }
 
 const (
@@ -23,6 +27,10 @@
 	// Some connections are accepted beyond the limit, so that older connections can be evicted for them. Their number is the
 	// connection limit divided by overflowDivisor.
 	overflowDivisor = 8
+
+	defaultMemoryBytes = 192 << 20
+	// The node's memory is divided by readAheadDivisor to get the memory for what all connections read ahead.
+	readAheadDivisor = 16
 )
 
 // connTable keeps the number of open connections within its limit. During a flood of connections that send nothing, or one
@@ -45,9 +53,9 @@
 // Lock order: the table's lock is taken before a connection's lock, never after it.
 type connTable struct {
 	net.Listener
-	limits          ConnLimits
-	reporter        Reporter
-	sharedReadAhead atomic.Int64 // bytes of maxSharedReadAhead that are still available to all connections
+	limits    ConnLimits
+	reporter  Reporter
+	readAhead byteBudget // memory for what all connections read ahead beyond minReadAhead
 
 	mu           sync.Mutex
 	changed      *sync.Cond // signaled when open, acceptLimit, acceptPaused, closed or closingConns may have changed
@@ -99,7 +107,6 @@
 		closingConns: list.New(),
 	}
 	t.changed = sync.NewCond(&t.mu)
-	t.sharedReadAhead.Store(maxSharedReadAhead)
 	t.setShared(false)
 	return t
 }
@@ -109,9 +116,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.maxConns = t.limits.Max
+	memory := cmp.Or(t.limits.MemoryBytes, defaultMemoryBytes)
 	if shared {
 		t.maxConns = t.limits.MaxShared
+		memory /= 2
 	}
+	t.readAhead.setLimit(memory / readAheadDivisor)
 	t.acceptLimit = t.maxConns + max(1, t.maxConns/overflowDivisor)
 	t.maxNew = max(1, t.maxConns/newConnDivisor)
 	t.changed.Broadcast()
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -34,7 +34,7 @@
 func newFakeNodeWithHalts(t *testing.T, conns int, halts *emulator.Breakpoints, change ...func(*http.Server)) *fakeNode {
 	c := &fakeNode{t: t, events: make(chan node.Event, 100)}
 	c.server = New([]node.NumberedClass{{JobClass: node.JobClass{Name: "board-read"}}, {ID: 1, JobClass: node.JobClass{Name: "run-verify", JobClass: policy.JobClass{Deadline: time.Second}}},
-		{ID: 2, JobClass: node.JobClass{Name: "split-record", JobClass: policy.JobClass{Idempotency: policy.IdempotentWithKey}}}}, ConnLimits{conns, conns / 2}, func(ev node.Event) {
+		{ID: 2, JobClass: node.JobClass{Name: "split-record", JobClass: policy.JobClass{Idempotency: policy.IdempotentWithKey}}}}, ConnLimits{Max: conns, MaxShared: conns / 2}, func(ev node.Event) {
 		if ev, ok := ev.(node.JobArrived); ok {
 			switch name, _, _ := strings.Cut(string(ev.Job.ID), "-"); {
 			case ev.Job.NearConnectionLimit:
--- a/internal/frontend/header_fields_test.go
+++ b/internal/frontend/header_fields_test.go
@@ -90,11 +90,11 @@
 	from.send("POST /y HTTP/1.1\r\nHost: n\r\n" + headerLines(3000))
 	n.waitUntil("the connection is read ahead", func() bool {
 		ahead := false
-		n.eachConn(func(conn *clientConn) { ahead = conn.readAhead != nil })
+		n.eachConn(func(conn *clientConn) { ahead = !conn.readAhead.buffered.empty() || conn.readAhead.running })
 		return ahead
 	})
-	if client.Gone() {
-		t.Error("Gone reports that a client has left that sends a long header")
+	if client.State() != node.ClientWaits {
+		t.Error("a client that sends a long header is not known to wait")
 	}
 	n.server.Answer(answerTo("wait-1"))
 	n.printAnswer(from)
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -33,7 +33,7 @@
 		t.mu.Unlock()
 		c, err := t.Listener.Accept()
 		if err == nil {
-			return &clientConn{Conn: c, sharedReadAhead: &t.sharedReadAhead}, nil
+			return &clientConn{Conn: c, readAheadBudget: &t.readAhead}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) { // a passed deadline means that updateAcceptDeadline has interrupted Accept
 			return nil, err
--- a/internal/frontend/read_ahead.go
+++ b/internal/frontend/read_ahead.go
@@ -6,99 +6,126 @@
 )
 
 const (
-	maxReadAhead       = maxHeaderBytes + maxBodyBytes // bytes that each connection can always read ahead
-	maxSharedReadAhead = 2 << 20                       // bytes that all connections together can read ahead beyond maxReadAhead
-	readAheadChunk     = 4 << 10                       // size of one read, in bytes
+	minReadAhead     = 8 << 10 // bytes that each connection can always read ahead
+	maxConnReadAhead = 2 << 20 // bytes that a connection can read ahead at the most
 )
 
-// readAhead holds the bytes that are read from a connection while an answer is pending on it.
+// readAhead holds the bytes that are read from a connection while an answer is pending on it, until net/http reads them.
 //
 // net/http detects that a client has left by reading one byte in the background. If that byte belongs to the client's next
 // request, net/http reads no further and misses a close after that byte. The pending batch job, and then the next one, would be
 // sent to executors although the client has left. A goroutine therefore reads on, and Read returns the bytes later.
+//
+// A client's close arrives after all bytes that the client has sent. The goroutine stops at maxConnReadAhead, and earlier if the
+// connections' budget is used up. From then on a close can be behind the bytes that are not read (see waitingClient.State).
+//
+// The fields are guarded by the connection's lock. While running is set, buffered is used only by the goroutine.
 type readAhead struct {
-	buffered []byte        // bytes that Read has not returned yet
+	buffered chunkBuffer   // bytes that Read has not returned yet
+	reserved int64         // bytes taken from the budget
 	err      error         // the error that ended the reads
-	ended    chan struct{} // closed when the read-ahead goroutine has ended
-	stopping bool          // the read-ahead goroutine must end; guarded by the connection's lock
-	done     bool          // the read-ahead goroutine reads no more; guarded by the connection's lock
-	reserved int64         // bytes taken from sharedReadAhead; until done is set, used only by the read-ahead goroutine
+	running  bool          // the goroutine reads
+	stopping bool          // the goroutine must end
+	ended    chan struct{} // closed when the goroutine has ended
+	limited  bool          // the goroutine has ended because it may read no more bytes
 }
 
-// startReadAhead starts to read ahead if an answer is pending and net/http's background read has ended. It is called with
-// the lock held.
+// startReadAhead starts to read ahead if an answer is pending, and net/http's background read has ended or will end by a byte
+// that was read ahead before. It is called with the lock held.
 func (c *clientConn) startReadAhead() {
-	if c.gotFirstByte && c.client != nil && c.readAhead == nil {
-		c.readAhead = &readAhead{ended: make(chan struct{})}
-		go c.runReadAhead(c.readAhead)
+	a := &c.readAhead
+	nextRequestBegun := c.gotFirstByte || !a.buffered.empty()
+	if c.client == nil || a.running || a.err != nil || !nextRequestBegun {
+		return
 	}
+	a.running, a.stopping, a.limited, a.ended = true, false, false, make(chan struct{})
+	go c.runReadAhead()
 }
 
-// runReadAhead reads until endWait stops it, the connection ends or the limit on bytes read ahead is reached.
-func (c *clientConn) runReadAhead(a *readAhead) {
-	defer close(a.ended)
-	chunk := make([]byte, readAheadChunk)
-	for a.err == nil && (len(a.buffered) < maxReadAhead || c.reserve(a)) {
-		n, err := c.Conn.Read(chunk)
-		a.buffered, a.err = append(a.buffered, chunk[:n]...), err
+// runReadAhead reads until endWait stops it, the connection ends or it may read no more bytes.
+func (c *clientConn) runReadAhead() {
+	a := &c.readAhead
+	var err error
+	for err == nil && c.mayReadAhead() {
+		var n int
+		n, err = c.Conn.Read(a.buffered.space())
+		a.buffered.commit(n)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a.done = true
+	a.running = false
+	close(a.ended)
 	if c.closed {
-		c.release(a)
+		c.releaseReadAhead()
 	}
 	c.applyReadDeadline()
 	switch {
-	case a.stopping && errors.Is(a.err, os.ErrDeadlineExceeded):
-		a.err = nil
-	case a.err != nil && c.client != nil:
+	case err == nil:
+		a.limited = true
+	case a.stopping && errors.Is(err, os.ErrDeadlineExceeded):
+	default:
+		a.err = err
+		c.reportDisconnected()
+	}
+}
+
+// reportDisconnected notifies the handler that the client has left, if one waits for an answer. It is called with the lock held.
+func (c *clientConn) reportDisconnected() {
+	if c.client != nil {
 		close(c.client.disconnected)
 		c.client = nil
 	}
 }
 
+// mayReadAhead reports whether the goroutine may read more bytes, and reserves memory for them.
+func (c *clientConn) mayReadAhead() bool {
+	a := &c.readAhead
+	if !a.buffered.full() {
+		return true
+	}
+	memory := int64(a.buffered.memory()) + chunkBytes
+	if memory <= minReadAhead || memory <= a.reserved {
+		return true
+	}
+	if memory > maxConnReadAhead || !c.readAheadBudget.reserve(chunkBytes) {
+		return false
+	}
+	a.reserved += chunkBytes
+	return true
+}
+
 // takeReadAhead waits until the read-ahead goroutine has ended. It then moves buffered bytes into b, or returns the error that
 // ended the reads if no bytes are left. ok is false if there is neither.
 func (c *clientConn) takeReadAhead(b []byte) (n int, err error, ok bool) {
 	c.mu.Lock()
-	a := c.readAhead
+	defer c.mu.Unlock()
+	a := &c.readAhead
 	c.gotFirstByte = false
-	c.mu.Unlock()
-	if a == nil {
-		return 0, nil, false
+	for a.running {
+		ended := a.ended
+		c.mu.Unlock()
+		<-ended
+		c.mu.Lock()
 	}
-	<-a.ended
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n = copy(b, a.buffered)
-	a.buffered = a.buffered[n:]
-	if n > 0 {
+	if n = a.buffered.read(b); n > 0 {
+		c.shrinkReadAhead()
 		return c.framer.observe(b[:n]), nil, true
 	}
-	if a.err != nil {
-		return 0, a.err, true
-	}
-	c.release(a)
-	c.readAhead = nil
-	return 0, nil, false
+	return 0, a.err, a.err != nil
 }
 
-// reserve takes one more chunk from the bytes that all connections share, and reports whether enough bytes were left. A client's
-// close arrives after all bytes that the client has sent. To notice the close of a client that has sent a lot, a connection must
-// therefore read beyond maxReadAhead. Otherwise the unread bytes could fill the socket's buffer.
-func (c *clientConn) reserve(a *readAhead) bool {
-	if c.sharedReadAhead.Add(-readAheadChunk) < 0 {
-		c.sharedReadAhead.Add(readAheadChunk)
-		return false
+// shrinkReadAhead returns the reserved bytes that the buffer no longer takes to the budget. It is called with the lock held.
+func (c *clientConn) shrinkReadAhead() {
+	a := &c.readAhead
+	if excess := a.reserved - int64(a.buffered.memory()); excess > 0 {
+		a.reserved -= excess
+		c.readAheadBudget.release(excess)
 	}
-	a.reserved += readAheadChunk
-	return true
 }
 
-// release returns the reserved bytes to the bytes that all connections share. It is called with the lock held, after the
-// read-ahead goroutine is done.
-func (c *clientConn) release(a *readAhead) {
-	c.sharedReadAhead.Add(a.reserved)
-	a.reserved = 0
+// releaseReadAhead drops the bytes that were read ahead, and returns what they have reserved to the budget. It is called with the
+// lock held, while the goroutine does not run.
+func (c *clientConn) releaseReadAhead() {
+	c.readAhead.buffered = chunkBuffer{}
+	c.shrinkReadAhead()
 }
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -370,10 +370,10 @@
 	}
 }
 
-// attemptNotSent handles an attempt that was not written because its client had gone. The attempt never ran, and its
-// connection is idle. The frontend also reports, by ClientLeft, that this client has gone. That event can arrive before
-// or after this one.
-func (n *Node) attemptNotSent(c *conn) {
+// attemptNotSent handles an attempt that was not written because its client had gone, or because it was not known whether
+// it had. The attempt never ran, and its connection is idle. If the client has gone, the frontend also reports that by
+// ClientLeft. That event can arrive before or after this one.
+func (n *Node) attemptNotSent(c *conn, client ClientState) {
 	if c == nil || c.state != connBusy {
 		return
 	}
@@ -383,7 +383,11 @@
 	if !c.abandoned { // if the attempt was abandoned, the connection is being closed
 		n.keepConn(c)
 	}
-	n.clientGone(j)
+	if client == ClientUnknown {
+		n.giveUpUnobservable(j)
+	} else {
+		n.clientGone(j)
+	}
 	n.attemptOver(j, c.attempt, policy.NotSent)
 }
 
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -48,7 +48,7 @@
 	case AttemptEnded:
 		n.attemptEnded(n.conns.get(ev.Conn), ev)
 	case AttemptNotSent:
-		n.attemptNotSent(n.conns.get(ev.Conn))
+		n.attemptNotSent(n.conns.get(ev.Conn), ev.Client)
 	case ConnIdle:
 		n.connBecameIdle(n.conns.get(ev.Conn))
 	case ConnClosed:
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -37,11 +37,22 @@
 	Client Client // client that waits for the answer on a connection; nil if there is none
 }
 
+// ClientState is what is known of a client that has submitted a job.
+type ClientState int
+
+// The states of a client.
+const (
+	ClientWaits ClientState = iota // the client waits for the answer
+	ClientGone                     // the client has stopped waiting for the answer
+	// ClientUnknown means that the client has sent more than the node reads before it answers, so that its close can be behind
+	// bytes that are not read.
+	ClientUnknown
+)
+
 // Client is the client that waits for a job's answer. The state machine only passes a Client on and compares it.
 type Client interface {
-	// Gone reports whether the client is known to have stopped waiting for the answer. It doesn't block. Any goroutine
-	// can call it.
-	Gone() bool
+	// State returns what is known of the client. It can block for some milliseconds. Any goroutine can call it.
+	State() ClientState
 }
 
 // JobClass is a job class and its name.
@@ -130,9 +141,12 @@
 		ConnBroken bool   // whether the connection broke, or the executor's response could not be parsed
 		Detail     string // text for the log
 	}
-	// AttemptNotSent reports that no byte of an attempt was written, because the attempt's client had gone. The
-	// connection can carry the next attempt.
-	AttemptNotSent struct{ Conn ConnID }
+	// AttemptNotSent reports that no byte of an attempt was written, because the attempt's client had gone, or because it
+	// was not known whether it had. The connection can carry the next attempt.
+	AttemptNotSent struct {
+		Conn   ConnID
+		Client ClientState // ClientGone or ClientUnknown
+	}
 	// ConnIdle reports that a connection can carry the next attempt.
 	ConnIdle struct{ Conn ConnID }
 	// ConnClosed reports that a connection's descriptor is free. It is the last event of every connection.
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -14,12 +14,13 @@
 	deadline time.Duration // time by which the final answer is due
 	// Time at which expireJobs handles the job next. This is first a quantum before the deadline, to abandon the job's
 	// attempts, and then the deadline, to answer the job.
-	expiresAt time.Duration
-	answered  bool    // whether the job has its final answer or needs none
-	conns     []*conn // connections of the attempts in flight; two while an attempt is hedged, else at most one
-	attempts  int     // number of attempts started so far
-	arrival   int     // sequence number of the arrival, by which jobs that expire at the same time are ordered
-	heapIndex int     // index of the job in jobTable.unanswered
+	expiresAt  time.Duration
+	answered   bool    // whether the job has its final answer or needs none
+	conns      []*conn // connections of the attempts in flight; two while an attempt is hedged, else at most one
+	attempts   int     // number of attempts started so far
+	mayHaveRun bool    // whether an attempt that has ended may have run the job
+	arrival    int     // sequence number of the arrival, by which jobs that expire at the same time are ordered
+	heapIndex  int     // index of the job in jobTable.unanswered
 }
 
 // nextAttemptID returns the ID of the next attempt, and counts the attempt as started.
@@ -174,6 +175,20 @@
 	}
 }
 
+// giveUpUnobservable answers a job of which no attempt may be sent any more, because its client may have left. The job is
+// rejected if it certainly never ran or is idempotent. If another attempt of the job is in flight, the job waits for it.
+func (n *Node) giveUpUnobservable(j *job) {
+	if j.answered || len(j.conns) > 0 {
+		return
+	}
+	a := Answer{Final: Rejected, RetryAfter: n.limits.RetryAfter, Reason: ReasonClientUnknown}
+	if j.mayHaveRun && n.classes.idempotency[j.Class] != policy.Idempotent {
+		a = Answer{Final: Failed, Reason: ReasonClientUnknown}
+	}
+	n.answer(j, a)
+	n.policy.ClientLeft(n.now, j.ID)
+}
+
 // placeJob asks the policy what to do with a queued job, and applies the decision.
 func (n *Node) placeJob(id policy.JobID) {
 	j := n.jobs.byID[id]
@@ -200,6 +215,7 @@
 
 // attemptOver notifies the policy of the outcome of an attempt, and applies the policy's next decision about the job.
 func (n *Node) attemptOver(j *job, attempt policy.AttemptID, outcome policy.Outcome) {
+	j.mayHaveRun = j.mayHaveRun || !outcome.NeverRan()
 	n.jobs.release(j)
 	n.jobs.deciding = j
 	n.applyDecision(j, n.policy.AttemptEnded(n.now, j.ID, attempt, outcome, j.answered))
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -43,10 +43,12 @@
 	lines   []string
 }
 
-// namedClient is a client that is identified by its name. The state machine must never ask whether it is gone.
+// namedClient is a client that is identified by its name. The state machine must never ask for its state.
 type namedClient string
 
-func (c namedClient) Gone() bool { panic("the state machine asked whether the client is gone: " + c) }
+func (c namedClient) State() ClientState {
+	panic("the state machine asked for the state of the client: " + c)
+}
 
 func defaultClass() policy.JobClass {
 	return policy.JobClass{LatencyObjective: 300 * time.Millisecond, RunTimeFactor: 2, Deadline: 5 * time.Second, Value: 1, Kind: policy.AnyKind}
@@ -211,7 +213,11 @@
 	case "ended":
 		return AttemptEnded{Conn: p.conn(args[0]), Outcome: outcomes[args[1]], ConnBroken: args[len(args)-1] == "conn-broken", Result: []byte("result")}
 	case "not-sent":
-		return AttemptNotSent{Conn: p.conn(args[0])}
+		client := ClientGone
+		if len(args) > 1 && args[1] == "unknown" {
+			client = ClientUnknown
+		}
+		return AttemptNotSent{Conn: p.conn(args[0]), Client: client}
 	case "health-check-ended":
 		return HealthCheckEnded{policy.ExecutorID(args[0]), args[1] == "answered", policy.Load{InFlight: -1, Queued: -1, FreeSlots: -1, FreeMemory: -1, RunTime: -1}}
 	}
--- a/internal/node/reason.go
+++ b/internal/node/reason.go
@@ -14,6 +14,7 @@
 	ReasonInvalid                     // the executor found the request invalid
 	ReasonPolicyPanic                 // the policy panicked
 	ReasonFrontendEnded               // the frontend has failed
+	ReasonClientUnknown               // the client has sent so much more that its close could not be noticed
 )
 
 // reasonTexts are the reasons as they are logged.
@@ -27,6 +28,7 @@
 	ReasonInvalid:       "the executor found the request invalid",
 	ReasonPolicyPanic:   "the policy panicked",
 	ReasonFrontendEnded: "the frontend has ended",
+	ReasonClientUnknown: "the client has sent too much ahead of its answers",
 }
 
 // String returns the reason as it is logged.
--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -66,8 +66,8 @@
 	if request == nil {
 		return
 	}
-	if client := effect.Attempt.Client; client != nil && client.Gone() {
-		conn.deliverAfter(processingDelay, node.AttemptNotSent{Conn: conn.id})
+	if client := effect.Attempt.Client; client != nil && client.State() == node.ClientGone {
+		conn.deliverAfter(processingDelay, node.AttemptNotSent{Conn: conn.id, Client: node.ClientGone})
 		return
 	}
 	conn.uses++
--- a/internal/simulation/requests.go
+++ b/internal/simulation/requests.go
@@ -92,7 +92,12 @@
 
 // Gone returns whether the node's machine knows that the client has disconnected. A node checks this right before it
 // sends an attempt, because the node's process can learn of the disconnection later than its machine.
-func (r *clientRequest) Gone() bool { return r.answered && !r.node.sim.defects.hideClientGone }
+func (r *clientRequest) State() node.ClientState {
+	if r.answered && !r.node.sim.defects.hideClientGone {
+		return node.ClientGone
+	}
+	return node.ClientWaits
+}
 
 // clientGone records that the client has disconnected, and notifies the node.
 func (n *simNode) clientGone(request *clientRequest) {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -26,25 +26,31 @@
 	return pending, known && err == nil
 }
 
-// Ended returns whether the peer has closed, half-closed or reset a connection, even if data that arrived earlier is
-// still unread. Ended does not block, and is safe to call while another goroutine reads from the connection. known is
-// false if the state cannot be determined.
-func Ended(c net.Conn) (ended, known bool) {
+// State returns whether data is unread on a connection, and whether the peer has closed, half-closed or reset it, even if
+// data that arrived earlier is still unread. While data is unread, a close of the peer can have been sent and not have
+// arrived, because the peer's system keeps it back behind data for which there is no room. State does not block, and is
+// safe to call while another goroutine reads from the connection. known is false if the state cannot be determined.
+func State(c net.Conn) (unread, ended, known bool) {
 	if c, ok := c.(peerEnder); ok {
-		return c.PeerEnded(), true
+		return false, c.PeerEnded(), true
 	}
 	raw := rawConn(c)
 	if raw == nil {
-		return false, false
+		return false, false, false
 	}
 	err := raw.Control(func(fd uintptr) {
-		var data bool
-		data, ended, known = peek(fd)
-		if data {
+		unread, ended, known = peek(fd)
+		if unread {
 			ended = peerClosed(fd)
 		}
 	})
-	return ended, known && err == nil
+	return unread, ended, known && err == nil
+}
+
+// Ended returns whether the peer has closed, half-closed or reset a connection, as State does.
+func Ended(c net.Conn) (ended, known bool) {
+	_, ended, known = State(c)
+	return ended, known
 }
 
 // rawConn returns the raw socket of a connection, or nil if it has none.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -89,7 +89,10 @@
 		return
 	}
 	unusable := c.hasUnreadInput()
-	clientGone := a.Client != nil && a.Client.Gone() // the client is checked last, right before the first byte is written
+	client := node.ClientWaits
+	if a.Client != nil {
+		client = a.Client.State() // the client is checked last, right before the first byte is written
+	}
 	c.mu.Lock()
 	c.closed = c.closed || unusable
 	switch {
@@ -98,10 +101,10 @@
 		c.writeEnded <- writeResult{}
 		c.close()
 		return
-	case clientGone:
+	case client != node.ClientWaits:
 		c.job = ""
 		c.mu.Unlock()
-		c.pool.post(node.AttemptNotSent{Conn: c.id})
+		c.pool.post(node.AttemptNotSent{Conn: c.id, Client: client})
 		return
 	}
 	c.writeStarted, c.writeStartedAt = true, time.Now()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -60,7 +60,7 @@
 // Write sends an attempt in the background. One of these events follows:
 //
 //   - node.AttemptEnded if a byte of the attempt may have been sent, or with policy.InvalidRequest if the request can't be encoded
-//   - node.AttemptNotSent if the client has left
+//   - node.AttemptNotSent if the client has left, or it is not known whether it has
 //   - node.ConnClosed if the connection closed before a byte was sent
 //
 // If the connection is already closed, Write does nothing. node.ConnClosed has then reported the close, or will report it.
--- a/internal/upstream/write_races_test.go
+++ b/internal/upstream/write_races_test.go
@@ -213,11 +213,14 @@
 	onCheck func()
 }
 
-func (c fakeClient) Gone() bool {
+func (c fakeClient) State() node.ClientState {
 	if c.onCheck != nil {
 		c.onCheck()
 	}
-	return c.gone
+	if c.gone {
+		return node.ClientGone
+	}
+	return node.ClientWaits
 }
 
 // TestClientGoneAtWrite has the client gone at the check before its attempt's first byte, on a new connection and on an idle one.
