--- a/internal/frontend/header_fields_test.go
+++ b/internal/frontend/header_fields_test.go
@@ -90,7 +90,7 @@
 	from.send("POST /y HTTP/1.1\r\nHost: n\r\n" + headerLines(3000))
 	n.waitUntil("the connection is read ahead", func() bool {
 		ahead := false
-		n.eachConn(func(conn *clientConn) { ahead = !conn.readAhead.buffered.empty() || conn.readAhead.running })
+		n.eachConn(func(conn *clientConn) { ahead = conn.readAhead.running })
 		return ahead
 	})
 	if client.State() != node.ClientWaits {
--- a/internal/frontend/read_ahead.go
+++ b/internal/frontend/read_ahead.go
@@ -34,8 +34,10 @@
 // that was read ahead before. It is called with the lock held.
 func (c *clientConn) startReadAhead() {
 	a := &c.readAhead
-	nextRequestBegun := c.gotFirstByte || !a.buffered.empty()
-	if c.client == nil || a.running || a.err != nil || !nextRequestBegun {
+	if c.client == nil || a.running || a.err != nil {
+		return
+	}
+	if nextRequestBegun := c.gotFirstByte || !a.buffered.empty(); !nextRequestBegun {
 		return
 	}
 	a.running, a.stopping, a.limited, a.ended = true, false, false, make(chan struct{})
