Reserve the memory of request bodies as they arrive, from one budget

Cause, of the same class: what is stored for a client before the state machine knows of its job was in no limit but the one of the connection. A body was allocated by its announced length before its first byte had come, 64 KiB on each of 720 connections; the limit on bodies counts admitted jobs alone.

Fix: a body grows with the bytes that come, in steps that are reserved in a budget of a quarter of the node's memory, halved during a hot restart, and given back after the answer. If the budget is used up, the state machine rejects the job (503, with the reason in the log), and the rest of its body is read and dropped.

Also: the log no longer takes net/http's abort of a background read for a client that was too slow.

--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -181,7 +181,8 @@
 	}
 	ownDeadline := errors.Is(err, os.ErrDeadlineExceeded) && (c.deadline.IsZero() || c.deadline.After(time.Now()))
 	if !ownDeadline {
-		c.readTimedOut = c.readTimedOut || errors.Is(err, os.ErrDeadlineExceeded)
+		// net/http ends its background read by a deadline far in the past.
+		c.readTimedOut = c.readTimedOut || errors.Is(err, os.ErrDeadlineExceeded) && time.Since(c.deadline) < idleTimeout
 		return readable, true
 	}
 	if c.closeMode == stayOpen || !c.canClose() {
--- a/internal/frontend/codec.go
+++ b/internal/frontend/codec.go
@@ -1,8 +1,8 @@
 package frontend
 
 import (
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -75,8 +75,8 @@
 	}
 }
 
-// decode decodes and validates a batch job, including its body.
-func (s *Server) decode(w http.ResponseWriter, r *http.Request) (job node.Job, invalid *requestError) {
+// decode decodes and validates a batch job without its body.
+func (s *Server) decode(r *http.Request) (job node.Job, invalid *requestError) {
 	if r.Method != http.MethodPost {
 		return job, &requestError{http.StatusMethodNotAllowed, "batch jobs come by POST", false}
 	}
@@ -91,14 +91,10 @@
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return job, badRequest("the path is missing")
 	}
-	if job, invalid = s.decodeHeader(r); invalid != nil {
-		return job, invalid
-	}
-	job.Body, invalid = readBody(w, r)
-	return job, invalid
+	return s.decodeHeader(r)
 }
 
-// decodeHeader decodes a batch job from the request's header; it does not read the body.
+// decodeHeader decodes the header of a batch job.
 func (s *Server) decodeHeader(r *http.Request) (job node.Job, invalid *requestError) {
 	h := r.Header
 	job.Request = node.Request{
@@ -154,25 +150,24 @@
 	return time.Duration(us * float64(time.Microsecond)), nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *requestError) {
-	if r.ContentLength > maxBodyBytes {
-		return nil, bodyTooLarge
-	}
-	body := make([]byte, max(0, r.ContentLength))
-	_, err := io.ReadFull(r.Body, body)
-	if r.ContentLength < 0 { // a chunked body
-		body, err = io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
-	}
-	switch {
+// decodeBody reads a batch job's body into the given memory. If all bodies together would take too much memory, the job is marked, so
+// that the state machine rejects it, and the rest of its body is not stored.
+func decodeBody(w http.ResponseWriter, r *http.Request, job *node.Job, body *requestBody) *requestError {
+	switch err := body.read(r.Body, r.ContentLength); {
+	case errors.Is(err, errBodyMemory):
+		body.release()
+		job.NearMemoryLimit = true
+		return nil
+	case errors.Is(err, errBodyTooLarge):
+		return bodyTooLarge
 	case err != nil:
-		return nil, badRequest("the body did not come whole")
-	case len(body) > maxBodyBytes:
-		return nil, bodyTooLarge
+		return badRequest("the body did not come whole")
 	}
+	job.Body = body.data
 	// Clear the read deadline that ReadTimeout has set. A read while the answer is pending waits for the client's close or next
 	// request, which can come much later.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return body, nil
+	return nil
 }
 
 // writeAnswer writes a final answer.
--- a/internal/frontend/conn_table.go
+++ b/internal/frontend/conn_table.go
@@ -29,8 +29,6 @@
 	overflowDivisor = 8
 
 	defaultMemoryBytes = 192 << 20
-	// The node's memory is divided by readAheadDivisor to get the memory for what all connections read ahead.
-	readAheadDivisor = 16
 )
 
 // connTable keeps the number of open connections within its limit. During a flood of connections that send nothing, or one
@@ -56,6 +54,7 @@
 	limits    ConnLimits
 	reporter  Reporter
 	readAhead byteBudget // memory for what all connections read ahead beyond minReadAhead
+	bodies    byteBudget // memory for the request bodies of all connections
 
 	mu           sync.Mutex
 	changed      *sync.Cond // signaled when open, acceptLimit, acceptPaused, closed or closingConns may have changed
@@ -122,6 +121,7 @@
 		memory /= 2
 	}
 	t.readAhead.setLimit(memory / readAheadDivisor)
+	t.bodies.setLimit(memory / bodyMemoryDivisor)
 	t.acceptLimit = t.maxConns + max(1, t.maxConns/overflowDivisor)
 	t.maxNew = max(1, t.maxConns/newConnDivisor)
 	t.changed.Broadcast()
--- a/internal/frontend/header_fields_test.go
+++ b/internal/frontend/header_fields_test.go
@@ -106,3 +106,6 @@
 
 // answerTo returns a successful answer.
 func answerTo(id policy.JobID) node.Answer { return node.Answer{Job: id, Result: []byte("at last")} }
+
+// rejectionOf returns a rejection.
+func rejectionOf(id policy.JobID) node.Answer { return node.Answer{Job: id, Final: node.Rejected} }
--- a/internal/frontend/read_ahead.go
+++ b/internal/frontend/read_ahead.go
@@ -8,6 +8,9 @@
 const (
 	minReadAhead     = 8 << 10 // bytes that each connection can always read ahead
 	maxConnReadAhead = 2 << 20 // bytes that a connection can read ahead at the most
+
+	// readAheadDivisor is what the node's memory is divided by to get the memory for what all connections read ahead.
+	readAheadDivisor = 16
 )
 
 // readAhead holds the bytes that are read from a connection while an answer is pending on it, until net/http reads them.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -188,7 +188,12 @@
 			return
 		}
 	}
-	job, invalid := s.decode(w, r)
+	job, invalid := s.decode(r)
+	body := requestBody{budget: &s.conns.bodies}
+	defer body.release()
+	if invalid == nil {
+		invalid = decodeBody(w, r, &job, &body)
+	}
 	if invalid != nil {
 		s.refuse(w, r, "", invalid)
 		return
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -33,6 +33,8 @@
 
 	// Whether the frontend was nearly out of file descriptors when the job arrived.
 	NearConnectionLimit bool
+	// Whether the frontend had too little memory for the job's body, which is empty then.
+	NearMemoryLimit bool
 
 	Client Client // client that waits for the answer on a connection; nil if there is none
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -140,7 +140,7 @@
 	switch {
 	case in.NearConnectionLimit:
 		return ReasonConnLimit
-	case n.jobs.bodyBytes+len(in.Body) > n.limits.MaxBodyBytes:
+	case in.NearMemoryLimit, n.jobs.bodyBytes+len(in.Body) > n.limits.MaxBodyBytes:
 		return ReasonBodyLimit
 	}
 	return NoReason
