Pace a connection whose requests are answered without an attempt

What callers saw: while one client sent small or invalid requests on one connection at full speed, other clients got their answers late, or only after their deadline.

Cause: a node has one core. An invalid request, a readiness request or a job that is rejected at once costs it some microseconds and leads straight to the next one on the connection. The connection's goroutine is then always ready to run, and each step of another client's job (read, event loop, dial, write, response, answer) waits for it or for the next look at the network, some 10 ms each.

Fix: a connection gets 100 such answers at once and 500 a second; the server's own answers are limited to 4,000 a second on all connections. A request beyond that waits before it is handled, 250 ms at most, and what is behind it waits in the kernel. Jobs that are served do not count. golang.org/x/time/rate keeps the rates.

--- a/cmd/birchstair/lone_node_test.go
+++ b/cmd/birchstair/lone_node_test.go
@@ -96,6 +96,13 @@
 	n.ranAt[job] = time.Now()
 }
 
+// runCount returns how often a job has run.
+func (n *loneNode) runCount(id string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.runs[policy.JobID(id)]
+}
+
 func (n *loneNode) awaitReady() {
 	n.t.Helper()
 	for deadline := time.Now().Add(15 * time.Second); ; time.Sleep(5 * time.Millisecond) {
--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"birchstair/internal/socket"
 )
 
@@ -39,6 +41,10 @@
 	readAhead       readAhead
 	readAheadBudget *byteBudget // memory for what all connections read ahead beyond minReadAhead
 	closed          bool        // net/http has closed the connection
+
+	// The fields below are used only by the goroutine of the handler (pacing.go).
+	cheapAnswers *rate.Limiter // answers that needed no attempt; nil before the first one
+	pausedUntil  time.Time     // the next request is not handled before; zero if it need not wait
 }
 
 // closeMode says whether a connection must be closed, and whether a request that has arrived only in part keeps it open.
--- /dev/null
+++ b/internal/frontend/pacing.go
@@ -0,0 +1,48 @@
+package frontend
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// A client that gets its answers without an attempt, because its requests are invalid or its jobs are rejected, can send requests as
+// fast as the node answers them. Each connection, and all together, are therefore limited to some such answers a second. A request
+// beyond that waits before it is handled, and the bytes behind it wait in the kernel.
+const (
+	connAnswersPerSecond = 500
+	connAnswersBurst     = 100
+	// Answers of the server itself, on all connections. The state machine's rejections do not count here, as clients that do nothing
+	// wrong get many of them under overload.
+	ownAnswersPerSecond = 4000
+	ownAnswersBurst     = 2000
+	// maxPause bounds how long a request waits, because a client is owed an answer to an invalid request within seconds.
+	maxPause = 250 * time.Millisecond
+)
+
+// newOwnAnswersLimiter returns the limiter of the answers of the server itself.
+func newOwnAnswersLimiter() *rate.Limiter {
+	return rate.NewLimiter(ownAnswersPerSecond, ownAnswersBurst)
+}
+
+// countCheapAnswer counts an answer that needed no attempt. The connection's next request waits if there were too many. shared is
+// a limiter that counts the answer too; nil for none.
+func (c *clientConn) countCheapAnswer(shared *rate.Limiter) {
+	if c.cheapAnswers == nil {
+		c.cheapAnswers = rate.NewLimiter(connAnswersPerSecond, connAnswersBurst)
+	}
+	now := time.Now()
+	pause := c.cheapAnswers.ReserveN(now, 1).DelayFrom(now)
+	if shared != nil {
+		pause = max(pause, shared.ReserveN(now, 1).DelayFrom(now))
+	}
+	c.pausedUntil = now.Add(min(pause, maxPause))
+}
+
+// awaitPause waits until the connection's next request may be handled.
+func (c *clientConn) awaitPause() {
+	if !c.pausedUntil.IsZero() {
+		time.Sleep(time.Until(c.pausedUntil))
+		c.pausedUntil = time.Time{}
+	}
+}
--- /dev/null
+++ b/internal/frontend/pacing_test.go
@@ -0,0 +1,57 @@
+package frontend
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestManyInvalidRequestsArePaced sends many invalid requests at once on one connection. All must be answered, no faster than the
+// limit, and a job on another connection must not wait for them.
+func TestManyInvalidRequestsArePaced(t *testing.T) {
+	const requests = connAnswersBurst + 100
+	c, _ := newHaltableNode(t, 10)
+	hostile, polite := c.dial(), c.dial()
+	began := time.Now()
+	hostile.send(strings.Repeat("GET / HTTP/1.1\r\nHost: n\r\n\r\n", requests))
+	c.waitUntil("the connection is paused", func() bool {
+		return c.server.ownAnswers.Tokens() <= ownAnswersBurst-connAnswersBurst
+	})
+	for range 10 {
+		polite.send(jobRequest("handled-1"))
+		c.nextJob()
+		c.printAnswer(polite)
+	}
+	if waited := time.Since(began); waited > 20*time.Second/10 {
+		t.Errorf("another client waits %v", waited)
+	}
+	for i := range requests {
+		a, err := http.ReadResponse(hostile.in, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		if _, err := hostile.in.Discard(int(a.ContentLength)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took, least := time.Since(began), (requests-connAnswersBurst-1)*time.Second/connAnswersPerSecond; took < least {
+		t.Errorf("%d invalid requests take %v, want at least %v", requests, took, least)
+	}
+}
+
+// TestPauseIsBounded checks that an answer of the server never waits longer than maxPause, however many there were.
+func TestPauseIsBounded(t *testing.T) {
+	var conn clientConn
+	shared := newOwnAnswersLimiter()
+	for range 10 * ownAnswersBurst {
+		conn.countCheapAnswer(shared)
+	}
+	if pause := time.Until(conn.pausedUntil); pause > maxPause || pause < maxPause/2 {
+		t.Errorf("the next request waits %v, want %v", pause, maxPause)
+	}
+	conn.awaitPause()
+	if !conn.pausedUntil.IsZero() || time.Now().Before(conn.pausedUntil) {
+		t.Error("the connection is still paused")
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"birchstair/internal/node"
 	"birchstair/policy"
 )
@@ -33,6 +35,7 @@
 
 	closeTimeout time.Duration // how long Close waits until answers are written
 	reporter     Reporter
+	ownAnswers   *rate.Limiter // answers of the server itself
 
 	mu             sync.Mutex
 	pending        map[policy.JobID]chan node.Answer // channels on which handlers wait for final answers, by job ID
@@ -76,6 +79,7 @@
 		nodeStopped:  make(chan struct{}),
 		closeTimeout: defaultCloseTimeout,
 		reporter:     noReporter{},
+		ownAnswers:   newOwnAnswersLimiter(),
 		pending:      map[policy.JobID]chan node.Answer{},
 	}
 	s.UpdateJobClasses(classes)
@@ -161,6 +165,7 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.setConnectionClose(w)
 	conn := r.Context().Value(connContextKey{}).(*clientConn)
+	conn.awaitPause()
 	framing := conn.countRequest()
 	if framing.tooManyFields {
 		s.refuse(w, r, "", tooManyFields)
@@ -176,6 +181,7 @@
 	}
 	if r.URL.Path == readyPath {
 		s.serveReadiness(w, r)
+		conn.countCheapAnswer(s.ownAnswers)
 		return
 	}
 	for prefix, handler := range s.prefixHandlers {
@@ -205,6 +211,7 @@
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, id policy.JobID, reason *requestError) {
 	s.reporter.RequestRefused(id, r.RemoteAddr, reason.reason)
 	reason.writeTo(w)
+	r.Context().Value(connContextKey{}).(*clientConn).countCheapAnswer(s.ownAnswers)
 }
 
 // serveJob posts a batch job to the state machine, waits for its final answer and writes it.
@@ -227,6 +234,9 @@
 	}
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	writeAnswer(w, final)
+	if final.Final != node.Succeeded {
+		conn.countCheapAnswer(nil)
+	}
 }
 
 // setConnectionClose makes this answer the last one on its connection if the node drains its clients, shuts down or has
