Remember the IDs of jobs that may have run, and never run them again

What callers saw: an at-most-once job ran twice when its ID came again after its client had left.

Cause: a node knew an ID only while the job had an attempt in flight. A client that loses its connection may submit the same job again, under the same ID; once the abandoned attempt had ended, that was a new job.

Fix: the state machine remembers a digest of the ID of each job that is not idempotent and may have run, for five minutes, and at most as many as fit into a 64th of the node's memory (24,576 with 192 MiB); the oldest go first. A job under such an ID fails: 503 would promise that it never ran. Idempotent jobs, jobs that certainly never ran, and durable jobs, which have a table of their own, are as before.

Test: the traces of package node gave the state machine the default class where the policy had the one of the trace's settings; now both have the same.

--- a/cmd/birchstair/serve.go
+++ b/cmd/birchstair/serve.go
@@ -39,6 +39,10 @@
 	logBuffer = 1000
 	// maxSendDelay is the longest time from the decision to send an attempt until the attempt's first byte is written.
 	maxSendDelay = 100 * time.Millisecond
+	// The node's memory is divided by usedIDsMemoryDivisor to get the memory for the IDs of jobs that may have run.
+	usedIDsMemoryDivisor = 64
+	// usedIDBytes is the memory that a remembered ID takes, in bytes: an entry of a map and one of a list.
+	usedIDBytes = 128
 )
 
 // serveCmd runs a node.
@@ -173,6 +177,7 @@
 		MaxConnsShared:  executorsShared,
 		SlowStartWindow: s.Policy.OverloadWindow + maxSendDelay,
 		MaxBodyBytes:    int(conf.MemoryBytes / 4),
+		MaxUsedIDs:      int(conf.MemoryBytes / usedIDsMemoryDivisor / usedIDBytes),
 		RetryAfter:      s.Policy.MaxRetryAfter,
 		MaxWork:         conf.MaxWork(),
 		LameDuckPeriod:  config.LameDuckPeriod,
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -324,6 +324,7 @@
 	if ev.ConnBroken && ev.Outcome == policy.ConnectFailed {
 		n.metrics.uncountAttempt()
 	}
+	j.mayHaveRun = j.mayHaveRun || !ev.Outcome.NeverRan()
 	outcome := n.resolveOutcome(c, j, ev)
 	n.reportLoad(c, ev.Load)
 	if ev.ConnBroken {
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -34,6 +34,7 @@
 //	dispatch.go     calls the handler of an event
 //	tasks.go        the policy's due tasks and the timer
 //	jobs.go         jobs from arrival to final answer, and their deadlines
+//	used_ids.go     IDs of jobs that must not run again
 //	conns.go        connections to executors, attempts on them, health checks
 //	idle_conns.go   idle connections, ordered by how long they have been idle
 //	endpoints.go    the executors that the endpoint list names
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -65,19 +65,20 @@
 	heap.Push(&t.unanswered, j)
 }
 
-// markAnswered marks a job as answered. The job is removed once none of its attempts is in flight.
+// markAnswered marks a job as answered.
 func (t *jobTable) markAnswered(j *job) {
 	j.answered = true
 	heap.Remove(&t.unanswered, j.heapIndex)
-	t.release(j)
 }
 
-// release removes a job if it is answered and none of its attempts is in flight.
-func (t *jobTable) release(j *job) {
-	if j.answered && len(j.conns) == 0 && t.byID[j.ID] == j {
-		delete(t.byID, j.ID)
-		t.bodyBytes -= len(j.Body)
+// release removes a job if it is answered and none of its attempts is in flight. It reports whether it has removed the job.
+func (t *jobTable) release(j *job) bool {
+	if !j.answered || len(j.conns) > 0 || t.byID[j.ID] != j {
+		return false
 	}
+	delete(t.byID, j.ID)
+	t.bodyBytes -= len(j.Body)
+	return true
 }
 
 // inFlight returns the number of jobs without a final answer.
@@ -116,6 +117,11 @@
 		n.emit(Answer{Job: in.ID, Final: Failed, Reason: ReasonIDInUse})
 		return
 	}
+	if n.idUsed(&in) {
+		n.metrics.countAnswer(in.Class, Failed)
+		n.emit(Answer{Job: in.ID, Final: Failed, Reason: ReasonIDUsed})
+		return
+	}
 	if reason := n.overLimit(&in); reason != NoReason {
 		n.metrics.countAnswer(in.Class, Rejected)
 		n.emit(Answer{Job: in.ID, Final: Rejected, RetryAfter: n.limits.RetryAfter, Reason: reason})
@@ -146,6 +152,20 @@
 	return NoReason
 }
 
+// markAnswered marks a job as answered. The job is removed once none of its attempts is in flight.
+func (n *Node) markAnswered(j *job) {
+	n.jobs.markAnswered(j)
+	n.releaseJob(j)
+}
+
+// releaseJob removes a job if it is answered and none of its attempts is in flight. If the job may have run and must not run
+// again, its ID is remembered.
+func (n *Node) releaseJob(j *job) {
+	if n.jobs.release(j) && j.mayHaveRun && n.mustNotRepeat(&j.Job) {
+		n.usedIDs.add(digestOf(j.ID), n.now)
+	}
+}
+
 // answer gives a job its final answer, unless it is already answered or its client has gone.
 func (n *Node) answer(j *job, a Answer) {
 	if j.answered {
@@ -154,7 +174,7 @@
 	a.Job = j.ID
 	n.metrics.countAnswer(j.Class, a.Final)
 	n.emit(a)
-	n.jobs.markAnswered(j)
+	n.markAnswered(j)
 }
 
 // clientLeft handles a client that has closed its connection. Its job may already be gone: before an attempt's first
@@ -170,7 +190,7 @@
 // clientGone ends a job whose client has gone. The job needs no answer and gets no further attempts.
 func (n *Node) clientGone(j *job) {
 	if !j.answered {
-		n.jobs.markAnswered(j)
+		n.markAnswered(j)
 		n.policy.ClientLeft(n.now, j.ID)
 	}
 }
@@ -215,8 +235,7 @@
 
 // attemptOver notifies the policy of the outcome of an attempt, and applies the policy's next decision about the job.
 func (n *Node) attemptOver(j *job, attempt policy.AttemptID, outcome policy.Outcome) {
-	j.mayHaveRun = j.mayHaveRun || !outcome.NeverRan()
-	n.jobs.release(j)
+	n.releaseJob(j)
 	n.jobs.deciding = j
 	n.applyDecision(j, n.policy.AttemptEnded(n.now, j.ID, attempt, outcome, j.answered))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	MaxConns       int // maximum number of connections to executors
 	MaxConnsShared int // maximum number of connections to executors while another process of this node shares its limits
 	MaxBodyBytes   int // maximum total size of the request bodies of all jobs
+	MaxUsedIDs     int // maximum number of IDs of jobs that may have run that are remembered; 0 for a default
 	// Time after which a client is advised to retry a job that was rejected at a resource limit; 0 for no advice.
 	RetryAfter      time.Duration
 	MaxWork         time.Duration // maximum estimated run time of a job; longer estimates are reduced to it
@@ -65,6 +66,7 @@
 	limits Limits
 
 	jobs      jobTable
+	usedIDs   usedIDs
 	metrics   counters
 	classes   jobClasses
 	shutdown  shutdown
@@ -87,6 +89,7 @@
 		policy:    p,
 		limits:    limits,
 		jobs:      jobTable{byID: map[policy.JobID]*job{}},
+		usedIDs:   newUsedIDs(limits.MaxUsedIDs),
 		classes:   jobClasses{lastIDByName: map[string]policy.JobClassID{}},
 		conns:     connTable{byID: map[ConnID]*conn{}, idleLimit: limits.MaxIdle},
 		endpoints: endpointTable{byID: map[policy.ExecutorID]*executor{}},
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -88,7 +88,7 @@
 	if slices.Contains(words, "panicking-policy") {
 		dispatcher = nil
 	}
-	n := New(dispatcher, limits, []JobClass{{"page", defaultClass()}})
+	n := New(dispatcher, limits, []JobClass{{"page", s.JobClasses[0]}})
 	if slices.Contains(words, "cluster") {
 		n.JoinCluster(cluster.Defaults("me", 0, 1))
 	}
--- a/internal/node/reason.go
+++ b/internal/node/reason.go
@@ -10,6 +10,7 @@
 	ReasonConnLimit                   // the frontend was nearly out of connections
 	ReasonBodyLimit                   // the request bodies of all jobs would take too much memory
 	ReasonIDInUse                     // a job with the same ID has an attempt in flight
+	ReasonIDUsed                      // a job with the same ID may have run before
 	ReasonDeadline                    // the deadline has passed
 	ReasonInvalid                     // the executor found the request invalid
 	ReasonPolicyPanic                 // the policy panicked
@@ -24,6 +25,7 @@
 	ReasonConnLimit:     "near the connection limit",
 	ReasonBodyLimit:     "over the memory for request bodies",
 	ReasonIDInUse:       "a job with this ID is in flight",
+	ReasonIDUsed:        "a job with this ID may have run before",
 	ReasonDeadline:      "the deadline has passed",
 	ReasonInvalid:       "the executor found the request invalid",
 	ReasonPolicyPanic:   "the policy panicked",
