Claim the IDs of jobs that must not run twice from the node's other process

What callers saw: an at-most-once job ran twice when its ID came again at the other process of an upgrade.

Cause: during a hot restart two processes serve the same clients, the predecessor on the connections that it has, the successor on new ones. What one of them had run was unknown to the other, also after the predecessor's end.

Fix: the predecessor transfers the digests of the IDs that may have run, with its state and again when the successor is ready, with those of its jobs in flight. From then on each process claims the ID of a job that is not idempotent from the other one before the policy gets the job. A claim is refused if the ID is known; a granted one makes it known. If the claim is refused, or not answered in 250 ms, the job fails. Processes of earlier versions announce no claims and get none. The queue of messages to another process holds 1,024 in place of 64, as a burst of jobs brings a burst of claims, and a full queue closes the link.

--- a/internal/hotrestart/codec.go
+++ b/internal/hotrestart/codec.go
@@ -1,6 +1,7 @@
 package hotrestart
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -25,6 +26,9 @@
 		node.PredecessorYielded: "ceded",
 		node.RelayCommand:       "order",
 		node.RelayDone:          "done",
+		node.ClaimID:            "claim",
+		node.ClaimAnswered:      "claimed",
+		node.TransferUsedIDs:    "ids",
 	}
 	commandNames = []string{
 		node.ExcludeExecutor: "take-out",
@@ -42,6 +46,10 @@
 	Command  string            `json:"Order,omitempty"`
 	Executor policy.ExecutorID `json:"Executor,omitempty"`
 	State    *wireState        `json:"State,omitempty"`
+	Claims   bool              `json:"Claims,omitempty"`
+	Digest   string            `json:"Digest,omitempty"` // hexadecimal
+	Granted  bool              `json:"Granted,omitempty"`
+	UsedIDs  []wireUsedID      `json:"Used,omitempty"`
 }
 
 // wireState is the state that a process transfers to its successor. Durations are in nanoseconds. A point in time is
@@ -53,6 +61,14 @@
 	Endpoints  []wireEndpoint      `json:"List"`
 	Learned    wireLearned         `json:"Known"`
 	ClassNames []string            `json:"Names"`
+	UsedIDs    []wireUsedID        `json:"Used,omitempty"`
+	Claims     bool                `json:"Claims,omitempty"`
+}
+
+// wireUsedID is the ID of a job that must not run again.
+type wireUsedID struct {
+	Digest string        `json:"Digest"` // hexadecimal
+	Age    time.Duration `json:"Ago"`
 }
 
 // wireReadmitted is an executor that operators have readmitted.
@@ -118,7 +134,11 @@
 
 // encode encodes a message as a line, including the newline.
 func encode(message node.HandoffMessage) ([]byte, error) {
-	wire := wireMessage{Version: version, Kind: kindNames[message.Kind], Seq: message.Seq, Executor: message.Executor}
+	wire := wireMessage{Version: version, Kind: kindNames[message.Kind], Seq: message.Seq, Executor: message.Executor,
+		Claims: message.Claims, Granted: message.Granted, UsedIDs: convert(message.UsedIDs, usedIDToWire)}
+	if message.Kind == node.ClaimID {
+		wire.Digest = hex.EncodeToString(message.Digest[:])
+	}
 	if message.State != nil {
 		wire.State = stateToWire(message.State)
 	}
@@ -145,9 +165,20 @@
 	if wire.Kind == kindNames[node.StateTransfer] && wire.State == nil {
 		return message, errors.New("message without the state that it should transfer")
 	}
-	message = node.HandoffMessage{Kind: node.HandoffKind(kind), Seq: wire.Seq, Executor: wire.Executor}
+	message = node.HandoffMessage{Kind: node.HandoffKind(kind), Seq: wire.Seq, Executor: wire.Executor, Claims: wire.Claims, Granted: wire.Granted}
+	if message.Kind == node.ClaimID {
+		if message.Digest, err = digestFromWire(wire.Digest); err != nil {
+			return message, err
+		}
+	}
+	if message.UsedIDs, err = usedIDsFromWire(wire.UsedIDs); err != nil {
+		return message, err
+	}
 	if wire.State != nil {
 		message.State = stateFromWire(wire.State)
+		if message.State.UsedIDs, err = usedIDsFromWire(wire.State.UsedIDs); err != nil {
+			return message, err
+		}
 	}
 	if message.Kind == node.RelayCommand {
 		command := slices.Index(commandNames, wire.Command)
@@ -185,7 +216,32 @@
 		}),
 		Learned:    learnedToWire(state.Learned),
 		ClassNames: state.ClassNames,
+		UsedIDs:    convert(state.UsedIDs, usedIDToWire),
+		Claims:     state.Claims,
+	}
+}
+
+func usedIDToWire(id node.UsedID) wireUsedID {
+	return wireUsedID{Digest: hex.EncodeToString(id.Digest[:]), Age: id.Age}
+}
+
+func usedIDsFromWire(wire []wireUsedID) (list []node.UsedID, err error) {
+	for _, id := range wire {
+		digest, err := digestFromWire(id.Digest)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, node.UsedID{Digest: digest, Age: id.Age})
+	}
+	return list, nil
+}
+
+func digestFromWire(text string) (digest node.IDDigest, err error) {
+	bytes, err := hex.DecodeString(text)
+	if err != nil || len(bytes) != len(digest) {
+		return digest, fmt.Errorf("malformed digest of an ID %.40q", text)
 	}
+	return node.IDDigest(bytes), nil
 }
 
 func stateFromWire(wire *wireState) *node.HandoffState {
@@ -201,6 +257,7 @@
 		}),
 		Learned:    learnedFromWire(wire.Learned),
 		ClassNames: wire.ClassNames,
+		Claims:     wire.Claims,
 	}
 }
 
--- a/internal/hotrestart/transport.go
+++ b/internal/hotrestart/transport.go
@@ -16,7 +16,7 @@
 	// readBufferBytes is the initial size of a link's read buffer, which grows to up to maxMessageBytes.
 	readBufferBytes = 1 << 10
 	// sendQueueLen is the maximum number of messages queued for another process. If more are sent, the link is closed.
-	sendQueueLen = 64
+	sendQueueLen = 1024
 	// maxLinks is the maximum number of links. Further successors are rejected, because file descriptors are scarce.
 	maxLinks           = 2
 	writeTimeout       = time.Second
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -44,6 +44,7 @@
 //	metrics.go      counters that operators read
 //	gossip.go       messages exchanged with the other nodes of the cluster
 //	handoff.go      hot restart: the handoff between two processes of a node
+//	claims.go       claims on IDs between the node's processes
 //	relay.go        operators' commands passed on to the node's other processes
 //	shutdown.go     graceful shutdown
 //	loop.go         Loop and the interfaces of the edges
@@ -73,6 +74,11 @@
 // has yielded. Both waits are bounded (stateTimeout, yieldTimeout). If a link goes down early, the remaining process
 // continues alone: a successor continues without the state, and a predecessor accepts connections again.
 //
+// A job that is not idempotent can come to both processes under the same ID, because a client whose connection ends submits
+// it again. From SuccessorReady on, each process therefore claims the ID of such a job from the other one (ClaimID) before it
+// gives the job to the policy. With the state, and again when the successor is ready, the predecessor transfers the IDs that
+// were used before.
+//
 // Only one of the two processes sends work to executors in slow start at any time. Until the predecessor yields, this
 // is the predecessor. The successor begins when everything that the predecessor may have sent has left the window of
 // the slow-start budget.
--- a/internal/node/handoff.go
+++ b/internal/node/handoff.go
@@ -34,6 +34,8 @@
 	Endpoints  []Endpoint           // endpoint list; the StartedAt of each entry is an age
 	Learned    policy.LearnedState  // the policy's estimates
 	ClassNames []string             // names of the classes in Learned.Classes, in the same order
+	UsedIDs    []UsedID             // IDs of jobs that must not run again, the oldest first
+	Claims     bool                 // whether the predecessor answers claims on IDs
 }
 
 // ReadmittedExecutor is an executor that operators have readmitted.
@@ -58,15 +60,25 @@
 	RelayCommand
 	// RelayDone confirms that the RelayCommand with the same Seq has been run.
 	RelayDone
+	// ClaimID asks whether the sender may run a job under this ID. It is sent only to a process that answers claims.
+	ClaimID
+	// ClaimAnswered answers the ClaimID with the same Seq.
+	ClaimAnswered
+	// TransferUsedIDs carries the IDs of jobs that must not run again.
+	TransferUsedIDs
 )
 
 // HandoffMessage is a message between two processes of a node.
 type HandoffMessage struct {
 	Kind     HandoffKind
-	Seq      uint64            // sequence number of the command; set in RelayCommand and RelayDone
+	Seq      uint64            // sequence number of the command or claim; set in RelayCommand, RelayDone, ClaimID and ClaimAnswered
 	Command  AdminCommand      // operator's command; set in RelayCommand
 	Executor policy.ExecutorID // executor that the command is about; set in RelayCommand
 	State    *HandoffState     // predecessor's state; set in StateTransfer
+	Claims   bool              // whether the successor answers claims on IDs; set in SuccessorReady
+	Digest   IDDigest          // ID that is claimed; set in ClaimID
+	Granted  bool              // whether the claim is granted; set in ClaimAnswered
+	UsedIDs  []UsedID          // set in TransferUsedIDs
 }
 
 // handoff is the state of a handoff between processes of this node. The package comment describes the protocol. A
@@ -128,7 +140,7 @@
 	n.emit(AcceptConnections{!h.yielded})
 	if h.connected(Predecessor) {
 		h.awaitingYield, h.yieldDeadline = true, n.now+yieldTimeout
-		n.emit(SendHandoff{Predecessor, HandoffMessage{Kind: SuccessorReady}})
+		n.emit(SendHandoff{Predecessor, HandoffMessage{Kind: SuccessorReady, Claims: true}})
 	}
 }
 
@@ -158,6 +170,7 @@
 		return
 	}
 	n.relayLinkDown(link)
+	n.claimLinkDown(link)
 	switch {
 	case link == Predecessor:
 		n.emit(Log{Text: "handoff: the predecessor has ended: " + detail})
@@ -184,6 +197,7 @@
 			n.stateReceived(*m.State)
 		}
 	case SuccessorReady:
+		n.shareIDs(from, m.Claims)
 		n.yieldTo(from)
 	case PredecessorYielded:
 		n.handoff.awaitingYield = false
@@ -192,6 +206,24 @@
 		n.commandRelayed(from, m)
 	case RelayDone:
 		n.relayDone(m.Seq, from)
+	case ClaimID:
+		n.claimReceived(from, m)
+	case ClaimAnswered:
+		n.claimAnswered(from, m)
+	case TransferUsedIDs:
+		n.usedIDs.inherit(m.UsedIDs, n.now)
+	}
+}
+
+// shareIDs tells a successor that has become ready which IDs were used since the state was exported. From now on both processes
+// claim IDs from each other, if the successor answers claims.
+func (n *Node) shareIDs(successor HandoffLink, answersClaims bool) {
+	if !answersClaims {
+		return
+	}
+	n.claims.addLink(successor)
+	if used := n.usedAndCurrentIDs(); len(used) > 0 {
+		n.emit(SendHandoff{successor, HandoffMessage{Kind: TransferUsedIDs, UsedIDs: used}})
 	}
 }
 
@@ -224,7 +256,7 @@
 
 // exportState returns the state for a successor.
 func (n *Node) exportState() *HandoffState {
-	state := &HandoffState{Learned: n.policy.ExportLearned(n.now)}
+	state := &HandoffState{Learned: n.policy.ExportLearned(n.now), UsedIDs: n.usedAndCurrentIDs(), Claims: true}
 	for _, class := range state.Learned.Classes {
 		state.ClassNames = append(state.ClassNames, n.metrics.className(class.ID))
 	}
@@ -240,6 +272,10 @@
 // stateReceived takes over the predecessor's state.
 func (n *Node) stateReceived(state HandoffState) {
 	n.handoff.awaitingState = false
+	n.usedIDs.inherit(state.UsedIDs, n.now)
+	if state.Claims {
+		n.claims.addLink(Predecessor)
+	}
 	n.admin.inherit(n.now, state)
 	if state.Drained {
 		n.drainClients(true)
@@ -279,12 +315,13 @@
 		n.handoffLinkDown(Predecessor, "no state received in time")
 	}
 	n.expireRelays()
+	n.expireClaims()
 }
 
 // nextHandoffDeadline returns when expireHandoff has something to do next, or policy.Forever if it is waiting for
 // nothing.
 func (n *Node) nextHandoffDeadline() time.Duration {
-	next := n.relays.nextDeadline()
+	next := n.claims.nextDeadline(n.relays.nextDeadline())
 	if n.handoff.awaitingState {
 		next = min(next, n.handoff.stateDeadline)
 	}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -11,7 +11,9 @@
 // job is the state of a job. It is kept until the job has its final answer and none of the job's attempts is in flight.
 type job struct {
 	Job
-	deadline time.Duration // time by which the final answer is due
+	digest    IDDigest      // digest of the ID; set if the job must not run twice
+	arrivedAt time.Duration // when the job arrived
+	deadline  time.Duration // time by which the final answer is due
 	// Time at which expireJobs handles the job next. This is first a quantum before the deadline, to abandon the job's
 	// attempts, and then the deadline, to answer the job.
 	expiresAt  time.Duration
@@ -48,9 +50,10 @@
 // jobTable holds all jobs of the node.
 type jobTable struct {
 	byID       map[policy.JobID]*job
-	unanswered jobHeap // jobs without a final answer, ordered by expiry
-	bodyBytes  int     // total size of the request bodies of all jobs
-	arrivals   int     // number of jobs added so far
+	byDigest   map[IDDigest]*job // jobs that must not run twice
+	unanswered jobHeap           // jobs without a final answer, ordered by expiry
+	bodyBytes  int               // total size of the request bodies of all jobs
+	arrivals   int               // number of jobs added so far
 	// Job that the policy is deciding about, or nil. If the policy panics, this job fails unless it has an attempt in
 	// flight.
 	deciding *job
@@ -59,6 +62,9 @@
 // add adds a job. The job expires for the first time a quantum before its deadline.
 func (t *jobTable) add(j *job, quantum time.Duration) {
 	t.byID[j.ID] = j
+	if j.digest != (IDDigest{}) {
+		t.byDigest[j.digest] = j
+	}
 	t.bodyBytes += len(j.Body)
 	t.arrivals++
 	j.arrival, j.expiresAt = t.arrivals, j.deadline-quantum
@@ -77,6 +83,7 @@
 		return false
 	}
 	delete(t.byID, j.ID)
+	delete(t.byDigest, j.digest)
 	t.bodyBytes -= len(j.Body)
 	return true
 }
@@ -117,25 +124,33 @@
 		n.emit(Answer{Job: in.ID, Final: Failed, Reason: ReasonIDInUse})
 		return
 	}
-	if n.idUsed(&in) {
-		n.metrics.countAnswer(in.Class, Failed)
-		n.emit(Answer{Job: in.ID, Final: Failed, Reason: ReasonIDUsed})
-		return
+	j := &job{Job: in, arrivedAt: n.now, deadline: n.shutdown.limitDeadline(n.now + in.Budget)}
+	if n.mustNotRepeat(&in) {
+		j.digest = digestOf(in.ID)
+		if n.usedIDs.contains(j.digest, n.now) {
+			n.metrics.countAnswer(in.Class, Failed)
+			n.emit(Answer{Job: in.ID, Final: Failed, Reason: ReasonIDUsed})
+			return
+		}
 	}
 	if reason := n.overLimit(&in); reason != NoReason {
 		n.metrics.countAnswer(in.Class, Rejected)
 		n.emit(Answer{Job: in.ID, Final: Rejected, RetryAfter: n.limits.RetryAfter, Reason: reason})
 		return
 	}
-	j := &job{Job: in, deadline: n.shutdown.limitDeadline(n.now + in.Budget)}
 	n.jobs.add(j, n.limits.Quantum)
+	n.admit(j)
+}
+
+// submit gives a job to the policy.
+func (n *Node) submit(j *job) {
 	n.jobs.deciding = j
 	n.policy.JobArrived(n.now, policy.Arrival{
 		Job:         j.ID,
 		Class:       j.Class,
 		Tenant:      j.Tenant,
 		Work:        min(j.Work, n.limits.MaxWork),
-		Budget:      j.Budget,
+		Budget:      j.Budget - (n.now - j.arrivedAt),
 		ClientRetry: j.ClientRetry,
 	})
 	n.jobs.deciding = nil
@@ -162,7 +177,7 @@
 // again, its ID is remembered.
 func (n *Node) releaseJob(j *job) {
 	if n.jobs.release(j) && j.mayHaveRun && n.mustNotRepeat(&j.Job) {
-		n.usedIDs.add(digestOf(j.ID), n.now)
+		n.usedIDs.add(j.digest, n.now)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,7 @@
 	admin     adminState
 	handoff   handoff
 	relays    commandRelays
+	claims    idClaims
 	cluster   *cluster.State // what this node knows of its cluster; nil if it is not part of one
 
 	now time.Duration // time of the current step
@@ -88,12 +89,13 @@
 	n := &Node{
 		policy:    p,
 		limits:    limits,
-		jobs:      jobTable{byID: map[policy.JobID]*job{}},
+		jobs:      jobTable{byID: map[policy.JobID]*job{}, byDigest: map[IDDigest]*job{}},
 		usedIDs:   newUsedIDs(limits.MaxUsedIDs),
 		classes:   jobClasses{lastIDByName: map[string]policy.JobClassID{}},
 		conns:     connTable{byID: map[ConnID]*conn{}, idleLimit: limits.MaxIdle},
 		endpoints: endpointTable{byID: map[policy.ExecutorID]*executor{}},
 		admin:     adminState{excluded: map[policy.ExecutorID]bool{}, readmittedAt: map[policy.ExecutorID]time.Duration{}},
+		claims:    idClaims{pending: map[uint64]*pendingClaim{}},
 		relays:    commandRelays{pending: map[uint64]*pendingRelay{}},
 	}
 	n.setJobClasses(classes)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -307,7 +307,17 @@
 func (p *tracePlayer) handoffMessage(now time.Duration, kind string, args []string) HandoffMessage {
 	switch kind {
 	case "ready":
-		return HandoffMessage{Kind: SuccessorReady}
+		return HandoffMessage{Kind: SuccessorReady, Claims: slices.Contains(args, "claims")}
+	case "claim":
+		return HandoffMessage{Kind: ClaimID, Seq: uint64(p.number(args[0])), Digest: digestOf(policy.JobID(args[1]))}
+	case "granted", "refused":
+		return HandoffMessage{Kind: ClaimAnswered, Seq: uint64(p.number(args[0])), Granted: kind == "granted"}
+	case "ids":
+		message := HandoffMessage{Kind: TransferUsedIDs}
+		for _, arg := range args {
+			message.UsedIDs = append(message.UsedIDs, UsedID{Digest: digestOf(policy.JobID(arg))})
+		}
+		return message
 	case "yielded":
 		return HandoffMessage{Kind: PredecessorYielded}
 	case "done":
@@ -333,6 +343,10 @@
 			state.Endpoints = append(state.Endpoints, p.endpoints(now, []string{value})...)
 		case "drained":
 			state.Drained = true
+		case "claims":
+			state.Claims = true
+		case "used":
+			state.UsedIDs = append(state.UsedIDs, UsedID{Digest: digestOf(policy.JobID(value))})
 		}
 	}
 	return state
@@ -447,7 +461,16 @@
 		for _, e := range m.State.Endpoints {
 			text += fmt.Sprintf(" %s@%s:%d", e.Executor, e.Addr, e.State)
 		}
+		if len(m.State.UsedIDs) > 0 {
+			text += ", " + usedIDsText(m.State.UsedIDs)
+		}
 		return text
+	case ClaimID:
+		return fmt.Sprintf("claim %d: %s", m.Seq, jobOfDigest(m.Digest))
+	case ClaimAnswered:
+		return fmt.Sprintf("claim %d granted: %t", m.Seq, m.Granted)
+	case TransferUsedIDs:
+		return usedIDsText(m.UsedIDs)
 	case SuccessorReady:
 		return "successor ready"
 	case PredecessorYielded:
@@ -460,6 +483,24 @@
 	return ""
 }
 
+// jobOfDigest returns the ID of a job j1 to j9 by its digest.
+func jobOfDigest(digest IDDigest) policy.JobID {
+	for i := range 10 {
+		if id := policy.JobID(fmt.Sprint("j", i)); digestOf(id) == digest {
+			return id
+		}
+	}
+	return "?"
+}
+
+func usedIDsText(list []UsedID) string {
+	text := "used IDs"
+	for _, id := range list {
+		text += fmt.Sprintf(" %s for %v", jobOfDigest(id.Digest), id.Age)
+	}
+	return text
+}
+
 // play replays one line of a trace.
 func (p *tracePlayer) play(line string) {
 	p.t.Helper()
--- a/internal/node/reason.go
+++ b/internal/node/reason.go
@@ -11,6 +11,7 @@
 	ReasonBodyLimit                   // the request bodies of all jobs would take too much memory
 	ReasonIDInUse                     // a job with the same ID has an attempt in flight
 	ReasonIDUsed                      // a job with the same ID may have run before
+	ReasonClaimTimeout                // another process of the node did not answer the claim on the job's ID
 	ReasonDeadline                    // the deadline has passed
 	ReasonInvalid                     // the executor found the request invalid
 	ReasonPolicyPanic                 // the policy panicked
@@ -26,6 +27,7 @@
 	ReasonBodyLimit:     "over the memory for request bodies",
 	ReasonIDInUse:       "a job with this ID is in flight",
 	ReasonIDUsed:        "a job with this ID may have run before",
+	ReasonClaimTimeout:  "another process of the node did not answer",
 	ReasonDeadline:      "the deadline has passed",
 	ReasonInvalid:       "the executor found the request invalid",
 	ReasonPolicyPanic:   "the policy panicked",
--- a/internal/node/used_ids.go
+++ b/internal/node/used_ids.go
@@ -63,9 +63,6 @@
 	return ok
 }
 
-// empty reports whether no ID is remembered.
-func (u *usedIDs) empty() bool { return len(u.order) == 0 }
-
 // expire forgets IDs that were used too long ago, and the oldest ones beyond the limit.
 func (u *usedIDs) expire(now time.Duration) {
 	for len(u.order) > 0 && (len(u.order) > u.limit || now-u.order[0].at >= usedIDRetention) {
@@ -99,8 +96,3 @@
 func (n *Node) mustNotRepeat(j *Job) bool {
 	return j.Client != nil && n.classes.idempotency[j.Class] != policy.Idempotent
 }
-
-// idUsed reports whether a job with this ID may have run before.
-func (n *Node) idUsed(in *Job) bool {
-	return in.Client != nil && !n.usedIDs.empty() && n.usedIDs.contains(digestOf(in.ID), n.now)
-}
--- a/internal/node/used_ids_test.go
+++ b/internal/node/used_ids_test.go
@@ -29,7 +29,7 @@
 	if !inherited.contains(id(0), 0) || !inherited.contains(id(10*limit-1), 0) {
 		t.Error("an inherited ID is not remembered")
 	}
-	if u.contains(id(0), now+usedIDRetention) || !u.empty() {
+	if u.contains(id(0), now+usedIDRetention) || len(u.usedAt)+len(u.order) > 0 {
 		t.Error("an ID is remembered for too long")
 	}
 }
