A process that runs no more jobs ends the claims of the other one

Cause: a predecessor that has answered its last job ends its event loop, while its process lives on for up to 0.3 s to close connections. Its link stayed up, and nothing answered the successor's claims, which failed after 250 ms.

Fix: right before it exits its loop, a process sends that it runs no more jobs. The other one takes its missing answers as granted.

A request waits at most 100 ms for its connection's pace, so that a job behind invalid requests states no budget that its client does not have.

--- a/cmd/birchstair/lone_node_test.go
+++ b/cmd/birchstair/lone_node_test.go
@@ -140,14 +140,20 @@
 // peakMemory returns the largest resident size that the process has had, in bytes.
 func (n *loneNode) peakMemory() int64 {
 	n.t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	return peakMemoryOf(n.t, n.cmd.Process.Pid)
+}
+
+// peakMemoryOf returns the largest resident size that a process has had, in bytes. The process must be running.
+func peakMemoryOf(t *testing.T, pid int) int64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	_, rest, found := strings.Cut(string(status), "VmHWM:")
 	if err != nil || !found {
-		n.t.Fatalf("the process has ended: %v", err)
+		t.Fatalf("the process has ended: %v", err)
 	}
 	kilobytes, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
 	if err != nil {
-		n.t.Fatal(err)
+		t.Fatal(err)
 	}
 	return kilobytes << 10
 }
--- a/cmd/birchstair/upgrade_test.go
+++ b/cmd/birchstair/upgrade_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,6 +36,8 @@
 	discovery    string // address of discovery
 	started      int
 	adminAddrs   []string
+	observeRun   func(policy.JobID) // called when an attempt begins to run; nil for none
+	runTime      atomic.Int64       // how long executors take for an attempt, in nanoseconds
 
 	mu             sync.Mutex
 	runs           map[policy.JobID]int
@@ -44,6 +47,9 @@
 	answers        map[policy.JobID]int  // status of each answer; 0 if the connection broke
 }
 
+// testPlatformMemoryMB is the memory limit of the node's processes.
+const testPlatformMemoryMB = 32
+
 // process is one of the processes of the node.
 type process struct {
 	cmd       *exec.Cmd
@@ -55,15 +61,19 @@
 func newPlatform(t *testing.T, binary string) *testPlatform {
 	p := &testPlatform{t: t, binary: binary, dir: t.TempDir(), runs: map[policy.JobID]int{}, submittedSince: map[policy.JobID]bool{},
 		answers: map[policy.JobID]int{}}
+	p.runTime.Store(int64(5 * time.Millisecond))
 	var entries []emulator.Entry
 	for i := range 4 {
 		id := policy.ExecutorID(fmt.Sprint("e", i))
 		l := freeListener(p.t)
 		entries = append(entries, emulator.Entry{Addr: l.Addr().String(), Endpoint: policy.Endpoint{Executor: id, Weight: 1, StartedLongAgo: true}})
-		x := &platform.Executor{ID: id, RunTime: func() time.Duration { return 5 * time.Millisecond }, OnEffect: func(job policy.JobID) {
+		x := &platform.Executor{ID: id, RunTime: func() time.Duration { return time.Duration(p.runTime.Load()) }, OnEffect: func(job policy.JobID) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.runs[job]++
+			if p.observeRun != nil {
+				go p.observeRun(job)
+			}
 			if id == p.excluded && p.submittedSince[job] {
 				p.misdirected = append(p.misdirected, job)
 			}
@@ -115,7 +125,7 @@
 		tracks = append(tracks, map[string]any{"name": t[0], "quoted-time-s": 1, "outer-limit-s": 2, "repeat": t[1], "earnings": 1})
 	}
 	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": p.listen, "discovery": discovery, "management": proc.adminAddr,
-		"limits": map[string]any{"memory_mb": 32, "sockets": 256},
+		"limits": map[string]any{"memory_mb": testPlatformMemoryMB, "sockets": 256},
 		"settings": map[string]any{"balancers": 1, "areas": []string{"z"}, "flavors": []string{"plain"}, "caps": map[string]any{"max-allocations": 3},
 			"domain": map[string]any{"tells-start": true}, "tracks": tracks}})
 	if broken {
--- a/internal/frontend/pacing.go
+++ b/internal/frontend/pacing.go
@@ -16,8 +16,8 @@
 	// wrong get many of them under overload.
 	ownAnswersPerSecond = 4000
 	ownAnswersBurst     = 2000
-	// maxPause bounds how long a request waits, because a client is owed an answer to an invalid request within seconds.
-	maxPause = 250 * time.Millisecond
+	// maxPause bounds how long a request waits. A job that waits behind invalid requests must still state a budget that its client has.
+	maxPause = 100 * time.Millisecond
 )
 
 // newOwnAnswersLimiter returns the limiter of the answers of the server itself.
--- a/internal/hotrestart/claims_test.go
+++ b/internal/hotrestart/claims_test.go
@@ -22,6 +22,7 @@
 		{Kind: node.ClaimAnswered, Seq: 7, Granted: true},
 		{Kind: node.ClaimAnswered, Seq: 8},
 		{Kind: node.TransferUsedIDs, UsedIDs: used},
+		{Kind: node.ClaimsEnded},
 	} {
 		line, err := encode(message)
 		if err != nil {
--- a/internal/hotrestart/codec.go
+++ b/internal/hotrestart/codec.go
@@ -29,6 +29,7 @@
 		node.ClaimID:            "claim",
 		node.ClaimAnswered:      "claimed",
 		node.TransferUsedIDs:    "ids",
+		node.ClaimsEnded:        "ended",
 	}
 	commandNames = []string{
 		node.ExcludeExecutor: "take-out",
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -99,14 +99,21 @@
 	n.answer(p.job, Answer{Final: Failed, Reason: reason})
 }
 
-// claimLinkDown stops waiting for the answers of a process that has ended.
-func (n *Node) claimLinkDown(link HandoffLink) {
+// endClaimsOf stops claiming IDs from a process that has ended or runs no more jobs, and takes its missing answers as granted.
+func (n *Node) endClaimsOf(link HandoffLink) {
 	n.claims.links = slices.DeleteFunc(n.claims.links, func(other HandoffLink) bool { return other == link })
 	for _, seq := range n.claims.seqs() {
 		n.claimGranted(seq, link)
 	}
 }
 
+// announceClaimsEnd tells the other processes that this one runs no more jobs. It does not answer their claims any more.
+func (n *Node) announceClaimsEnd() {
+	for _, link := range n.claims.links {
+		n.emit(SendHandoff{link, HandoffMessage{Kind: ClaimsEnded}})
+	}
+}
+
 // expireClaims fails the jobs whose claims were not answered in time.
 func (n *Node) expireClaims() {
 	if len(n.claims.pending) == 0 { // this is the usual case, and expireClaims runs in every step
--- a/internal/node/handoff.go
+++ b/internal/node/handoff.go
@@ -66,6 +66,8 @@
 	ClaimAnswered
 	// TransferUsedIDs carries the IDs of jobs that must not run again.
 	TransferUsedIDs
+	// ClaimsEnded reports that the sender runs no more jobs, and answers no more claims.
+	ClaimsEnded
 )
 
 // HandoffMessage is a message between two processes of a node.
@@ -170,7 +172,7 @@
 		return
 	}
 	n.relayLinkDown(link)
-	n.claimLinkDown(link)
+	n.endClaimsOf(link)
 	switch {
 	case link == Predecessor:
 		n.emit(Log{Text: "handoff: the predecessor has ended: " + detail})
@@ -212,6 +214,8 @@
 		n.claimAnswered(from, m)
 	case TransferUsedIDs:
 		n.usedIDs.inherit(m.UsedIDs, n.now)
+	case ClaimsEnded:
+		n.endClaimsOf(from)
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -312,6 +312,8 @@
 		return HandoffMessage{Kind: ClaimID, Seq: uint64(p.number(args[0])), Digest: digestOf(policy.JobID(args[1]))}
 	case "granted", "refused":
 		return HandoffMessage{Kind: ClaimAnswered, Seq: uint64(p.number(args[0])), Granted: kind == "granted"}
+	case "claims-ended":
+		return HandoffMessage{Kind: ClaimsEnded}
 	case "ids":
 		message := HandoffMessage{Kind: TransferUsedIDs}
 		for _, arg := range args {
@@ -471,6 +473,8 @@
 		return fmt.Sprintf("claim %d granted: %t", m.Seq, m.Granted)
 	case TransferUsedIDs:
 		return usedIDsText(m.UsedIDs)
+	case ClaimsEnded:
+		return "claims ended"
 	case SuccessorReady:
 		return "successor ready"
 	case PredecessorYielded:
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -63,5 +63,6 @@
 	for n.jobs.inFlight() > 0 {
 		n.answer(n.jobs.first(), Answer{Final: Failed, Reason: ReasonFrontendEnded})
 	}
+	n.announceClaimsEnd()
 	n.emit(Exit{})
 }
