Go on accepting connections after every error but that of a closed listener

What callers saw: a node's process can end by itself, in the middle of service.

Cause: net/http's server ends at an error of accept that it does not take for temporary. Go's library handles ECONNABORTED and EINTR itself and calls EMFILE and ENFILE temporary. ENOBUFS, ENOMEM, EPROTO, ENETDOWN, EHOSTUNREACH and others, which accept(2) tells to try again after, end the server, and with it the node ("listen: ..."). The socket for successors stopped for good after any error.

Fix: the table that is the server's listener tries again after 5 ms, and the log says `accept failed` with the reason.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -80,6 +80,13 @@
 	l.write(line{message: "client connection closed", client: client, reason: reason})
 }
 
+// AcceptFailed logs that a client's connection could not be accepted.
+func (l *Logger) AcceptFailed(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.write(line{message: "accept failed", reason: err.Error()})
+}
+
 // RequestRefused logs that the frontend itself has answered a request. id can be empty.
 func (l *Logger) RequestRefused(id policy.JobID, client, reason string) {
 	l.mu.Lock()
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -11,6 +11,10 @@
 // pastDeadline is a deadline in the past. Setting it makes a blocked read or accept return at once.
 var pastDeadline = time.Unix(1, 0)
 
+// acceptRetryDelay is the pause after a failed accept. Each error but that of a closed listener is about the connection that was to
+// be accepted, or about a resource that the machine is short of.
+const acceptRetryDelay = 5 * time.Millisecond
+
 // deadliner is implemented by listeners whose Accept can be interrupted, such as net.TCPListener.
 type deadliner interface{ SetDeadline(time.Time) error }
 
@@ -24,7 +28,8 @@
 	return t
 }
 
-// Accept implements net.Listener. It waits while acceptLimit connections are open, or while accepting is paused.
+// Accept implements net.Listener. It waits while acceptLimit connections are open, or while accepting is paused. It returns an error
+// only if the listener is closed.
 func (t *connTable) Accept() (net.Conn, error) {
 	for {
 		t.mu.Lock()
@@ -34,11 +39,15 @@
 		t.mu.Unlock()
 		runtime.Gosched() // under overload, goroutines of connections that were accepted before go first
 		c, err := t.Listener.Accept()
-		if err == nil {
+		switch {
+		case err == nil:
 			return &clientConn{Conn: c, readAheadBudget: &t.readAhead}, nil
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) { // a passed deadline means that updateAcceptDeadline has interrupted Accept
+		case errors.Is(err, os.ErrDeadlineExceeded): // updateAcceptDeadline has interrupted Accept
+		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		default:
+			t.reporter.AcceptFailed(err)
+			time.Sleep(acceptRetryDelay)
 		}
 	}
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -49,6 +49,8 @@
 	RequestRefused(id policy.JobID, client, reason string)
 	// ConnectionClosed reports that the server has closed a connection.
 	ConnectionClosed(client, reason string)
+	// AcceptFailed reports that a connection could not be accepted. The server tries again.
+	AcceptFailed(err error)
 }
 
 // noReporter is a Reporter that drops all reports.
@@ -60,6 +62,9 @@
 // ConnectionClosed implements Reporter.
 func (noReporter) ConnectionClosed(string, string) {}
 
+// AcceptFailed implements Reporter.
+func (noReporter) AcceptFailed(error) {}
+
 // connContextKey is the key under which a request's context holds its clientConn.
 type connContextKey struct{}
 
--- a/internal/hotrestart/transport.go
+++ b/internal/hotrestart/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	// maxLinks is the maximum number of links. Further successors are rejected, because file descriptors are scarce.
 	maxLinks           = 2
 	writeTimeout       = time.Second
+	acceptRetryDelay   = 5 * time.Millisecond
 	detailLinkClosed   = "link closed"
 	firstSuccessorLink = node.Predecessor + 1
 )
@@ -81,9 +83,13 @@
 func (t *Transport) accept(listener *net.UnixListener) {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // the machine is short of something, or the successor has ended
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		t.mu.Lock()
 		full := len(t.links) >= maxLinks
 		id := t.nextLink
