Count a job's budget from the arrival of its request, not from its turn

What callers saw: jobs that were sent at once on one connection were answered up to 7 s after their deadline of 2 s.

Cause: a connection serves one request after the other. The budget of a job counted from the moment in which the answer to the one before it was written, while its client counts from the last byte that it has sent. The budget told to executors was too long by the same time.

TestPipelinedJobsAreAnsweredInTime failed before (1.6, 2.0 and 2.4 s with a budget of 1 s) and passes now.

A job states how long it has waited, and its deadline and its latency objective count from its arrival, in the state machine and in the policy.

--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -29,9 +29,11 @@
 
 	mu             sync.Mutex
 	framer         requestFramer
-	requestCount   int       // number of requests passed to the handler
-	answeredCount  int       // number of requests that are answered
-	deadline       time.Time // the read deadline that net/http has set; zero if it has set none
+	requestCount   int         // number of requests passed to the handler
+	answeredCount  int         // number of requests that are answered
+	arrivals       []time.Time // when the last bytes of the requests arrived that are complete and not passed to the handler yet
+	arrivalCount   int         // number of requests that are complete, as far as the framer finds their ends
+	deadline       time.Time   // the read deadline that net/http has set; zero if it has set none
 	closeMode      closeMode
 	finalCheckDone bool // the last read before a close has started, and has not returned a byte
 	readTimedOut   bool // net/http's deadline has ended a read
@@ -98,6 +100,36 @@
 	c.answeredCount = c.requestCount
 }
 
+// observe has the framer parse bytes that arrived at this time, and returns how many of them net/http may read. It notes when requests
+// were complete. It is called with the lock held.
+func (c *clientConn) observe(b []byte, at time.Time) (readable int) {
+	readable = c.framer.observe(b)
+	for ; c.arrivalCount < c.framer.completeRequests; c.arrivalCount++ {
+		c.arrivals = append(c.arrivals, at)
+	}
+	return readable
+}
+
+// waited returns how long ago the last byte of the request that is being handled arrived. The request can have waited for the
+// answers to earlier ones. If the framer does not know the end of the request, the result is 0.
+func (c *clientConn) waited() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.arrivals) == 0 || c.firstArrival() != c.requestCount {
+		return 0
+	}
+	return time.Since(c.arrivals[0])
+}
+
+// firstArrival returns the number of the request whose arrival is the first one in arrivals. It is called with the lock held.
+func (c *clientConn) firstArrival() int { return c.arrivalCount - len(c.arrivals) + 1 }
+
+// dropEarlierArrivals drops the arrivals of the requests before the one that is being handled. It is called with the lock held.
+func (c *clientConn) dropEarlierArrivals() {
+	earlier := min(max(0, c.requestCount-c.firstArrival()), len(c.arrivals))
+	c.arrivals = c.arrivals[earlier:]
+}
+
 // framing is what the bytes of a request tell that net/http does not.
 type framing struct {
 	chunksOnly    bool // the request has a chunked body and no Content-Length header
@@ -109,6 +141,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestCount++
+	c.dropEarlierArrivals()
 	f := &c.framer
 	if f.completeHeads != c.requestCount {
 		return framing{}
@@ -175,7 +208,7 @@
 func (c *clientConn) afterRead(b []byte, n int, err error) (readable int, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	readable = c.framer.observe(b[:n])
+	readable = c.observe(b[:n], time.Now())
 	if n > 0 {
 		if c.closeMode != stayOpen {
 			c.finalCheckDone = false
--- a/internal/frontend/read_ahead.go
+++ b/internal/frontend/read_ahead.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"time"
 )
 
 const (
@@ -54,7 +55,7 @@
 	for err == nil && c.mayReadAhead() {
 		var n int
 		n, err = c.Conn.Read(a.buffered.space())
-		a.buffered.commit(n)
+		a.buffered.commit(n, time.Now())
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -112,9 +113,10 @@
 		<-ended
 		c.mu.Lock()
 	}
-	if n = a.buffered.read(b); n > 0 {
+	n, at := a.buffered.read(b)
+	if n > 0 {
 		c.shrinkReadAhead()
-		return c.framer.observe(b[:n]), nil, true
+		return c.observe(b[:n], at), nil, true
 	}
 	return 0, a.err, a.err != nil
 }
--- a/internal/frontend/request_framer.go
+++ b/internal/frontend/request_framer.go
@@ -11,6 +11,7 @@
 // use it and then see other requests on the connection than net/http.
 type requestFramer struct {
 	completeHeads    int   // number of headers that were read completely
+	completeRequests int   // number of requests that were read completely
 	stopped          bool  // parsing has stopped, because a request was chunked or its Content-Length was invalid
 	chunked          bool  // the last complete header has a Transfer-Encoding
 	hasContentLength bool  // the last complete header has a Content-Length
@@ -43,6 +44,9 @@
 			n := min(f.bodyRemaining, int64(len(b)))
 			f.bodyRemaining -= n
 			b = b[n:]
+			if f.bodyRemaining == 0 {
+				f.completeRequests++
+			}
 			continue
 		}
 		if f.atExcessField(b[0]) {
@@ -101,5 +105,8 @@
 	f.chunked, f.hasContentLength = f.headHasTransferEncoding, f.headHasContentLength
 	f.stopped = f.headHasTransferEncoding
 	f.bodyRemaining = f.contentLength
+	if !f.stopped && f.bodyRemaining == 0 {
+		f.completeRequests++
+	}
 	f.inHead, f.fields, f.headHasContentLength, f.headHasTransferEncoding, f.contentLength = false, 0, false, false, 0
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -228,6 +228,7 @@
 		return
 	}
 	job.NearConnectionLimit = s.conns.jobReceived(conn)
+	job.Waited = conn.waited()
 	client := conn.beginWait()
 	defer conn.endWait()
 	job.Client = client
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -29,6 +29,7 @@
 	Tenant      policy.TenantID
 	Work        time.Duration // estimated run time; 0 if unknown
 	Budget      time.Duration // time that the client waits for the answer
+	Waited      time.Duration // part of the budget that had passed when the job was reported
 	ClientRetry bool          // whether the client marked the job as a retry
 
 	// Whether the frontend was nearly out of file descriptors when the job arrived.
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -124,7 +124,8 @@
 		n.emit(Answer{Job: in.ID, Final: Failed, Reason: ReasonIDInUse})
 		return
 	}
-	j := &job{Job: in, arrivedAt: n.now, deadline: n.shutdown.limitDeadline(n.now + in.Budget)}
+	arrivedAt := n.now - in.Waited
+	j := &job{Job: in, arrivedAt: arrivedAt, deadline: n.shutdown.limitDeadline(arrivedAt + in.Budget)}
 	if n.mustNotRepeat(&in) {
 		j.digest = digestOf(in.ID)
 		if n.usedIDs.contains(j.digest, n.now) {
@@ -150,7 +151,8 @@
 		Class:       j.Class,
 		Tenant:      j.Tenant,
 		Work:        min(j.Work, n.limits.MaxWork),
-		Budget:      j.Budget - (n.now - j.arrivedAt),
+		Budget:      j.Budget,
+		Waited:      n.now - j.arrivedAt,
 		ClientRetry: j.ClientRetry,
 	})
 	n.jobs.deciding = nil
--- a/internal/service/departed_clients_test.go
+++ b/internal/service/departed_clients_test.go
@@ -134,3 +134,43 @@
 	}
 	w.checkRanOnly("job")
 }
+
+// TestPipelinedJobsAreAnsweredInTime has a client send jobs at once on one connection, of which the executor has time for some. Each must be
+// answered by its deadline, which counts from its arrival and not from the answer to the one before.
+func TestPipelinedJobsAreAnsweredInTime(t *testing.T) {
+	const (
+		jobs   = 6
+		budget = time.Second
+		slack  = 500 * time.Millisecond
+	)
+	w := startNode(t, policy.Available, "repeatable")
+	w.acceptDials()
+	w.runTime.Store(int64(400 * time.Millisecond))
+	c := w.submit("warm-up")
+	in := bufio.NewReader(c)
+	readAnswer := func(id string) int {
+		a, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", id, err)
+		}
+		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+			t.Fatal(err)
+		}
+		return a.StatusCode
+	}
+	readAnswer("warm-up")
+	var text strings.Builder
+	for i := range jobs {
+		text.WriteString(strings.Replace(requestText(fmt.Sprint("job-", i), 10), "40000", fmt.Sprint(budget.Milliseconds()), 1))
+	}
+	sent := time.Now()
+	if _, err := io.WriteString(c, text.String()); err != nil {
+		t.Fatal(err)
+	}
+	for i := range jobs {
+		status := readAnswer(fmt.Sprint("job-", i))
+		if took := time.Since(sent); took > budget+slack {
+			t.Errorf("job-%d is answered with status %d after %v", i, status, took)
+		}
+	}
+}
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -49,7 +49,7 @@
 		predictionMargin:  clientEstimateMargin,
 		startMargin:       1,
 		arrivedAt:         now,
-		deadlineAt:        now + arrival.Budget,
+		deadlineAt:        now - arrival.Waited + arrival.Budget,
 		crossZoneDraw:     d.rng.next(),
 	}
 	if j.hasClientEstimate {
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -74,7 +74,7 @@
 	d.beginTurn(now)
 	j := d.newJob(now, arrival)
 	spent := d.spentBudget(j, arrival)
-	j.objectiveAt = min(now-spent+j.latencyObjective(), j.deadlineAt)
+	j.objectiveAt = min(now-arrival.Waited-spent+j.latencyObjective(), j.deadlineAt)
 	d.capToShutdown(j)
 	j.firstTry = spent == 0 && !arrival.ClientRetry
 	d.recordRequested(j, j.firstTry)
--- a/policy/events.go
+++ b/policy/events.go
@@ -27,7 +27,8 @@
 	Class       JobClassID
 	Tenant      TenantID
 	Work        time.Duration // the client's estimate of the running time on a standard core; 0: no estimate
-	Budget      time.Duration // time for which the client still waits for the answer
+	Budget      time.Duration // time for which the client waits for the answer, from the arrival of its request
+	Waited      time.Duration // time since the arrival of the request
 	ClientRetry bool          // the client marked the request as a retry
 }
 
