Read at most 100 header fields of a response, as of a request

Cause: the same mistake as in the front end, on the other side: the header of a response was bounded by its bytes alone, 16 KiB, and net/http takes many times a short field's size; a node has up to 240 connections to executors.

Evidence: TestHeaderFieldsOfResponse: a response with 2,000 header fields succeeded before; now the connection counts as broken ("malformed response head: over 100 header fields"), as for a header over the limit in bytes.

Fix: a reader between the connection and net/http counts the lines of a header and fails before the field that is not allowed. Replies to health checks pass it too.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -62,8 +62,9 @@
 	}
 	c.pool.post(node.ConnReady{Conn: c.id})
 	limited := &io.LimitedReader{R: conn}
-	r := bufio.NewReaderSize(limited, 4<<10)
-	for c.handleResponse(r, limited) {
+	head := &headReader{from: limited}
+	r := bufio.NewReaderSize(head, 4<<10)
+	for c.handleResponse(r, limited, head) {
 		c.pool.post(node.ConnIdle{Conn: c.id})
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -32,9 +32,10 @@
 )
 
 // handleResponse waits for a response, reads it and posts its outcome. It returns true if the connection can carry another
-// attempt. r reads from limited, which bounds the size of the response's header.
-func (c *executorConn) handleResponse(r *bufio.Reader, limited *io.LimitedReader) bool {
+// attempt. r reads from head, which bounds the number of fields of the response's header, and that from limited, which bounds its size.
+func (c *executorConn) handleResponse(r *bufio.Reader, limited *io.LimitedReader, head *headReader) bool {
 	limited.N = maxHeaderBytes
+	head.begin()
 	_, err := r.Peek(1)
 	c.mu.Lock()
 	job := c.job
@@ -47,7 +48,7 @@
 	ended := node.AttemptEnded{Conn: c.id}
 	var rest io.Reader
 	if err == nil {
-		rest, err = c.readOutcome(r, limited, job, &ended)
+		rest, err = c.readOutcome(r, limited, head, job, &ended)
 		if err == nil && ended.Outcome == policy.ExecutorFull && c.mayBeStale() {
 			err = c.confirmRejection(r, rest)
 		}
@@ -78,9 +79,10 @@
 
 // readOutcome reads a response until the outcome of the attempt is known, and sets it in ended. It returns a reader for the rest
 // of the response, or nil if the connection can't be used again because the executor closes it after this response. An error means that the connection broke or that the response is invalid.
-func (c *executorConn) readOutcome(r *bufio.Reader, limited *io.LimitedReader, job policy.JobID, ended *node.AttemptEnded) (io.Reader, error) {
+func (c *executorConn) readOutcome(r *bufio.Reader, limited *io.LimitedReader, head *headReader, job policy.JobID, ended *node.AttemptEnded) (io.Reader, error) {
 	response, err := http.ReadResponse(r, nil)
 	for err == nil && response.StatusCode < http.StatusOK {
+		head.begin()
 		response, err = http.ReadResponse(r, nil)
 	}
 	if err != nil {
--- a/internal/upstream/health_check.go
+++ b/internal/upstream/health_check.go
@@ -53,7 +53,9 @@
 	if _, err := conn.Write(request); err != nil {
 		return load, false
 	}
-	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxHeaderBytes)), nil)
+	head := &headReader{from: io.LimitReader(conn, maxHeaderBytes)}
+	head.begin()
+	response, err := http.ReadResponse(bufio.NewReader(head), nil)
 	if err != nil {
 		return load, false
 	}
