--- a/internal/frontend/conn_table.go
+++ b/internal/frontend/conn_table.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"cmp"
 	"container/list"
 	"net"
 	"net/http"
@@ -9,16 +8,6 @@
 	"time"
 )
 
-// ConnLimits bounds the number of open connections from clients, and what they take.
-type ConnLimits struct {
-	Max       int // largest number of connections while this is the node's only process
-	MaxShared int // largest number of connections per process during a hot restart, when the node has two processes
-
-	// MemoryBytes is the memory that the node may use, in bytes; 0 for defaultMemoryBytes. Parts of it bound what is stored for
-	// clients. Each process has half of it during a hot restart.
-	MemoryBytes int64
-}
-
 const (
 	// If there are many new connections, they are evicted before idle ones. Many means more than the connection limit divided by
 	// newConnDivisor.
@@ -27,8 +16,6 @@
 	// Some connections are accepted beyond the limit, so that older connections can be evicted for them. Their number is the
 	// connection limit divided by overflowDivisor.
 	overflowDivisor = 8
-
-	defaultMemoryBytes = 192 << 20
 )
 
 // connTable keeps the number of open connections within its limit. During a flood of connections that send nothing, or one
@@ -110,24 +97,6 @@
 	return t
 }
 
-// setShared switches to ConnLimits.MaxShared if another process of the node is running, and to ConnLimits.Max if not.
-func (t *connTable) setShared(shared bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.maxConns = t.limits.Max
-	memory := cmp.Or(t.limits.MemoryBytes, defaultMemoryBytes)
-	if shared {
-		t.maxConns = t.limits.MaxShared
-		memory /= 2
-	}
-	t.readAhead.setLimit(memory / readAheadDivisor)
-	t.bodies.setLimit(memory / bodyMemoryDivisor)
-	t.acceptLimit = t.maxConns + max(1, t.maxConns/overflowDivisor)
-	t.maxNew = max(1, t.maxConns/newConnDivisor)
-	t.changed.Broadcast()
-	t.evict()
-}
-
 // onStateChange is the ConnState hook of http.Server. net/http calls it when a connection changes its state.
 func (t *connTable) onStateChange(c net.Conn, state http.ConnState) {
 	t.mu.Lock()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -2,10 +2,11 @@
 // machine, and writes the final answers.
 //
 // Server (server.go) handles each request in the goroutine that net/http runs for the connection. That goroutine blocks until
-// the final answer. connTable (conn_table.go) keeps the number of connections within its limits. It also closes idle
+// the final answer. connTable (conn_table.go) keeps the number of connections within its limits (conn_limits.go). It also closes idle
 // connections when the node drains its clients or shuts down (shutdown.go). clientConn (client_conn.go) wraps each connection,
-// so that a close loses no request, and so that the server notices a client that disconnects while its job is pending. All
-// headers and texts of the protocol are in codec.go.
+// so that a close loses no request, and so that the server notices a client that disconnects while its job is pending. What is
+// stored for clients takes its memory from budgets (byte_budget.go), and a connection whose requests need no attempt is paced
+// (pacing.go). All headers and texts of the protocol are in codec.go.
 package frontend
 
 import (
@@ -42,29 +43,6 @@
 	prefixHandlers map[string]http.Handler           // handlers by path prefix; not changed after Serve is called
 }
 
-// Reporter is told why requests and connections end in any way other than well. Its methods must not block. client is the address of
-// the client.
-type Reporter interface {
-	// RequestRefused reports that the server itself has answered a request. id is empty if the request names no valid job.
-	RequestRefused(id policy.JobID, client, reason string)
-	// ConnectionClosed reports that the server has closed a connection.
-	ConnectionClosed(client, reason string)
-	// AcceptFailed reports that a connection could not be accepted. The server tries again.
-	AcceptFailed(err error)
-}
-
-// noReporter is a Reporter that drops all reports.
-type noReporter struct{}
-
-// RequestRefused implements Reporter.
-func (noReporter) RequestRefused(policy.JobID, string, string) {}
-
-// ConnectionClosed implements Reporter.
-func (noReporter) ConnectionClosed(string, string) {}
-
-// AcceptFailed implements Reporter.
-func (noReporter) AcceptFailed(error) {}
-
 // connContextKey is the key under which a request's context holds its clientConn.
 type connContextKey struct{}
 
--- a/internal/frontend/waiting_client.go
+++ b/internal/frontend/waiting_client.go
@@ -52,6 +52,7 @@
 	defer c.mu.Unlock()
 	w := &waitingClient{conn: c, disconnected: make(chan struct{})}
 	c.client = w
+	c.readAhead.limited = false // what was read ahead for earlier requests may have made room
 	c.startReadAhead()
 	return w
 }
