Bound what a flood of invalid requests leaves behind in the limits of pacing

Cause: an answer that had to wait longer than the longest pause was counted all the same. While many connections flood the node, the shared limit fell behind without end, and after the flood the next request of each connection with an own answer of the server still waited 100 ms, for seconds.

Fix: such an answer gives its reservation back.

--- a/cmd/birchstair/client_memory_test.go
+++ b/cmd/birchstair/client_memory_test.go
@@ -156,6 +156,8 @@
 		deadline = 10 * time.Second
 		maxBody  = 64 << 10
 		maxHead  = 15 << 10
+
+		maxTrailer = 3 << 10
 	)
 	fields := shortFields(maxHead)
 	longFields := strings.Repeat("X-Field: "+strings.Repeat("f", 180)+"\r\n", maxHead/200)
@@ -197,6 +199,10 @@
 				writeAll(c, jobText(fmt.Sprint("page-", i, "-", k), "page", longFields, maxBody))
 			}
 		}},
+		{"chunked bodies with trailers of short fields", operatorsMemoryMB, duration, true, func(i int, c net.Conn) {
+			head := strings.Replace(jobText(fmt.Sprint("page-", i), "page", longFields, 0), "Content-Length: 0", "Transfer-Encoding: chunked", 1)
+			writeAll(c, fmt.Sprintf("%s%x\r\n%s\r\n0\r\n%s\r\n", head, maxBody, strings.Repeat("b", maxBody), shortFields(maxTrailer)))
+		}},
 		{"requests sent ahead of answers that are not read", operatorsMemoryMB, duration, false, func(i int, c net.Conn) {
 			for k := range 5 {
 				writeAll(c, jobText(fmt.Sprint("page-", i, "-", k), "page", "", maxBody))
--- a/internal/frontend/pacing.go
+++ b/internal/frontend/pacing.go
@@ -32,11 +32,23 @@
 		c.cheapAnswers = rate.NewLimiter(connAnswersPerSecond, connAnswersBurst)
 	}
 	now := time.Now()
-	pause := c.cheapAnswers.ReserveN(now, 1).DelayFrom(now)
+	pause := pauseAfter(c.cheapAnswers, now)
 	if shared != nil {
-		pause = max(pause, shared.ReserveN(now, 1).DelayFrom(now))
+		pause = max(pause, pauseAfter(shared, now))
 	}
-	c.pausedUntil = now.Add(min(pause, maxPause))
+	c.pausedUntil = now.Add(pause)
+}
+
+// pauseAfter counts an answer and returns how long the next request waits for it, at most maxPause. An answer that would have to wait
+// longer is not counted, so that a flood has no effect later than maxPause after its end.
+func pauseAfter(limiter *rate.Limiter, now time.Time) time.Duration {
+	reservation := limiter.ReserveN(now, 1)
+	pause := reservation.DelayFrom(now)
+	if pause > maxPause {
+		reservation.CancelAt(now)
+		return maxPause
+	}
+	return pause
 }
 
 // awaitPause waits until the connection's next request may be handled.
--- a/internal/frontend/pacing_test.go
+++ b/internal/frontend/pacing_test.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// TestPauseIsBounded checks that an answer of the server never waits longer than maxPause, however many there were.
+// TestPauseIsBounded checks that an answer of the server never waits longer than maxPause, however many there were, and that a flood has no
+// effect long after its end.
 func TestPauseIsBounded(t *testing.T) {
 	var conn clientConn
 	shared := newOwnAnswersLimiter()
@@ -48,6 +49,9 @@
 	if pause := time.Until(conn.pausedUntil); pause > maxPause || pause < maxPause/2 {
 		t.Errorf("the next request waits %v, want %v", pause, maxPause)
 	}
+	if debt := -shared.Tokens(); debt > ownAnswersPerSecond*maxPause.Seconds() {
+		t.Errorf("%.0f answers are still to be waited for after the flood", debt)
+	}
 	conn.awaitPause()
 	if !conn.pausedUntil.IsZero() || time.Now().Before(conn.pausedUntil) {
 		t.Error("the connection is still paused")
