Pace rejected jobs of all connections together, too

Cause: each connection had a limit of its own for jobs that are rejected without an attempt, all together had none. Fifty connections with small jobs at full speed, 25,000 rejections a second, kept others' jobs back as one connection did before.

Fix: above 4,000 a second on all connections, the next request of a connection whose job was rejected waits up to 20 ms. A node gets so many jobs only from clients that do not wait.

--- a/cmd/birchstair/request_flood_test.go
+++ b/cmd/birchstair/request_flood_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -74,7 +75,7 @@
 	return err
 }
 
-// TestOthersDuringRequestFlood has one client send small or invalid requests at full speed on one connection. All jobs of other
+// TestOthersDuringRequestFlood has a client send small or invalid requests at full speed, on one connection or on many. All jobs of other
 // clients must be answered by their deadline, and nine in ten within the latency objective of their class. The process must stay
 // within its memory limit.
 func TestOthersDuringRequestFlood(t *testing.T) {
@@ -87,24 +88,29 @@
 	)
 	for _, c := range []struct {
 		name    string
+		conns   int // number of connections that flood the node
 		request func(i int) string
 	}{
-		{"readiness", func(int) string { return "GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n" }},
-		{"no job", func(int) string { return "GET / HTTP/1.1\r\nHost: n\r\n\r\n" }},
-		{"ever new unknown classes", func(i int) string { return jobText(fmt.Sprint("flood-", i), fmt.Sprint("class-", i), "", 0) }},
-		{"ever new paths and fields", func(i int) string {
+		{"readiness", 1, func(int) string { return "GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n" }},
+		{"no job", 1, func(int) string { return "GET / HTTP/1.1\r\nHost: n\r\n\r\n" }},
+		{"ever new unknown classes", 1, func(i int) string { return jobText(fmt.Sprint("flood-", i), fmt.Sprint("class-", i), "", 0) }},
+		{"ever new paths and fields", 1, func(i int) string {
 			return fmt.Sprintf("POST /x%d HTTP/1.1\r\nHost: n\r\nX-%d: %d\r\nContent-Length: 0\r\n\r\n", i, i, i)
 		}},
-		{"jobs with ever new IDs and no time", func(i int) string {
+		{"jobs with ever new IDs and no time", 1, func(i int) string {
 			return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: n\r\nX-Call-Id: flood-%d\r\nX-Call-Class: page\r\nX-Budget-Ms: 1\r\nContent-Length: 0\r\n\r\n", i)
 		}},
-		{"jobs with ever new IDs", func(i int) string { return jobText(fmt.Sprint("flood-", i), "page", "", 0) }},
+		{"jobs with ever new IDs", 1, func(i int) string { return jobText(fmt.Sprint("flood-", i), "page", "", 0) }},
+		{"no job, on many connections", 50, func(int) string { return "GET / HTTP/1.1\r\nHost: n\r\n\r\n" }},
+		{"jobs, on many connections", 50, func(int) string { return jobText(fmt.Sprint("flood-", rand.Uint64()), "page", "", 0) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := startLoneNode(t, operatorsMemoryMB, objective, deadline)
 			stop := make(chan struct{})
 			var clients sync.WaitGroup
-			clients.Go(func() { floodAgain(t, n.listen, c.request, stop) })
+			for range c.conns {
+				clients.Go(func() { floodAgain(t, n.listen, c.request, stop) })
+			}
 			var mu sync.Mutex
 			var times []time.Duration
 			for k := range others {
--- a/internal/frontend/pacing.go
+++ b/internal/frontend/pacing.go
@@ -12,36 +12,40 @@
 const (
 	connAnswersPerSecond = 500
 	connAnswersBurst     = 100
-	// Answers of the server itself, on all connections. The state machine's rejections do not count here, as clients that do nothing
-	// wrong get many of them under overload.
-	ownAnswersPerSecond = 4000
-	ownAnswersBurst     = 2000
+	// Answers of the server itself, on all connections, and rejections and failures of jobs. Under overload clients that do nothing wrong
+	// get many of the latter, but not as many.
+	sharedAnswersPerSecond = 4000
+	sharedAnswersBurst     = 2000
 	// maxPause bounds how long a request waits. A job that waits behind invalid requests must still state a budget that its client has.
 	maxPause = 100 * time.Millisecond
+	// maxJobPause bounds how long a request waits because jobs of all connections are rejected.
+	maxJobPause = 20 * time.Millisecond
 )
 
-// newOwnAnswersLimiter returns the limiter of the answers of the server itself.
-func newOwnAnswersLimiter() *rate.Limiter {
-	return rate.NewLimiter(ownAnswersPerSecond, ownAnswersBurst)
+// sharedPace limits cheap answers of one kind on all connections.
+type sharedPace struct {
+	limiter  *rate.Limiter
+	maxPause time.Duration
 }
 
-// countCheapAnswer counts an answer that needed no attempt. The connection's next request waits if there were too many. shared is
-// a limiter that counts the answer too; nil for none.
-func (c *clientConn) countCheapAnswer(shared *rate.Limiter) {
+func newSharedPace(maxPause time.Duration) sharedPace {
+	return sharedPace{rate.NewLimiter(sharedAnswersPerSecond, sharedAnswersBurst), maxPause}
+}
+
+// countCheapAnswer counts an answer that needed no attempt. The connection's next request waits if there were too many, on the
+// connection or of this kind on all connections.
+func (c *clientConn) countCheapAnswer(shared sharedPace) {
 	if c.cheapAnswers == nil {
 		c.cheapAnswers = rate.NewLimiter(connAnswersPerSecond, connAnswersBurst)
 	}
 	now := time.Now()
-	pause := pauseAfter(c.cheapAnswers, now)
-	if shared != nil {
-		pause = max(pause, pauseAfter(shared, now))
-	}
+	pause := max(pauseAfter(c.cheapAnswers, maxPause, now), pauseAfter(shared.limiter, shared.maxPause, now))
 	c.pausedUntil = now.Add(pause)
 }
 
 // pauseAfter counts an answer and returns how long the next request waits for it, at most maxPause. An answer that would have to wait
 // longer is not counted, so that a flood has no effect later than maxPause after its end.
-func pauseAfter(limiter *rate.Limiter, now time.Time) time.Duration {
+func pauseAfter(limiter *rate.Limiter, maxPause time.Duration, now time.Time) time.Duration {
 	reservation := limiter.ReserveN(now, 1)
 	pause := reservation.DelayFrom(now)
 	if pause > maxPause {
--- a/internal/frontend/pacing_test.go
+++ b/internal/frontend/pacing_test.go
@@ -42,14 +42,14 @@
 // effect long after its end.
 func TestPauseIsBounded(t *testing.T) {
 	var conn clientConn
-	shared := newOwnAnswersLimiter()
-	for range 10 * ownAnswersBurst {
+	shared := newSharedPace(maxPause)
+	for range 10 * sharedAnswersBurst {
 		conn.countCheapAnswer(shared)
 	}
 	if pause := time.Until(conn.pausedUntil); pause > maxPause || pause < maxPause/2 {
 		t.Errorf("the next request waits %v, want %v", pause, maxPause)
 	}
-	if debt := -shared.Tokens(); debt > ownAnswersPerSecond*maxPause.Seconds() {
+	if debt := -shared.limiter.Tokens(); debt > sharedAnswersPerSecond*maxPause.Seconds() {
 		t.Errorf("%.0f answers are still to be waited for after the flood", debt)
 	}
 	conn.awaitPause()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -18,8 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"birchstair/internal/node"
 	"birchstair/policy"
 )
@@ -36,7 +34,8 @@
 
 	closeTimeout time.Duration // how long Close waits until answers are written
 	reporter     Reporter
-	ownAnswers   *rate.Limiter // answers of the server itself
+	ownAnswers   sharedPace // answers of the server itself
+	rejections   sharedPace // jobs that the state machine rejects or fails
 
 	mu             sync.Mutex
 	pending        map[policy.JobID]chan node.Answer // channels on which handlers wait for final answers, by job ID
@@ -62,7 +61,8 @@
 		nodeStopped:  make(chan struct{}),
 		closeTimeout: defaultCloseTimeout,
 		reporter:     noReporter{},
-		ownAnswers:   newOwnAnswersLimiter(),
+		ownAnswers:   newSharedPace(maxPause),
+		rejections:   newSharedPace(maxJobPause),
 		pending:      map[policy.JobID]chan node.Answer{},
 	}
 	s.UpdateJobClasses(classes)
@@ -219,7 +219,7 @@
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	writeAnswer(w, final)
 	if final.Final != node.Succeeded {
-		conn.countCheapAnswer(nil)
+		conn.countCheapAnswer(s.rejections)
 	}
 }
 
