Answer requests that are read while the server closes

What callers saw: a request on a new connection got no answer; its connection was closed, at the end of a process.

Cause: the server ended by net/http's Shutdown. From then on net/http drops each request that it has just read, and closes its connection. The front end closes idle connections itself for that reason; new ones stayed open, and their first request could come at that moment.

TestNewRequestWhenServerCloses failed before ("closed") and passes now.

Fix: the server closes its listener and waits until no connection but new ones is open, within the same time; Shutdown is not used. What comes on new connections after that is rejected when the event loop has ended, as before.

--- a/internal/frontend/close_races_test.go
+++ b/internal/frontend/close_races_test.go
@@ -419,3 +419,27 @@
 	<-over
 	golden.Compare(t, "stop.txt", c.out.String())
 }
+
+// TestNewRequestWhenServerCloses closes the server after the first request of a new connection has been read, and before net/http goes on
+// with it. The request must be answered.
+func TestNewRequestWhenServerCloses(t *testing.T) {
+	c, halts := newHaltableNode(t, 10)
+	c.server.closeTimeout = 20 * time.Second // the test must not depend on time
+	read := halts.OnConn(1, emulator.AfterRead, 0)
+	from := c.dial()
+	from.send(jobRequest("handled-1"))
+	c.awaitStop(read)
+	c.server.Close()
+	c.waitUntil("the server accepts no more connections", func() bool {
+		conn, err := net.DialTimeout("tcp", c.addr, time.Second)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	read.Release()
+	c.printAnswer(from)
+	if got, want := c.out.String(), "  answer: 200 \"the result\", closing\n"; got != want {
+		t.Errorf("got %swant %s", got, want)
+	}
+}
--- a/internal/frontend/conn_table.go
+++ b/internal/frontend/conn_table.go
@@ -170,6 +170,14 @@
 	t.waitWhile(func() bool { return t.closingConns.Len() > 0 }, timeout)
 }
 
+// waitUntilAnswered returns when no connection but new ones is open any more, or after the timeout. It is called after
+// closeIdleAndWait, so that each connection is closed after its next answer.
+func (t *connTable) waitUntilAnswered(timeout time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waitWhile(func() bool { return t.open > t.newConns.Len() }, timeout)
+}
+
 // closeNewAndWait closes the new connections. It returns when no connection is open any more, or after the timeout. It is
 // called after enterLameDuck, which closes the idle connections.
 func (t *connTable) closeNewAndWait(timeout time.Duration) {
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -61,6 +61,13 @@
 	return t.Listener.Close()
 }
 
+// isClosed reports whether Close has been called.
+func (t *connTable) isClosed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closed
+}
+
 // setAccepting starts or stops accepting connections. After a stop, connections in the socket's backlog are left to the other
 // process that listens on the same socket.
 func (t *connTable) setAccepting(accept bool) {
--- a/internal/frontend/shutdown.go
+++ b/internal/frontend/shutdown.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -30,10 +29,11 @@
 
 // Serve accepts connections from l until the server is closed. It blocks.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(s.conns.wrapListener(l)); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := s.http.Serve(s.conns.wrapListener(l))
+	if errors.Is(err, http.ErrServerClosed) || s.conns.isClosed() {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // BeginLameDuck starts the first phase of a shutdown. In this phase requests are still served, each connection is closed after
@@ -72,14 +72,13 @@
 }
 
 // Close shuts the server down in the background and posts node.FrontendClosed when all answers are written, or after a
-// timeout. connTable closes the idle connections first, because http.Server.Shutdown would also close idle connections on which
-// an unread request has arrived.
+// timeout. It does not use http.Server.Shutdown, which closes connections on which a request has arrived or has just been read.
 func (s *Server) Close() {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), s.closeTimeout)
-		defer cancel()
+		deadline := time.Now().Add(s.closeTimeout)
 		s.conns.closeIdleAndWait(s.closeTimeout)
-		s.http.Shutdown(ctx) //nolint:errcheck // Stop closes what is left by the deadline
+		s.conns.Close() //nolint:errcheck // the listener is given up either way
+		s.conns.waitUntilAnswered(time.Until(deadline))
 		s.post(node.FrontendClosed{})
 	}()
 }
