--- a/internal/frontend/pacing.go
+++ b/internal/frontend/pacing.go
@@ -15,7 +15,7 @@
 	// Answers of the server itself, on all connections, and rejections and failures of jobs. Under overload clients that do nothing wrong
 	// get many of the latter, but not as many.
 	sharedAnswersPerSecond = 4000
-	sharedAnswersBurst     = 2000
+	sharedAnswersBurst     = 500
 	// maxPause bounds how long a request waits. A job that waits behind invalid requests must still state a budget that its client has.
 	maxPause = 100 * time.Millisecond
 	// maxJobPause bounds how long a request waits because jobs of all connections are rejected.
