--- a/internal/frontend/conn_table.go
+++ b/internal/frontend/conn_table.go
@@ -268,16 +268,13 @@
 // reportClosed reports a connection that the server has closed. It reports nothing if the client has closed it, or if it was closed
 // after an answer that said so.
 func (t *connTable) reportClosed(e *connEntry) {
-	reason := closeReason("")
+	client := e.conn.RemoteAddr().String()
 	switch {
 	case e.list == t.closingConns:
-		reason = e.closing
+		t.reporter.ConnectionClosed(client, string(e.closing))
 	case e.conn.timedOut():
-		reason = closedForTimeout
-	default:
-		return
+		t.reporter.ConnectionClosed(client, string(closedForTimeout))
 	}
-	t.reporter.ConnectionClosed(e.conn.RemoteAddr().String(), string(reason))
 }
 
 // moveTo removes a connection from its list and adds it to another list. If the other list is nil, the connection is then in no
--- a/internal/frontend/request_framer.go
+++ b/internal/frontend/request_framer.go
@@ -6,7 +6,8 @@
 )
 
 // requestFramer finds the boundaries of requests in the bytes that are read from a connection, up to the first request with a
-// chunked body. It cuts off a header after maxHeaderFields fields, before net/http allocates memory for more. It also notes whether a request has both Transfer-Encoding and Content-Length, so that the server can reject
+// chunked body. It cuts off a header after maxHeaderFields fields, before net/http allocates memory for more. It also notes
+// whether a request has both Transfer-Encoding and Content-Length, so that the server can reject
 // that request. This prevents request smuggling: net/http ignores the Content-Length of a chunked request, while a proxy can
 // use it and then see other requests on the connection than net/http.
 type requestFramer struct {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -151,12 +151,12 @@
 	conn.awaitPause()
 	framing := conn.countRequest()
 	if framing.tooManyFields {
-		s.refuse(w, r, "", tooManyFields)
+		s.refuse(w, conn, "", tooManyFields)
 		return
 	}
 	if r.ContentLength < 0 {
 		if !framing.chunksOnly {
-			s.refuse(w, r, "", lengthAndChunks)
+			s.refuse(w, conn, "", lengthAndChunks)
 			return
 		}
 		// requestFramer does not parse chunks and can't tell where this request ends. So no request may follow on this connection.
@@ -170,7 +170,7 @@
 	for prefix, handler := range s.prefixHandlers {
 		if strings.HasPrefix(r.URL.Path, prefix) {
 			if r.ContentLength < 0 {
-				s.refuse(w, r, "", chunksNotAllowed)
+				s.refuse(w, conn, "", chunksNotAllowed)
 				return
 			}
 			handler.ServeHTTP(w, r)
@@ -184,17 +184,17 @@
 		invalid = decodeBody(w, r, &job, &body)
 	}
 	if invalid != nil {
-		s.refuse(w, r, "", invalid)
+		s.refuse(w, conn, "", invalid)
 		return
 	}
 	s.serveJob(w, r, conn, job)
 }
 
 // refuse answers a request that is not posted to the state machine. id is the job's ID, or empty if the request is not a valid job.
-func (s *Server) refuse(w http.ResponseWriter, r *http.Request, id policy.JobID, reason *requestError) {
-	s.reporter.RequestRefused(id, r.RemoteAddr, reason.reason)
+func (s *Server) refuse(w http.ResponseWriter, conn *clientConn, id policy.JobID, reason *requestError) {
+	s.reporter.RequestRefused(id, conn.RemoteAddr().String(), reason.reason)
 	reason.writeTo(w)
-	r.Context().Value(connContextKey{}).(*clientConn).countCheapAnswer(s.ownAnswers)
+	conn.countCheapAnswer(s.ownAnswers)
 }
 
 // serveJob posts a batch job to the state machine, waits for its final answer and writes it.
@@ -202,7 +202,7 @@
 	answer := s.register(job.ID)
 	if answer == nil {
 		s.post(node.JobDeclined{Class: job.Class})
-		s.refuse(w, r, job.ID, duplicateID)
+		s.refuse(w, conn, job.ID, duplicateID)
 		return
 	}
 	job.NearConnectionLimit = s.conns.jobReceived(conn)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -47,12 +47,6 @@
 	return unread, ended, known && err == nil
 }
 
-// Ended returns whether the peer has closed, half-closed or reset a connection, as State does.
-func Ended(c net.Conn) (ended, known bool) {
-	_, ended, known = State(c)
-	return ended, known
-}
-
 // rawConn returns the raw socket of a connection, or nil if it has none.
 func rawConn(c net.Conn) syscall.RawConn {
 	sys, ok := c.(syscall.Conn)
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -37,7 +37,13 @@
 	}
 }
 
-// BenchmarkEnded measures Ended: one system call, or two if there is unread data.
+// ended returns whether State reports that the peer has ended the connection.
+func ended(c net.Conn) (ended, known bool) {
+	_, ended, known = State(c)
+	return ended, known
+}
+
+// BenchmarkEnded measures State: one system call, or two if there is unread data.
 func BenchmarkEnded(b *testing.B) {
 	for _, unread := range []string{"", "P"} {
 		b.Run("unread="+unread, func(b *testing.B) {
@@ -45,7 +51,7 @@
 			send(b, far, unread)
 			b.ReportAllocs()
 			for b.Loop() {
-				if ended, _ := Ended(near); ended {
+				if ended, _ := ended(near); ended {
 					b.Fatal("an open connection is reported as ended")
 				}
 			}
@@ -60,7 +66,7 @@
 	want bool
 }
 
-// checkQuery checks the result of a query, Pending or Ended, after each action of the peer. It also checks that the
+// checkQuery checks the result of a query, Pending or ended, after each action of the peer. It also checks that the
 // query consumes no data, and that its result for a pipe, which has no socket, is unknown.
 func checkQuery(t *testing.T, query func(net.Conn) (result, known bool), actions ...peerAction) {
 	for _, action := range actions {
@@ -95,7 +101,7 @@
 // TestEnded checks that a close, half-close or reset by the peer is found, even behind unread data, and that data alone
 // does not count as one.
 func TestEnded(t *testing.T) {
-	checkQuery(t, Ended,
+	checkQuery(t, ended,
 		peerAction{"nothing", func(testing.TB, *net.TCPConn) {}, false},
 		peerAction{"data", func(t testing.TB, c *net.TCPConn) { send(t, c, "ab") }, false},
 		peerAction{"half-close", func(_ testing.TB, c *net.TCPConn) { c.CloseWrite() }, true},
@@ -108,7 +114,7 @@
 // TestEndedByResetBehindUnreadData checks that a reset is found while data that arrived before it is unread, and that the data can
 // still be read after that.
 func TestEndedByResetBehindUnreadData(t *testing.T) {
-	checkQuery(t, Ended,
+	checkQuery(t, ended,
 		peerAction{"data, then reset", func(t testing.TB, c *net.TCPConn) { send(t, c, "ab"); c.SetLinger(0); c.Close() }, true})
 }
 
--- a/internal/testgate/outcome.go
+++ b/internal/testgate/outcome.go
@@ -11,18 +11,17 @@
 
 // testEvent is a line of the output of go test -json.
 type testEvent struct {
-	Action     string
-	Package    string
-	ImportPath string // set instead of Package in the events of a build
-	Test       string // empty in an event of a whole package
-	Output     string
+	Action  string
+	Package string // empty in the events of a build
+	Test    string // empty in an event of a whole package
+	Output  string
 }
 
 // outcome collects the results of a run of go test.
 type outcome struct {
 	running  map[testName]bool
 	failed   []testName
-	panicked []string            // packages in which a panic ended the process, so that some tests did not run
+	crashed  []string            // packages in which a panic or a fatal error ended the process, so that some tests did not run
 	packages []string            // packages that failed
 	tested   map[string]bool     // packages whose tests were run
 	output   map[testName]string // output of tests that are running or have failed; of a whole package under the empty name
@@ -69,8 +68,9 @@
 
 // addOutput keeps the output of a test, and prints the summary of a package and the errors of a build.
 func (o *outcome) addOutput(test testName, event testEvent, out io.Writer) {
-	if strings.HasPrefix(event.Output, "panic: ") && !slices.Contains(o.panicked, event.Package) {
-		o.panicked = append(o.panicked, event.Package)
+	crashed := strings.HasPrefix(event.Output, "panic: ") || strings.HasPrefix(event.Output, "fatal error: ")
+	if crashed && !slices.Contains(o.crashed, event.Package) {
+		o.crashed = append(o.crashed, event.Package)
 	}
 	isSummary := strings.HasPrefix(event.Output, "ok  ") || strings.HasPrefix(event.Output, "?   ") || strings.HasPrefix(event.Output, "FAIL\t")
 	if event.Action == "build-output" || event.Test == "" && isSummary {
@@ -117,8 +117,8 @@
 			v.unexpected = append(v.unexpected, test)
 		}
 	}
-	for _, name := range o.panicked {
-		v.broken = append(v.broken, name+": a panic ended the process, so some tests did not run")
+	for _, name := range o.crashed {
+		v.broken = append(v.broken, name+": a panic or a fatal error ended the process, so some tests did not run")
 	}
 	for _, name := range o.packages {
 		if !explained[name] {
--- a/internal/testgate/testgate_test.go
+++ b/internal/testgate/testgate_test.go
@@ -47,6 +47,7 @@
 		{"a test whose name begins like a listed one", "arm64", failed("TestKnownToo"), false, 0},
 		{"another test beside a listed one", "arm64", failed("TestKnown", "TestB"), false, 1},
 		{"a panic in a listed test", "arm64", event("output", "TestKnown", "panic: x") + failed("TestKnown"), false, 1},
+		{"a fatal error in a listed test", "arm64", event("output", "TestKnown", "fatal error: x") + failed("TestKnown"), false, 1},
 		{"a build that fails", "arm64", event("fail", "", ""), false, 0},
 		{"a test without a result", "arm64", event("run", "TestB", "") + failed("TestKnown"), false, 1},
 	} {
