--- a/review/_standins/second/lease_reuse.go
+++ b/review/_standins/second/lease_reuse.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-func init() { cases["lease-reuse"] = leaseReuse }
+func init() {
+	cases["lease-reuse"] = leaseReuse
+	cases["lease-nodes"] = leaseNodes
+}
 
 const (
 	reuseJobs   = 12
@@ -20,16 +23,7 @@
 // leaseReuse hands in durable jobs, fetches their answers, lets them go and hands in other jobs under the same ids. With trouble the
 // node is restarted by SIGTERM while one of two executors hangs.
 func leaseReuse(e *env) error {
-	var executors []*leaseExecutor
-	var hosts []host
-	for i := range 2 {
-		x, h, err := startLeaseExecutor(e, fmt.Sprintf("s-%d", i), reuseRun)
-		if err != nil {
-			return err
-		}
-		executors, hosts = append(executors, x), append(hosts, h)
-	}
-	list, err := startDiscovery(hosts...)
+	executors, list, err := reuseWorld(e)
 	if err != nil {
 		return err
 	}
@@ -49,6 +43,66 @@
 	if err := reuseFirst(client); err != nil {
 		return err
 	}
+	for i := range reuseJobs {
+		if err := client.remove(reuseID(i)); err != nil {
+			return err
+		}
+	}
+	return reuseSecond(e, client, executors, node, options)
+}
+
+// reuseWorld starts two executors and discovery.
+func reuseWorld(e *env) (executors []*leaseExecutor, list *discovery, err error) {
+	var hosts []host
+	for i := range 2 {
+		x, h, err := startLeaseExecutor(e, fmt.Sprintf("s-%d", i), reuseRun)
+		if err != nil {
+			return nil, nil, err
+		}
+		executors, hosts = append(executors, x), append(hosts, h)
+	}
+	list, err = startDiscovery(hosts...)
+	return executors, list, err
+}
+
+// leaseNodes hands in durable jobs at one node, and other jobs under the same ids at another node with a store of its own. With
+// trouble the second node is restarted by SIGTERM while one of two executors hangs.
+func leaseNodes(e *env) error {
+	executors, list, err := reuseWorld(e)
+	if err != nil {
+		return err
+	}
+	var clients []*durableClient
+	var nodes []*nodeProcess
+	var options []nodeOptions
+	for i := range 2 {
+		addr, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		name := fmt.Sprintf("n%d", i)
+		config := durableConfig(name, addr, list.addr)
+		settings := config["settings"].(map[string]any)
+		settings["balancers"], settings["my-number"] = 2, i
+		options = append(options, nodeOptions{name: name, config: config, site: durableSite(filepath.Join(e.dir, "store-"+name))})
+		node, err := e.startNode(options[i])
+		if err != nil {
+			return err
+		}
+		if err := e.waitReady(addr, 10*time.Second); err != nil {
+			return err
+		}
+		nodes = append(nodes, node)
+		clients = append(clients, &durableClient{env: e, http: newClient(100 * time.Second), addr: addr})
+	}
+	if err := reuseFirst(clients[0]); err != nil {
+		return err
+	}
+	return reuseSecond(e, clients[1], executors, nodes[1], options[1])
+}
+
+// reuseSecond hands in the second jobs and checks their answers. With trouble one executor hangs meanwhile, and the node is restarted.
+func reuseSecond(e *env, client *durableClient, executors []*leaseExecutor, node *nodeProcess, options nodeOptions) error {
 	if e.trouble {
 		executors[0].hang()
 		time.AfterFunc(reuseHang, executors[0].resume)
@@ -67,7 +121,7 @@
 		if _, err := e.startNode(options); err != nil {
 			return err
 		}
-		if err := e.waitReady(addr, 10*time.Second); err != nil {
+		if err := e.waitReady(client.addr, 10*time.Second); err != nil {
 			return err
 		}
 	}
@@ -90,7 +144,7 @@
 
 func reuseBody(life string, i int) string { return fmt.Sprintf("%s job under %s", life, reuseID(i)) }
 
-// reuseFirst hands in the first job of each id, fetches its answer and lets it go.
+// reuseFirst hands in the first job of each id and fetches its answer.
 func reuseFirst(client *durableClient) error {
 	for i := range reuseJobs {
 		if status, err := client.put(reuseID(i), "order", reuseBody("first", i), reuseBudget); err != nil || status != 201 {
@@ -105,9 +159,6 @@
 		if status.Final != "handled" || string(status.Result) != resultOf(reuseBody("first", i)) {
 			return fmt.Errorf("%s: %+v", reuseID(i), status)
 		}
-		if err := client.remove(reuseID(i)); err != nil {
-			return err
-		}
 	}
 	return nil
 }
