Use a connection to an executor again only after a success

Cause: a status names no job, so a response was attributed by its place on the connection. An executor that answers an attempt twice shifts every later answer by one: the second rejection was taken for the next attempt's, which was retried at once. The guard for that (mayBeStale) left out jobs that may run again. Related paths, by the same cause: every other status; "returned", "failed" and "lost" lines, which name the job, while a retry of that job could use the same connection; a stale status on a connection whose last attempt succeeded, where the retry began before the connection was closed.

Fix: after every response but a success the connection is closed, and before the outcome is posted. No time decides anything.

Cost, where executors turn much away: one connection for each response that is not a success.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,6 +33,10 @@
 
 // handleResponse waits for a response, reads it and posts its outcome. It returns true if the connection can carry another
 // attempt. r reads from head, which bounds the number of fields of the response's header, and that from limited, which bounds its size.
+//
+// Only a success leaves the connection usable. An executor can send a second response to an attempt at any later time, and nothing in a
+// response says to which attempt it belongs: a status names no job, and a line names a job, of which the next attempt may use the same
+// connection. So the connection is closed after every other outcome, and before that outcome is posted, as a retry can follow at once.
 func (c *executorConn) handleResponse(r *bufio.Reader, limited *io.LimitedReader, head *headReader) bool {
 	limited.N = maxHeaderBytes
 	head.begin()
@@ -58,8 +62,11 @@
 	if err != nil && !c.fail(err, &ended) {
 		return false
 	}
+	if ended.Outcome != policy.Succeeded {
+		c.close()
+	}
 	c.pool.post(ended)
-	return err == nil && rest != nil && c.finishResponse(rest)
+	return ended.Outcome == policy.Succeeded && rest != nil && c.finishResponse(rest)
 }
 
 // fail closes the connection and sets the outcome of the connection's attempt in ended. It returns false if no byte of the
