Take a rejection for proof only on a connection that carried no attempt before

Cause: silence was taken for proof. After a rejection within 20 ms of the answer before, the node waited 20 ms for the attempt's own answer, which takes a way there and back and as long as the executor likes; and a rejection later than 20 ms was not doubted at all.

Fix: no wait. A status names no job, so it proves "never ran" only on a connection that has carried no attempt before. Elsewhere a rejection of a job that is not idempotent is policy.RejectedUnproven: the executor counts as full, the job as possibly run. For a minute after any rejection each attempt of such a job gets an unused connection, so that it can be retried; that minute chooses a connection and decides nothing about what ran. A connection closed after a rejection is replaced at once.

Evidence: TestStaleResponse in its new form got "no room" (never ran) before, where no response follows in time; the attempt had been sent.

Cost, where executors turn much away: one connection an attempt for such jobs, and the first one that is rejected on a used connection after a minute without rejections fails.

Tests: TestStaleResponse asked that silence for 20 ms prove "never ran", which is the fault; it now asks that no rejection on a used connection does, with and without a response behind it. TestRejectionProvesNeverRan keeps what does prove it.

--- a/internal/eventlog/observer.go
+++ b/internal/eventlog/observer.go
@@ -9,11 +9,12 @@
 
 // outcomes names the outcomes of attempts.
 var outcomes = map[policy.Outcome]string{
-	policy.ExecutorError:  "executor error",
-	policy.InvalidRequest: "invalid request",
-	policy.ExecutorFull:   "executor full",
-	policy.ConnectFailed:  "connect failed",
-	policy.ConnectionLost: "connection lost",
+	policy.ExecutorError:    "executor error",
+	policy.InvalidRequest:   "invalid request",
+	policy.ExecutorFull:     "executor full",
+	policy.ConnectFailed:    "connect failed",
+	policy.ConnectionLost:   "connection lost",
+	policy.RejectedUnproven: "executor full, or a late response to an earlier attempt",
 }
 
 // clientStates names the states of a client for which an attempt is not sent.
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -8,9 +8,12 @@
 	"birchstair/policy"
 )
 
-// Health checks leave some connections to executors free for attempts. Their number is the connection limit divided by
-// healthCheckReserve.
-const healthCheckReserve = 8
+// Health checks and spare connections leave some connections to executors free for attempts. Their number is the
+// connection limit divided by attemptReserve.
+const attemptReserve = 8
+
+// rejectionMemory is how long after an executor's rejection jobs that must not run twice get unused connections.
+const rejectionMemory = time.Minute
 
 // minAttemptBudget is the shortest time budget that an attempt states to its executor.
 const minAttemptBudget = time.Millisecond
@@ -46,6 +49,8 @@
 	restarts    int // executor.restarts when the policy decided on the attempt
 	addrChanges int // executor.addrChanges when the connection was dialed
 
+	used        bool          // whether the connection has carried an attempt, to which a late response can still come
+	dedicated   bool          // whether the connection was taken because it had carried no attempt
 	wasIdle     bool          // whether the connection has been idle at least once
 	idleSince   time.Duration // when the connection last became idle
 	idleElement *list.Element // the connection's element in idleConns; nil unless it is idle
@@ -69,6 +74,9 @@
 	// Idle time from which a connection is not used again; maxIdle returns its current value.
 	idleLimit          time.Duration
 	idleLimitLoweredAt time.Duration // time when idleLimit was last lowered
+
+	// Until this time, jobs that must not run twice get unused connections. It is zero before the first rejection.
+	rejectionsUntil time.Duration
 }
 
 // get returns a connection by its ID, or nil.
@@ -132,18 +140,23 @@
 
 // assignConn gives an attempt a connection to its executor: the connection that became idle last or, if none is idle, a
 // new one. It returns false if the attempt got no connection.
+//
+// A rejection proves that an attempt never ran only on a connection that has carried no attempt before (see
+// policy.RejectedUnproven). So while executors reject attempts, a job that must not run twice gets such a connection, and
+// can be retried after a rejection.
 func (n *Node) assignConn(j *job, attempt policy.AttemptID, e *executor, decidedAt time.Duration) bool {
 	if !e.available {
 		return false
 	}
-	c := n.takeIdleConn(e)
+	mayBeUsed := n.isIdempotent(j) || n.now >= n.conns.rejectionsUntil
+	c := n.takeIdleConn(e, mayBeUsed)
 	if c == nil {
 		c = n.dial(e)
 	}
 	if c == nil {
 		return false
 	}
-	c.job, c.attempt, c.decidedAt, c.restarts = j, attempt, decidedAt, e.restarts
+	c.job, c.attempt, c.decidedAt, c.restarts, c.dedicated = j, attempt, decidedAt, e.restarts, !mayBeUsed
 	j.addConn(c)
 	if c.state == connIdle {
 		n.writeAttempt(c)
@@ -151,18 +164,28 @@
 	return true
 }
 
+// isIdempotent reports whether a job may run any number of times.
+func (n *Node) isIdempotent(j *job) bool { return n.classes.idempotency[j.Class] == policy.Idempotent }
+
 // takeIdleConn returns the executor's connection that became idle last, and removes it from the idle connections. If
 // that connection has been idle for too long, so have all the others. Then all are closed, and takeIdleConn returns
-// nil.
-func (n *Node) takeIdleConn(e *executor) *conn {
+// nil. Unless mayBeUsed is set, only connections that have carried no attempt are considered.
+func (n *Node) takeIdleConn(e *executor, mayBeUsed bool) *conn {
 	if len(e.idle) == 0 {
 		return nil
 	}
+	maxIdle := n.conns.maxIdle(n.now, n.limits.MaxIdle)
 	last := len(e.idle) - 1
-	if n.now-e.idle[last].idleSince >= n.conns.maxIdle(n.now, n.limits.MaxIdle) {
+	if n.now-e.idle[last].idleSince >= maxIdle {
 		n.closeIdleConns(e)
 		return nil
 	}
+	for !mayBeUsed && last >= 0 && e.idle[last].used {
+		last--
+	}
+	if last < 0 || n.now-e.idle[last].idleSince >= maxIdle {
+		return nil
+	}
 	return n.conns.idle.take(e, last)
 }
 
@@ -185,12 +208,17 @@
 	return n.limits.MaxConns
 }
 
+// unreservedConns returns how many connections can be open when one is opened that is not for an attempt.
+func (n *Node) unreservedConns() int {
+	limit := n.maxConns()
+	return limit - limit/attemptReserve
+}
+
 // startHealthCheck asks an executor for its load. The health check fails immediately if the executor takes no new work,
-// or if all other connections are reserved for attempts (see healthCheckReserve).
+// or if all other connections are reserved for attempts (see attemptReserve).
 func (n *Node) startHealthCheck(id policy.ExecutorID) {
 	e := n.endpoints.get(id)
-	limit := n.maxConns()
-	if e == nil || !e.available || n.conns.openCount() >= limit-limit/healthCheckReserve {
+	if e == nil || !e.available || n.conns.openCount() >= n.unreservedConns() {
 		n.policy.HealthCheckEnded(n.now, id, false, policy.Load{})
 		return
 	}
@@ -235,7 +263,7 @@
 	n.emit(WriteAttempt{Conn: c.id, Executor: c.executor.id, Number: c.attempt, Attempt: Attempt{
 		Request:       &c.job.Request,
 		Budget:        max(c.job.deadline-n.now, minAttemptBudget),
-		NotIdempotent: n.classes.idempotency[c.job.Class] != policy.Idempotent,
+		NotIdempotent: !n.isIdempotent(c.job),
 		Client:        c.job.Client,
 	}})
 }
@@ -319,18 +347,34 @@
 	if c == nil || c.state != connBusy {
 		return
 	}
-	c.state = connFinished
+	c.state, c.used = connFinished, true
 	j := n.conns.detachJob(c)
 	if ev.ConnBroken && ev.Outcome == policy.ConnectFailed {
 		n.metrics.uncountAttempt()
 	}
 	j.mayHaveRun = j.mayHaveRun || !ev.Outcome.NeverRan()
+	rejected := ev.Outcome == policy.ExecutorFull || ev.Outcome == policy.RejectedUnproven
+	if rejected {
+		n.conns.rejectionsUntil = n.now + rejectionMemory
+	}
 	outcome := n.resolveOutcome(c, j, ev)
 	n.reportLoad(c, ev.Load)
 	if ev.ConnBroken {
 		n.handleConnBroken(c, outcome)
 	}
 	n.attemptOver(j, c.attempt, outcome)
+	if rejected && !c.abandoned {
+		n.replaceConn(c.executor)
+	}
+}
+
+// replaceConn dials a connection in place of one that is closed after a rejection, so that the executor's next attempt
+// does not wait for it. It does nothing if the executor takes no new work or has another idle connection, or if all other
+// connections are reserved for attempts (see attemptReserve).
+func (n *Node) replaceConn(e *executor) {
+	if e.available && len(e.idle) == 0 && n.conns.openCount() < n.unreservedConns() {
+		n.dial(e)
+	}
 }
 
 // resolveOutcome answers the job if the outcome of the attempt decides the answer, and logs the details of a failure.
@@ -392,9 +436,15 @@
 	n.attemptOver(j, c.attempt, policy.NotSent)
 }
 
-// connBecameIdle keeps a connection for the next attempt, after the answer to the previous attempt was read to the end.
+// connBecameIdle keeps a connection for the next attempt, after the answer to the previous attempt was read to the end. A
+// dedicated connection is closed if the executor has another idle one: the next job that needs an unused connection opens
+// one, and for all other jobs the idle one is enough.
 func (n *Node) connBecameIdle(c *conn) {
-	if c != nil && c.state == connFinished && !c.abandoned {
+	switch {
+	case c == nil || c.state != connFinished || c.abandoned:
+	case c.dedicated && len(c.executor.idle) > 0:
+		n.closeConn(c)
+	default:
 		n.keepConn(c)
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -185,12 +185,13 @@
 }
 
 var outcomes = map[string]policy.Outcome{
-	"succeeded":       policy.Succeeded,
-	"executor-error":  policy.ExecutorError,
-	"executor-full":   policy.ExecutorFull,
-	"connect-failed":  policy.ConnectFailed,
-	"connection-lost": policy.ConnectionLost,
-	"invalid-request": policy.InvalidRequest,
+	"succeeded":         policy.Succeeded,
+	"executor-error":    policy.ExecutorError,
+	"executor-full":     policy.ExecutorFull,
+	"rejected-unproven": policy.RejectedUnproven,
+	"connect-failed":    policy.ConnectFailed,
+	"connection-lost":   policy.ConnectionLost,
+	"invalid-request":   policy.InvalidRequest,
 }
 
 func (p *tracePlayer) upstreamEvent(_ time.Duration, name string, args []string) Event {
--- a/internal/simulation/account_history.go
+++ b/internal/simulation/account_history.go
@@ -168,7 +168,7 @@
 		until = t.end
 	}
 	switch attempt.outcome {
-	case policy.ExecutorFull:
+	case policy.ExecutorFull, policy.RejectedUnproven:
 		t.add(attempt.sentAt, until, RejectedByExecutor, connectingOrFailed)
 		return
 	case policy.ExecutorError, policy.InvalidRequest, policy.ConnectFailed, policy.ConnectionLost:
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"sync"
-	"time"
 
 	"birchstair/internal/node"
 	"birchstair/internal/socket"
@@ -23,15 +22,13 @@
 	conn   net.Conn // the network connection; nil until it is open
 	closed bool     // one side has closed the connection, so no further attempt starts on it
 
-	// The fields from job to writeStartedAt describe the attempt that the connection carries.
-	job            policy.JobID     // job of the attempt; empty while the connection is idle
-	notIdempotent  bool             // the job may be retried only if it is certain that this attempt never ran
-	writeStarted   bool             // a byte of the attempt may have been sent
-	writeDone      bool             // the last byte of the attempt has been sent
-	writeEnded     chan writeResult // receives one value when the write of the attempt has ended
-	writeStartedAt time.Time        // when writeStarted was set
+	// The fields from job to writeEnded describe the attempt that the connection carries.
+	job           policy.JobID     // job of the attempt; empty while the connection is idle
+	notIdempotent bool             // the job may be retried only if it is certain that this attempt never ran
+	writeStarted  bool             // a byte of the attempt may have been sent
+	writeEnded    chan writeResult // receives one value when the write of the attempt has ended
 
-	idleSince time.Time // when the last response was complete; zero before the first response
+	used bool // the connection has carried an attempt that was answered
 }
 
 // writeResult is the result of writing an attempt.
@@ -108,12 +105,9 @@
 		c.pool.post(node.AttemptNotSent{Conn: c.id, Client: client})
 		return
 	}
-	c.writeStarted, c.writeStartedAt = true, time.Now()
+	c.writeStarted = true
 	c.mu.Unlock()
 	n, err := c.conn.Write(request)
-	c.mu.Lock()
-	c.writeDone = err == nil
-	c.mu.Unlock()
 	c.writeEnded <- writeResult{started: n > 0, complete: err == nil}
 	if err != nil {
 		c.close()
@@ -134,7 +128,7 @@
 // carried no attempt yet.
 func (c *executorConn) hasUnreadInput() bool {
 	c.mu.Lock()
-	used := !c.idleSince.IsZero()
+	used := c.used
 	c.mu.Unlock()
 	unread := false
 	if used {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,11 +8,9 @@
 	"io"
 	"math"
 	"net/http"
-	"os"
 	"time"
 
 	"birchstair/internal/node"
-	"birchstair/internal/socket"
 	"birchstair/policy"
 )
 
@@ -25,10 +23,6 @@
 
 	// trailingTimeout bounds how long the rest of a response can take after the line with the outcome.
 	trailingTimeout = time.Second
-
-	// staleWindow is how long after a response a second response to the same attempt can arrive. The protocol's description
-	// speaks of some milliseconds.
-	staleWindow = 20 * time.Millisecond
 )
 
 // handleResponse waits for a response, reads it and posts its outcome. It returns true if the connection can carry another
@@ -53,18 +47,21 @@
 	var rest io.Reader
 	if err == nil {
 		rest, err = c.readOutcome(r, limited, head, job, &ended)
-		if err == nil && ended.Outcome == policy.ExecutorFull && c.mayBeStale() {
-			err = c.confirmRejection(r, rest)
-		}
 	} else {
 		err = fmt.Errorf("no response: %w", err)
 	}
-	if err != nil && !c.fail(err, &ended) {
-		return false
-	}
-	if ended.Outcome != policy.Succeeded {
+	sent := true
+	switch {
+	case err != nil:
+		sent = c.fail(err, &ended)
+	case ended.Outcome == policy.RejectedUnproven:
+		sent = c.failUnproven(&ended)
+	case ended.Outcome != policy.Succeeded:
 		c.close()
 	}
+	if !sent {
+		return false
+	}
 	c.pool.post(ended)
 	return ended.Outcome == policy.Succeeded && rest != nil && c.finishResponse(rest)
 }
@@ -84,6 +81,20 @@
 	return true
 }
 
+var errUnproven = errors.New("rejection may belong to an earlier attempt on this connection")
+
+// failUnproven closes the connection after a rejection that proves nothing, and returns false if no byte of the attempt was sent, as fail
+// does. Unlike after fail, an attempt that was sent completely was rejected, or an earlier one was: the connection is not broken.
+func (c *executorConn) failUnproven(ended *node.AttemptEnded) (sent bool) {
+	rejected := *ended
+	sent = c.fail(errUnproven, ended)
+	if ended.Outcome == policy.ConnectionLost {
+		rejected.Detail = errUnproven.Error()
+		*ended = rejected
+	}
+	return sent
+}
+
 // readOutcome reads a response until the outcome of the attempt is known, and sets it in ended. It returns a reader for the rest
 // of the response, or nil if the connection can't be used again because the executor closes it after this response. An error means that the connection broke or that the response is invalid.
 func (c *executorConn) readOutcome(r *bufio.Reader, limited *io.LimitedReader, head *headReader, job policy.JobID, ended *node.AttemptEnded) (io.Reader, error) {
@@ -101,6 +112,9 @@
 		err = c.readLines(response.Body, job, ended)
 	} else {
 		ended.Outcome, ended.Detail = outcomeOfStatus(response)
+		if ended.Outcome == policy.ExecutorFull && c.rejectionUnproven() {
+			ended.Outcome = policy.RejectedUnproven
+		}
 	}
 	if err != nil || response.Close {
 		return nil, err
@@ -136,35 +150,13 @@
 	return errors.New("incomplete response")
 }
 
-// mayBeStale reports whether a rejection could be a second response to the connection's previous attempt. A rejection by status
-// does not name its job, unlike a response line. If a stale rejection were taken for the response to this attempt, an
-// at-most-once job could run twice.
-func (c *executorConn) mayBeStale() bool {
+// rejectionUnproven reports whether a rejection by status does not prove that the connection's attempt never ran, and whether that
+// matters, because the job may be retried only then. A status does not name its job, unlike a response line. On a connection that has
+// carried an attempt before, it can be a second response to that one, however late it comes, and whether or not another one follows.
+func (c *executorConn) rejectionUnproven() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.notIdempotent && !c.idleSince.IsZero() && (!c.writeDone || c.writeStartedAt.Sub(c.idleSince) < staleWindow)
-}
-
-// confirmRejection waits for staleWindow to see whether another response follows. If another response follows, the rejection can
-// belong to the previous attempt. The error then means that this attempt may have run.
-func (c *executorConn) confirmRejection(r *bufio.Reader, rest io.Reader) error {
-	if rest == nil { // the executor closes the connection, so no further response can follow on it
-		return errors.New("response may belong to the previous attempt, and the connection ends")
-	}
-	c.conn.SetReadDeadline(time.Now().Add(staleWindow))
-	_, err := io.Copy(io.Discard, io.LimitReader(rest, maxHeaderBytes))
-	if err == nil {
-		_, err = r.Peek(1)
-	}
-	c.conn.SetReadDeadline(time.Time{})
-	c.mu.Lock()
-	writeDone := c.writeDone
-	c.mu.Unlock()
-	// A read can time out although bytes have arrived, so the socket is checked as well.
-	if unread, _ := socket.Pending(c.conn); writeDone && !unread && errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil
-	}
-	return fmt.Errorf("response may belong to the previous attempt: %v", err) //nolint:errorlint // err is nil if another response follows
+	return c.notIdempotent && c.used
 }
 
 // finishResponse reads the rest of a response and makes the connection idle. It returns false if the rest is incomplete or too
@@ -180,6 +172,6 @@
 	c.conn.SetDeadline(time.Time{})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.job, c.writeStarted, c.writeDone, c.idleSince = "", false, false, time.Now()
+	c.job, c.writeStarted, c.used = "", false, true
 	return !c.closed
 }
--- a/internal/upstream/second_response_test.go
+++ b/internal/upstream/second_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -88,7 +89,7 @@
 			if outcome != c.want || !closed {
 				t.Fatalf("outcome %v, connection closed: %t; want %v on a closed connection", outcome, closed, c.want)
 			}
-			if n, err := executor.Read(make([]byte, 1)); err != io.EOF {
+			if n, err := executor.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 				t.Errorf("the executor reads %d bytes, %v; want the end of the connection", n, err)
 			}
 		})
@@ -104,7 +105,7 @@
 		if !closed {
 			t.Fatalf("%q: the outcome is posted while the connection is open", second)
 		}
-		if n, err := executor.Read(make([]byte, 1)); err != io.EOF {
+		if n, err := executor.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 			t.Errorf("%q: the executor reads %d bytes, %v; want the end of the connection", second, n, err)
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -113,7 +113,8 @@
 
 // outcomes are the names of outcomes in the golden files.
 var outcomes = map[policy.Outcome]string{policy.Succeeded: "handled", policy.ExecutorError: "errored",
-	policy.InvalidRequest: "unfit", policy.ExecutorFull: "no room", policy.ConnectFailed: "no route", policy.ConnectionLost: "cut"}
+	policy.InvalidRequest: "unfit", policy.ExecutorFull: "no room", policy.ConnectFailed: "no route", policy.ConnectionLost: "cut",
+	policy.RejectedUnproven: "no room, unproven"}
 
 // printer prints the events of a connection.
 type printer struct {
--- a/internal/upstream/write_races_test.go
+++ b/internal/upstream/write_races_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -153,43 +154,54 @@
 	golden.Compare(t, "idle-conn-disturbed.txt", text)
 }
 
-// TestStaleResponse has a rejection arrive while the next attempt is being written. If another response follows, the rejection
-// may be a second response to the previous attempt, and the attempt of an at-most-once job counts as possibly run. If none
-// follows, it counts as rejected.
+// TestStaleResponse guards against a job that must not run twice and does: a rejection that arrives on a used connection may be a second
+// response to an attempt before, so it does not prove that this attempt never ran. That holds whether or not another response follows:
+// silence proves nothing, as the attempt's own response can take any time. Only if no byte of the attempt was sent did it never run.
 func TestStaleResponse(t *testing.T) {
-	text := ""
-	for _, c := range []struct {
-		title  string
-		follow bool
-	}{{"another response follows", true}, {"no response follows", false}} {
-		u := newUsedConn(t, c.title, nil)
-		writes := u.halts.OnConn(1, emulator.BeforeWrite, 0)
+	beside := newUsedConn(t, "beside the write", nil)
+	writes := beside.halts.OnConn(1, emulator.BeforeWrite, 0)
+	beside.pool.Write(1, atMostOnce("j2"))
+	beside.awaitStop(writes)
+	beside.respond(emptyResponse(rejectedHead))
+	for conn, closed := beside.pool.conn(1), false; !closed; time.Sleep(time.Millisecond) {
+		conn.mu.Lock()
+		closed = conn.closed
+		conn.mu.Unlock()
+	}
+	writes.Release()
+	beside.printUntilClosed()
+	text := beside.out.String()
+	for _, follow := range []bool{true, false} {
+		u := newUsedConn(t, fmt.Sprintf("after the write, another response follows: %t", follow), nil)
 		u.pool.Write(1, atMostOnce("j2"))
-		u.awaitStop(writes)
-		reads := u.halts.OnConn(1, emulator.BeforeRead, 0)
-		u.respond(emptyResponse(rejectedHead))
-		u.awaitStop(reads) // the response has been read, and the reader waits for more
-		writes.Release()
 		u.readAttempt()
-		if c.follow {
-			u.respond(okResponse(`{"id":"j2","state":"started"}`))
-		}
-		for conn, sent := u.pool.conn(1), false; !sent; time.Sleep(time.Millisecond) {
-			conn.mu.Lock()
-			sent = conn.writeDone
-			conn.mu.Unlock()
-		}
-		reads.Release()
-		if u.printNext(t); c.follow {
-			u.printUntilClosed()
-		} else {
-			u.printNext(t)
+		response := emptyResponse(rejectedHead)
+		if follow {
+			response += okResponse(`{"id":"j2","state":"started"}`)
 		}
+		u.respond(response)
+		u.printUntilClosed()
 		text += u.out.String()
 	}
 	golden.Compare(t, "stale-response.txt", text)
 }
 
+// TestRejectionProvesNeverRan has an attempt of an at-most-once job rejected where the rejection can belong to no other attempt: by a
+// status on a connection that has carried none before, and by a line that names the job. The job may then be retried.
+func TestRejectionProvesNeverRan(t *testing.T) {
+	unused := newConn(t, "status on an unused connection", nil)
+	unused.pool.Write(1, atMostOnce("j2"))
+	unused.readAttempt()
+	unused.respond(emptyResponse(rejectedHead))
+	unused.printUntilClosed()
+	used := newUsedConn(t, "line on a used connection", nil)
+	used.pool.Write(1, atMostOnce("j2"))
+	used.readAttempt()
+	used.respond(okResponse(`{"id":"j2","state":"returned"}`))
+	used.printUntilClosed()
+	golden.Compare(t, "rejection-proves.txt", unused.out.String()+used.out.String())
+}
+
 // TestResponseBeforeAttempt has a response arrive on a connection that is claimed for an attempt, before the first byte of that is
 // written. The response must not count as the attempt's, and no byte may be sent.
 func TestResponseBeforeAttempt(t *testing.T) {
--- a/policy/events.go
+++ b/policy/events.go
@@ -7,17 +7,21 @@
 
 // The outcomes of an attempt.
 const (
-	Succeeded      Outcome = iota // the job was completed
-	ExecutorError                 // the executor answered with an error; the job has possibly run
-	InvalidRequest                // the executor rejected the request as invalid; the job has possibly run
-	ExecutorFull                  // the executor had no capacity and rejected the job without running it
-	TimedOut                      // the executor didn't answer in time; the job has possibly run or is still running
-	ConnectFailed                 // the connection failed before the whole request was written; the job never ran
-	ConnectionLost                // the connection broke after the whole request was written; the job has possibly run
-	Canceled                      // this node canceled the attempt; the job has possibly run
-	NotSent                       // the attempt was never sent; the job never ran
+	Succeeded        Outcome = iota // the job was completed
+	ExecutorError                   // the executor answered with an error; the job has possibly run
+	InvalidRequest                  // the executor rejected the request as invalid; the job has possibly run
+	ExecutorFull                    // the executor had no capacity and rejected the job without running it
+	TimedOut                        // the executor didn't answer in time; the job has possibly run or is still running
+	ConnectFailed                   // the connection failed before the whole request was written; the job never ran
+	ConnectionLost                  // the connection broke after the whole request was written; the job has possibly run
+	Canceled                        // this node canceled the attempt; the job has possibly run
+	NotSent                         // the attempt was never sent; the job never ran
+	RejectedUnproven                // the executor rejected this attempt or an earlier one; the job has possibly run
 )
 
+// isRejection reports whether the executor rejected an attempt because it had no capacity.
+func (o Outcome) isRejection() bool { return o == ExecutorFull || o == RejectedUnproven }
+
 // NeverRan reports whether the outcome proves that the job never ran in this attempt.
 func (o Outcome) NeverRan() bool { return o == ExecutorFull || o == ConnectFailed || o == NotSent }
 
--- a/policy/outcome.go
+++ b/policy/outcome.go
@@ -19,7 +19,7 @@
 	switch outcome {
 	case Succeeded:
 		d.recordSuccess(a, now)
-	case ExecutorFull:
+	case ExecutorFull, RejectedUnproven:
 		e.queuing.recordFull(a.tenantID, runTime)
 		d.recordFailure(a, outcome, now)
 		d.delayTokenRelease(e, runTime, now)
@@ -57,7 +57,7 @@
 	if outcome == ExecutorError {
 		return true
 	}
-	fullForOne := outcome == ExecutorFull && a.tenant != nil && !e.queuing.fullForSeveral
+	fullForOne := outcome.isRejection() && a.tenant != nil && !e.queuing.fullForSeveral
 	return e.health.suspect && !fullForOne
 }
 
--- a/policy/outlier_test.go
+++ b/policy/outlier_test.go
@@ -44,6 +44,7 @@
 		{"a first rejection", ExecutorFull, false, nil, false, false},
 		{"a second rejection, no tenants", ExecutorFull, true, nil, false, true},
 		{"a second rejection of one tenant", ExecutorFull, true, someTenant, false, false},
+		{"a second rejection of one tenant, which proves nothing", RejectedUnproven, true, someTenant, false, false},
 		{"a second rejection, several tenants", ExecutorFull, true, someTenant, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/policy/trace_test.go
+++ b/policy/trace_test.go
@@ -219,15 +219,16 @@
 }
 
 var outcomeNames = map[string]Outcome{
-	"succeeded":       Succeeded,
-	"executor-error":  ExecutorError,
-	"invalid-request": InvalidRequest,
-	"executor-full":   ExecutorFull,
-	"timed-out":       TimedOut,
-	"connect-failed":  ConnectFailed,
-	"connection-lost": ConnectionLost,
-	"canceled":        Canceled,
-	"not-sent":        NotSent,
+	"succeeded":         Succeeded,
+	"executor-error":    ExecutorError,
+	"invalid-request":   InvalidRequest,
+	"executor-full":     ExecutorFull,
+	"timed-out":         TimedOut,
+	"connect-failed":    ConnectFailed,
+	"connection-lost":   ConnectionLost,
+	"canceled":          Canceled,
+	"not-sent":          NotSent,
+	"rejected-unproven": RejectedUnproven,
 }
 
 var endpointUpdateNames = map[string]EndpointUpdateKind{
