Give each accepted durable job a lease of its own, and never its ID's again

Cause: a lease was named by the ID that the client chose, and epochs begin with 1. Executors remember a name longer than the node does: after DELETE, at the end of keep, at other nodes. Asked about the second job's epoch 1 they answered, truthfully, for the first one's.

Fix: at its acceptance each job gets a lease, durable-ID- and 130 random bits, which is its X-Call-Id and its name in lease queries. The records of the job and of each attempt hold it. It is also the job's ID in the state machine, so that late events of a job that was let go reach no other. Stores of earlier versions open: what was never sent gets a lease with its first attempt; an attempt without a lease is not queried, as the answer may be about another job, so what may not run again fails.

Related fault, same mechanism: the late end of an attempt of a job that was let go counted as the end of the next job's attempt with that epoch, which could then run twice after a crash.

"store show" names the lease of an attempt.

Tests: golden files of wires and stores are unchanged; TestWire and TestLeaseWire leave out the random part, and TestLeaseEncoding pins the new key. TestTransitions gives its recovered attempts a lease, as those without one are not queried any more. TestOrdinaryJobNamedLikeDurable uses the durable job's real name at executors.

--- a/cmd/birchstair/store.go
+++ b/cmd/birchstair/store.go
@@ -121,6 +121,9 @@
 	switch r.Kind {
 	case store.AttemptStarted:
 		s += fmt.Sprintf(" under epoch %d to %s", r.Epoch, oneline.Escape(r.Executor))
+		if r.Lease != "" {
+			s += " as " + oneline.Escape(r.Lease)
+		}
 	case store.AttemptEnded:
 		s += fmt.Sprintf(", epoch %d", r.Epoch)
 		if r.NeverRan {
--- a/cmd/birchstair/store_test.go
+++ b/cmd/birchstair/store_test.go
@@ -45,7 +45,7 @@
 	}
 	s := open()
 	put := func(r store.Record) {
-		done := make(chan error, 1)
+		done := make(chan error, 2)
 		r.At = day
 		s.Append(r, func(err error) { done <- err })
 		if err := <-done; err != nil {
@@ -108,6 +108,7 @@
 	for _, r := range []store.Record{
 		{Kind: store.Accepted, ID: "a\r\nb", At: day, JobClass: "order", Deadline: day, URI: "/caf\xe9", IdempotencyKey: "k\t1"},
 		{Kind: store.AttemptStarted, ID: "a\r\nb", At: day, Epoch: 1, Executor: "e\n1"},
+		{Kind: store.AttemptStarted, ID: "a\r\nb", At: day, Epoch: 2, Executor: "e\n1", Lease: "durable-a\r\nb-X"},
 	} {
 		s.Append(r, func(err error) { done <- err })
 		if err := <-done; err != nil {
@@ -120,7 +121,8 @@
 		t.Errorf("list:\n%s", list)
 	}
 	want := "2023-11-14 22:13:20.000  accepted: track order, outer limit 2023-11-14 22:13:20.000, /caf\\xe9, 0 bytes, tag k\\t1\n" +
-		"2023-11-14 22:13:20.000  sent under epoch 1 to e\\n1\n"
+		"2023-11-14 22:13:20.000  sent under epoch 1 to e\\n1\n" +
+		"2023-11-14 22:13:20.000  sent under epoch 2 to e\\n1 as durable-a\\r\\nb-X\n"
 	for _, id := range []string{"a\r\nb", `a\r\nb`} {
 		if got := capture(t, storeShowCmd{id, dir}.Run); got != want {
 			t.Errorf("show %q:\n%swant:\n%s", id, got, want)
--- a/internal/durable/effects.go
+++ b/internal/durable/effects.go
@@ -60,7 +60,7 @@
 		case leases.Submit:
 			m.dispatch(effect)
 		case leases.Withdraw:
-			go m.post(node.ClientLeft{Job: stateMachineID(effect.ID)}) // from a new goroutine for the same reason as in dispatch
+			go m.post(node.ClientLeft{Job: stateMachineID(effect.Lease)}) // from a new goroutine for the same reason as in dispatch
 		case leases.SendAttempt:
 			m.sendAttempt(effect)
 		case leases.DropAttempt:
@@ -123,6 +123,7 @@
 		At:       time.Now(),
 		Epoch:    uint32(effect.Attempt.Epoch),
 		Executor: string(effect.Attempt.Executor),
+		Lease:    string(effect.Attempt.Lease),
 	}
 	m.write(record, func(now time.Duration) []leases.Effect {
 		return m.jobTable.AttemptStored(now, effect.ID, effect.Attempt.Epoch)
@@ -161,7 +162,7 @@
 		Class: effect.Class,
 		Work:  record.Work,
 		Request: node.Request{
-			ID:             stateMachineID(effect.ID),
+			ID:             stateMachineID(effect.Lease),
 			Method:         http.MethodPost,
 			URI:            record.URI,
 			Host:           record.Host,
--- a/internal/durable/export_test.go
+++ b/internal/durable/export_test.go
@@ -1,17 +1,17 @@
 package durable
 
-import (
-	"birchstair/internal/leases"
-	"birchstair/policy"
-)
+import "birchstair/policy"
 
-// StateMachineID returns the ID of a durable job in the node's state machine.
-func StateMachineID(id string) policy.JobID { return stateMachineID(leases.ID(id)) }
+// StateMachineID returns the ID in the node's state machine of a durable job that is stored with a lease.
+func (m *Manager) StateMachineID(id string) policy.JobID {
+	stored, _ := m.store.Get(id)
+	return stateMachineID(storedLease(stored))
+}
 
 // CallID returns the ID at executors of a durable job by its ID in the state machine. durable is false for an ordinary job.
 func CallID(job policy.JobID) (call policy.JobID, durable bool) {
-	id, durable := durableID(job)
-	return callID(id), durable
+	lease, durable := durableLease(job)
+	return callID(lease), durable
 }
 
 // Fault is a defect that tests inject into a Manager.
--- a/internal/durable/interceptors.go
+++ b/internal/durable/interceptors.go
@@ -60,7 +60,9 @@
 	if m.latestConn[ended.id] == conn {
 		delete(m.latestConn, ended.id)
 	}
-	m.effects = append(m.effects, m.jobTable.AttemptEnded(now(), ended.id, ended.epoch, neverRan || m.faults.allEndsAsNeverRan)...)
+	if _, known := m.jobTable.JobOf(ended.lease); known {
+		m.effects = append(m.effects, m.jobTable.AttemptEnded(now(), ended.id, ended.epoch, neverRan || m.faults.allEndsAsNeverRan)...)
+	}
 	m.mu.Unlock()
 	m.applyEffects()
 }
@@ -72,12 +74,16 @@
 // Answer handles the answers to durable jobs, and passes the answers to ordinary jobs on to the frontend.
 func (e *frontendInterceptor) Answer(answer node.Answer) {
 	m := (*Manager)(e)
-	id, durable := durableID(answer.Job)
+	lease, durable := durableLease(answer.Job)
 	if !durable {
 		m.frontend.Answer(answer)
 		return
 	}
 	m.step(func(now time.Duration) []leases.Effect {
+		id, known := m.jobTable.JobOf(lease)
+		if !known {
+			return nil
+		}
 		return m.jobTable.Answered(now, id, leases.Outcome(answer.Final), answer.Result)
 	})
 }
@@ -150,17 +156,18 @@
 // appends nothing and closes the connection.
 func (e *upstreamInterceptor) Write(conn node.ConnID, request node.Attempt) {
 	m := (*Manager)(e)
-	id, durable := durableID(request.ID)
+	lease, durable := durableLease(request.ID)
 	if !durable {
 		m.upstream.Write(conn, request)
 		return
 	}
 	m.mu.Lock()
+	id, _ := m.jobTable.JobOf(lease) // the table starts no attempt of a job that is forgotten
 	epoch, effects := m.jobTable.AttemptStarted(now(), id, m.executorByAddr[m.connAddrs[conn]])
 	m.effects = append(m.effects, effects...)
 	if epoch > 0 {
-		request.Request = m.fencedRequest(request.Request, id, epoch)
-		m.attempts[conn] = &attempt{id: id, epoch: epoch, request: request, startedAt: time.Now()}
+		request.Request = m.fencedRequest(request.Request, lease, epoch)
+		m.attempts[conn] = &attempt{id: id, lease: lease, epoch: epoch, request: request, startedAt: time.Now()}
 		m.latestConn[id] = conn
 	}
 	sendBeforeWrite := m.faults.sendBeforeWrite
@@ -175,9 +182,9 @@
 }
 
 // fencedRequest returns a copy of a job's request as an executor receives it, with this epoch.
-func (m *Manager) fencedRequest(request *node.Request, id leases.ID, epoch leases.Epoch) *node.Request {
+func (m *Manager) fencedRequest(request *node.Request, lease leases.LeaseID, epoch leases.Epoch) *node.Request {
 	fenced := *request
-	fenced.ID = callID(id)
+	fenced.ID = callID(lease)
 	fenced.Epoch = uint32(epoch)
 	if m.faults.omitEpoch {
 		fenced.Epoch = 0
--- a/internal/durable/lease_query.go
+++ b/internal/durable/lease_query.go
@@ -37,7 +37,7 @@
 	m.mu.Unlock()
 	found, result := leases.QueryUnanswered, []byte(nil)
 	if addr != "" {
-		found, result = m.requestLease(addr, string(callID(effect.ID)), effect.Epoch)
+		found, result = m.requestLease(addr, effect.Lease, effect.Epoch)
 	}
 	if m.ctx.Err() != nil {
 		return
@@ -49,10 +49,10 @@
 
 // requestLease sends a lease query and returns its result. The result is QueryUnanswered if the executor can't be reached or sends
 // an unknown response. It is QueryUnsupported if the executor doesn't serve leasePath.
-func (m *Manager) requestLease(addr, job string, epoch leases.Epoch) (leases.QueryResult, []byte) {
+func (m *Manager) requestLease(addr string, lease leases.LeaseID, epoch leases.Epoch) (leases.QueryResult, []byte) {
 	ctx, cancel := context.WithTimeout(m.ctx, queryTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, leaseURL(addr, job, epoch), nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, leaseURL(addr, string(callID(lease)), epoch), nil)
 	if err != nil {
 		return leases.QueryUnanswered, nil
 	}
--- a/internal/durable/manager.go
+++ b/internal/durable/manager.go
@@ -66,6 +66,7 @@
 // attempt is an attempt of a durable job. It has been sent to its executor, or will be sent once its record is synced.
 type attempt struct {
 	id        leases.ID
+	lease     leases.LeaseID
 	epoch     leases.Epoch
 	request   node.Attempt
 	startedAt time.Time // when the budget in request was right
--- a/internal/durable/order_test.go
+++ b/internal/durable/order_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"birchstair/internal/durable"
 	"birchstair/internal/emulator"
 	"birchstair/internal/node"
 )
@@ -50,7 +49,7 @@
 		case <-time.After(eventLimit):
 			t.Fatalf("round %d: a job was acknowledged, but is not submitted to the state machine", round)
 		}
-		f.front.Answer(node.Answer{Job: durable.StateMachineID("a"), Final: node.Succeeded, Result: []byte("r")})
+		f.front.Answer(node.Answer{Job: f.durable.StateMachineID("a"), Final: node.Succeeded, Result: []byte("r")})
 		f.awaitDone(target, round)
 		var clients sync.WaitGroup
 		clients.Go(func() { f.request(http.MethodDelete, target) })
--- a/internal/durable/recover.go
+++ b/internal/durable/recover.go
@@ -1,6 +1,7 @@
 package durable
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -61,6 +62,19 @@
 	return jobs, lastWrite
 }
 
+// storedLease returns the lease of a job in the store, under which it is sent from now on. A job that an earlier version accepted has
+// none, and gets one with its first attempt here: under its ID alone executors may know another job.
+func storedLease(job store.JobState) leases.LeaseID {
+	lease := job.Accepted.Lease
+	for _, attempt := range job.Attempts {
+		lease = cmp.Or(attempt.Lease, lease)
+	}
+	if lease == "" {
+		return newLease(leases.ID(job.Accepted.ID))
+	}
+	return leases.LeaseID(lease)
+}
+
 // recoverJob adds one job to the job table. The job keeps the terms with which it was accepted, whatever its class is now. If the
 // job's class is no longer configured, the job can't be submitted to the policy. Such a job is treated as an at-most-once job whose
 // deadline has passed. recoverJob must be called with m.mu held.
@@ -76,6 +90,7 @@
 	for _, stored := range job.Attempts {
 		attempts = append(attempts, leases.Attempt{
 			Epoch:    leases.Epoch(stored.Epoch),
+			Lease:    leases.LeaseID(stored.Lease),
 			Executor: policy.ExecutorID(stored.Executor),
 			At:       sinceEpoch(stored.At),
 			NeverRan: stored.Ended && stored.NeverRan,
@@ -89,6 +104,7 @@
 	}
 	recovered := leases.Job{
 		ID:          leases.ID(job.Accepted.ID),
+		Lease:       storedLease(job),
 		Class:       accepted,
 		Deadline:    deadline,
 		PolicyClass: class.id,
--- a/internal/durable/request_values_test.go
+++ b/internal/durable/request_values_test.go
@@ -92,7 +92,7 @@
 			_, target, found := strings.Cut(restarted.out.String(), "asks "+addr+": GET ")
 			target, _, _ = strings.Cut(target, "\n")
 			query, err := url.Parse(target)
-			if !found || err != nil || query.Path != "/-/leases/durable-"+id || query.RawQuery != "epoch=1" {
+			if !found || err != nil || withoutLeaseSuffix(query.Path) != "/-/leases/durable-"+id || query.RawQuery != "epoch=1" {
 				t.Errorf("lease query about %q at %s: %q, error %v", id, addr, target, err)
 			}
 		})
@@ -111,15 +111,18 @@
 		if !sim.submit("a", "order") {
 			t.Fatal(sim.violations)
 		}
+		sim.mu.Lock()
+		lease, _ := durable.CallID(sim.manager.StateMachineID("a"))
+		sim.mu.Unlock()
 		for _, c := range []struct {
 			id, class string
 			want      int
 		}{
-			{"durable-a", "order", http.StatusOK},
+			{string(lease), "order", http.StatusOK},
 			{"durable-b", "order", http.StatusOK},
 			{"durable-", "order", http.StatusOK},
-			{"durable-a", "order", http.StatusBadGateway},
-			{"durable-a", "page", http.StatusOK},
+			{string(lease), "order", http.StatusBadGateway},
+			{string(lease), "page", http.StatusOK},
 		} {
 			status, _, _ := sim.call("ordinary-"+c.id, http.MethodPost, "/", "X-Call-Id: "+c.id+"\r\n", "X-Call-Class: "+c.class+"\r\n", "X-Budget-Ms: 3000\r\n")
 			if status != c.want {
--- a/internal/durable/simulation_test.go
+++ b/internal/durable/simulation_test.go
@@ -60,6 +60,7 @@
 	violations   []string          // guarantees that were not kept
 	incarnation  int               // number of starts of the node
 	addr         string            // address of the node's latest incarnation
+	manager      *durable.Manager  // manager of the node's latest incarnation
 	finished     bool              // the scenario has ended; executors no longer restart
 }
 
@@ -91,7 +92,7 @@
 		OnEffect: func(job policy.JobID) {
 			sim.mu.Lock()
 			defer sim.mu.Unlock()
-			sim.effects[strings.TrimPrefix(string(job), "durable-")]++
+			sim.effects[clientID(string(job))]++
 		},
 		RunTime: func() time.Duration { return time.Duration(sim.random(300)) * time.Millisecond }}
 	listen := func() {
@@ -214,6 +215,9 @@
 		},
 	}
 	manager := durable.New(options, jobs, classNames, classes, p.dialOutsideUpstream, zerolog.Nop())
+	sim.mu.Lock()
+	sim.manager = manager
+	sim.mu.Unlock()
 	manager.InjectFault(sim.fault)
 	addr := fmt.Sprintf("127.2.0.1:%d", 8000+incarnation)
 	listener, err := sim.net.Listen(p.host, addr)
--- a/internal/durable/submission_test.go
+++ b/internal/durable/submission_test.go
@@ -71,7 +71,7 @@
 type recordingExecutor struct {
 	mu       sync.Mutex
 	busy     bool
-	results  map[string]string // results by X-Call-Id
+	results  map[string]string // results by the ID that the client chose
 	requests []receivedRequest
 	errors   []error // errors of requests that could not be read
 }
@@ -113,7 +113,7 @@
 		if e.busy {
 			state, end = "started", ""
 		}
-		line, err := json.Marshal(map[string]string{"id": got.callID, "state": state, "result": e.results[got.callID]})
+		line, err := json.Marshal(map[string]string{"id": got.callID, "state": state, "result": e.results[clientID(got.callID)]})
 		e.mu.Unlock()
 		if err != nil {
 			return
@@ -218,12 +218,12 @@
 func (r *submissionRun) submitAll(submissions []rawSubmission) map[string]rawSubmission {
 	byID := map[string]rawSubmission{}
 	for i, s := range submissions {
-		want, id, err := s.expected()
+		_, id, err := s.expected()
 		if _, known := byID[id]; known {
 			continue
 		}
 		r.executor.mu.Lock()
-		r.executor.results[want.callID] = s.result
+		r.executor.results[id] = s.result
 		r.executor.mu.Unlock()
 		status, body := r.send(fmt.Sprint("submission ", i), s.bytes())
 		switch {
@@ -251,7 +251,8 @@
 	}
 	counts := map[string]int{}
 	for _, got := range r.executor.requests {
-		id := strings.TrimPrefix(got.callID, "durable-")
+		id := clientID(got.callID)
+		got.callID = "durable-" + id
 		s, ok := byID[id]
 		if !ok {
 			r.violation("an executor received %+v, which nobody submitted", got)
--- a/internal/durable/submit.go
+++ b/internal/durable/submit.go
@@ -50,7 +50,9 @@
 	m.ackWaiters[id] = written
 	class := m.classes[record.JobClass]
 	record.RetryTerms = retryTerms(class.lease)
-	accepted := leases.Job{ID: id, Class: class.lease, Deadline: sinceEpoch(record.Deadline), PolicyClass: class.id}
+	lease := newLease(id)
+	record.Lease = string(lease)
+	accepted := leases.Job{ID: id, Lease: lease, Class: class.lease, Deadline: sinceEpoch(record.Deadline), PolicyClass: class.id}
 	effects, _ := m.jobTable.Accept(sinceEpoch(record.At), accepted) // can't fail, because State has found no job with this ID
 	m.effects = append(m.effects, effects...)
 	m.mu.Unlock()
--- a/internal/durable/terms_test.go
+++ b/internal/durable/terms_test.go
@@ -104,15 +104,21 @@
 
 // writeEarlierJob writes the records of job a, with an attempt that may have run, as versions without terms in their records did.
 func writeEarlierJob(t *testing.T, disk *emulator.Disk, class string) {
+	t.Helper()
+	writeRecords(t, disk, []store.Record{
+		{Kind: store.Accepted, ID: "a", At: time.Now(), JobClass: class, Deadline: time.Now().Add(time.Hour), URI: "/"},
+		{Kind: store.AttemptStarted, ID: "a", At: time.Now(), Epoch: 1, Executor: "e"},
+	})
+}
+
+// writeRecords writes records to a store on a disk.
+func writeRecords(t *testing.T, disk *emulator.Disk, records []store.Record) {
 	t.Helper()
 	s, err := store.Open(disk, store.Options{SegmentBytes: 20000})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, r := range []store.Record{
-		{Kind: store.Accepted, ID: "a", At: time.Now(), JobClass: class, Deadline: time.Now().Add(time.Hour), URI: "/"},
-		{Kind: store.AttemptStarted, ID: "a", At: time.Now(), Epoch: 1, Executor: "e"},
-	} {
+	for _, r := range records {
 		done := make(chan error, 1)
 		s.Append(r, func(err error) { done <- err })
 		if err := <-done; err != nil {
@@ -154,7 +160,7 @@
 		if out := f.out.String(); strings.Count(out, "durable-a") != 1 || !strings.Contains(out, "close 2") {
 			t.Errorf("sent: %s, want one attempt, and the second connection closed", out)
 		}
-		if left, ok := (<-f.events).(node.ClientLeft); !ok || left.Job != durable.StateMachineID("a") {
+		if left, ok := (<-f.events).(node.ClientLeft); !ok || left.Job != f.durable.StateMachineID("a") {
 			t.Errorf("the state machine gets %+v, want that the client of job a has left", left)
 		}
 		if final := f.final(); !strings.Contains(final, "broken off") {
--- a/internal/durable/wire_test.go
+++ b/internal/durable/wire_test.go
@@ -47,6 +47,7 @@
 func (e upstreamStub) CheckHealth(policy.ExecutorID, string) {}
 func (e upstreamStub) Write(c node.ConnID, a node.Attempt) {
 	e.budgets = append(e.budgets, a.Budget)
+	e.sent = append(e.sent, a)
 	fmt.Fprintf(&e.out, "    to executors: on %d, %s %s, host %q, content type %q, key %q, epoch %d, body %q\n",
 		c, a.ID, a.URI, a.Host, a.ContentType, a.IdempotencyKey, a.Epoch, a.Body)
 }
@@ -60,6 +61,8 @@
 	up      node.Upstream   // the upstream that the state machine would call
 	events  chan node.Event // events that the manager posts
 	budgets []time.Duration // budgets of the attempts that are sent to executors
+	sent    []node.Attempt  // the attempts that are sent to executors
+	leases  leaseExecutor   // the executor at leaseExecutorAddr
 }
 
 // fixtureClasses are the ordinary job classes page, order and bill of a fixture.
@@ -97,6 +100,10 @@
 	here, there := net.Pipe()
 	go func() {
 		defer there.Close()
+		if addr == leaseExecutorAddr {
+			f.leases.answerQuery(there)
+			return
+		}
 		query, err := http.ReadRequest(bufio.NewReader(there))
 		if err != nil {
 			return
@@ -216,18 +223,18 @@
 			f.call("its state", http.MethodGet, target, "")
 			f.call("let go too early", http.MethodDelete, target, "")
 			f.up.Dial(node.ConnID(i+1), "never:1")
-			request := node.Request{ID: durable.StateMachineID(job.id), URI: "/u", Host: "h", IdempotencyKey: "k", Body: []byte("body")}
+			request := node.Request{ID: f.durable.StateMachineID(job.id), URI: "/u", Host: "h", IdempotencyKey: "k", Body: []byte("body")}
 			f.up.Write(node.ConnID(i+1), node.Attempt{Request: &request})
 			time.Sleep(time.Second)
 			synctest.Wait()
 			f.durable.Observe(0, node.AttemptEnded{Conn: node.ConnID(i + 1), Outcome: policy.TimedOut}, nil)
-			f.front.Answer(node.Answer{Job: durable.StateMachineID(job.id), Final: job.final, Result: []byte("result " + job.id)})
+			f.front.Answer(node.Answer{Job: f.durable.StateMachineID(job.id), Final: job.final, Result: []byte("result " + job.id)})
 			f.call("its final answer", http.MethodGet, target+"?wait_ms=5000", "")
 			f.call("let go", http.MethodDelete, target, "")
 		}
 		f.call("handed in", http.MethodPut, "/-/jobs/e", "body", class, budget)
 		f.printNextJob()
-		f.front.Answer(node.Answer{Job: durable.StateMachineID("e"), Final: node.Rejected})
+		f.front.Answer(node.Answer{Job: f.durable.StateMachineID("e"), Final: node.Rejected})
 		f.call("rejected, never sent", http.MethodGet, "/-/jobs/e?wait_ms=5000", "")
 		f.call("waited for in vain", http.MethodPut, "/-/jobs/d", "", class, budget)
 		f.printNextJob()
@@ -265,7 +272,7 @@
 		failingDisk.FailSync = 1
 		failing.call("a store that is broken", http.MethodPut, "/-/jobs/a", "body", class, budget)
 		fmt.Fprintf(&failing.out, "its end: %v\n", failing.durable.Close())
-		golden.Compare(t, "wire.txt", f.out.String()+full.out.String()+failing.out.String())
+		golden.Compare(t, "wire.txt", withoutLeaseSuffix(f.out.String()+full.out.String()+failing.out.String()))
 	})
 }
 
@@ -291,7 +298,7 @@
 			f.call("handed in", http.MethodPut, "/-/jobs/a", "body", "X-Call-Class: order", "X-Budget-Ms: 60000")
 			f.printNextJob()
 			f.up.Dial(1, addr)
-			f.up.Write(1, node.Attempt{Request: &node.Request{ID: durable.StateMachineID("a"), URI: "/u"}})
+			f.up.Write(1, node.Attempt{Request: &node.Request{ID: f.durable.StateMachineID("a"), URI: "/u"}})
 			time.Sleep(time.Second)
 			synctest.Wait()
 			disk.Crash()
@@ -308,5 +315,5 @@
 			}
 		})
 	}
-	golden.Compare(t, "lease-wire.txt", out.String())
+	golden.Compare(t, "lease-wire.txt", withoutLeaseSuffix(out.String()))
 }
--- a/internal/leases/effects.go
+++ b/internal/leases/effects.go
@@ -40,11 +40,15 @@
 	// Submit gives a job to the policy, which must answer the job by the given time.
 	Submit struct {
 		ID    ID
+		Lease LeaseID
 		Class policy.JobClassID
 		Until time.Duration
 	}
 	// Withdraw takes a job back from the policy, which starts no more attempts and gives no answer.
-	Withdraw struct{ ID ID }
+	Withdraw struct {
+		ID    ID
+		Lease LeaseID
+	}
 	// SendAttempt sends an attempt to its executor. It follows only after the record of the attempt is on disk.
 	SendAttempt struct {
 		ID    ID
@@ -58,6 +62,7 @@
 	// QueryAttempt asks an executor for the state of an attempt. AttemptQueried reports the answer.
 	QueryAttempt struct {
 		ID       ID
+		Lease    LeaseID
 		Epoch    Epoch
 		Executor policy.ExecutorID
 	}
--- a/internal/leases/job.go
+++ b/internal/leases/job.go
@@ -10,6 +10,10 @@
 // ID identifies a durable job. The client chooses it.
 type ID string
 
+// LeaseID is the name of a job at executors. It belongs to one accepted job for ever, unlike an ID: clients use an ID again once its job is
+// forgotten, and at other nodes, while executors remember what became of an earlier job's attempts.
+type LeaseID string
+
 // Epoch is the number of an attempt of a job. It counts from 1 and goes on counting after a restart of the node.
 type Epoch uint32
 
@@ -55,6 +59,7 @@
 // Job is a durable job as it was submitted. All times in this package are wall clock times, as durations since 1970.
 type Job struct {
 	ID       ID
+	Lease    LeaseID       // name of the attempts that this process starts
 	Class    JobClass      // as it was when the job was accepted
 	Deadline time.Duration // time by which the job must have its final answer
 
@@ -67,6 +72,7 @@
 // Attempt is an attempt to run a job on an executor.
 type Attempt struct {
 	Epoch    Epoch
+	Lease    LeaseID // empty if an earlier version of the program started the attempt
 	Executor policy.ExecutorID
 	At       time.Duration // when the policy started the attempt
 	NeverRan bool          // whether the attempt has ended and provably never ran
--- a/internal/leases/job_table.go
+++ b/internal/leases/job_table.go
@@ -20,11 +20,12 @@
 // the order returned. The methods are not safe for concurrent use.
 type JobTable struct {
 	settings   Settings
-	jobs       map[ID]*job // all jobs that are not forgotten
-	waiting    waitHeap    // jobs in state Waiting
-	dispatched int         // number of jobs in state Dispatched
-	held       bool        // whether no job is submitted and no executor queried, because the executors are not known yet
-	stopped    bool        // whether the node is shutting down
+	jobs       map[ID]*job      // all jobs that are not forgotten
+	byLease    map[LeaseID]*job // the same jobs
+	waiting    waitHeap         // jobs in state Waiting
+	dispatched int              // number of jobs in state Dispatched
+	held       bool             // whether no job is submitted and no executor queried, because the executors are not known yet
+	stopped    bool             // whether the node is shutting down
 
 	timers   timerHeap
 	wakeAt   time.Duration // time of the pending Wake effect, or wakeNotSet
@@ -35,7 +36,7 @@
 
 // NewJobTable creates an empty table.
 func NewJobTable(settings Settings) *JobTable {
-	return &JobTable{settings: settings, jobs: map[ID]*job{}, wakeAt: wakeNotSet}
+	return &JobTable{settings: settings, jobs: map[ID]*job{}, byLease: map[LeaseID]*job{}, wakeAt: wakeNotSet}
 }
 
 // State returns the state of a job, and false if there is no job with this ID.
@@ -47,6 +48,15 @@
 	return j.state, true
 }
 
+// JobOf returns the ID of the job to which a lease belongs, and false if that job is forgotten, even if another one has its ID.
+func (t *JobTable) JobOf(lease LeaseID) (ID, bool) {
+	j := t.byLease[lease]
+	if j == nil {
+		return "", false
+	}
+	return j.ID, true
+}
+
 // Answer returns the final answer of a job in state Done, without the result, which is on disk.
 func (t *JobTable) Answer(id ID) Outcome { return t.jobs[id].final }
 
@@ -83,7 +93,7 @@
 func (t *JobTable) add(added Job) *job {
 	t.sequence++
 	j := &job{Job: added, sequence: t.sequence, heapIndex: -1}
-	t.jobs[added.ID] = j
+	t.jobs[added.ID], t.byLease[added.Lease] = j, j
 	t.schedule(added.Deadline, j)
 	return j
 }
@@ -92,8 +102,7 @@
 // the client.
 func (t *JobTable) JobNotStored(now time.Duration, id ID) []Effect {
 	if j := t.jobs[id]; j != nil && j.state == Storing {
-		delete(t.jobs, id)
-		j.cancelTimers()
+		t.drop(j)
 	}
 	return t.finish(now)
 }
@@ -127,7 +136,7 @@
 		default:
 			j.state, j.sendUntil = Dispatched, min(j.Deadline, j.retryUntil())
 			t.dispatched++
-			t.emit(Submit{j.ID, j.PolicyClass, j.sendUntil})
+			t.emit(Submit{j.ID, j.Lease, j.PolicyClass, j.sendUntil})
 		}
 	}
 }
@@ -168,7 +177,7 @@
 		return 0, t.finish(now)
 	}
 	j.inFlight++
-	attempt := Attempt{Epoch: Epoch(len(j.attempts) + 1), Executor: executor, At: now}
+	attempt := Attempt{Epoch: Epoch(len(j.attempts) + 1), Lease: j.Lease, Executor: executor, At: now}
 	j.attempts = append(j.attempts, attempt)
 	t.emit(StoreAttempt{id, attempt})
 	return attempt.Epoch, t.finish(now)
@@ -182,7 +191,7 @@
 	}
 	t.dispatched--
 	t.finalize(j, Failed, nil)
-	t.emit(Withdraw{j.ID})
+	t.emit(Withdraw{j.ID, j.Lease})
 }
 
 // AttemptStored reports that the record of an attempt is on disk. The attempt is sent, unless the job has left state
@@ -277,9 +286,15 @@
 }
 
 func (t *JobTable) forget(j *job) {
+	t.drop(j)
+	t.emit(StoreForget{j.ID})
+}
+
+// drop removes a job from the table.
+func (t *JobTable) drop(j *job) {
 	j.cancelTimers()
 	delete(t.jobs, j.ID)
-	t.emit(StoreForget{j.ID})
+	delete(t.byLease, j.Lease)
 }
 
 // Stop reports that the node is shutting down. No more jobs are submitted to the policy.
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -91,7 +91,7 @@
 func (tr *trace) recover(title string, settings Settings, now, last float64, class JobClass, neverRan bool) {
 	tr.table = NewJobTable(settings)
 	tr.call(fmt.Sprintf("# %s, recovered at %.0f s, sent at 2 s", title, now), tr.table.Recover(tr.at(now), at(last), Job{ID: "j", Class: class, Deadline: at(60)},
-		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, 0))
+		[]Attempt{{Epoch: 1, Lease: "lease", Executor: "e", At: at(2), NeverRan: neverRan}}, nil, 0))
 }
 
 func at(seconds float64) time.Duration { return time.Duration(seconds * 1e9) }
@@ -209,7 +209,7 @@
 	tr.table = NewJobTable(settings)
 	tr.table.Hold()
 	tr.call(fmt.Sprintf("# %s, held, recovered at 5 s, sent at 2 s", title), tr.table.Recover(tr.at(5), at(2), Job{ID: "j", Class: class, Deadline: at(60)},
-		[]Attempt{{Epoch: 1, Executor: "e", At: at(2), NeverRan: neverRan}}, nil, 0))
+		[]Attempt{{Epoch: 1, Lease: "lease", Executor: "e", At: at(2), NeverRan: neverRan}}, nil, 0))
 }
 
 func traceHeld(tr *trace, settings, withQueries Settings) {
--- a/internal/leases/recovery.go
+++ b/internal/leases/recovery.go
@@ -32,11 +32,13 @@
 	return t.finish(now)
 }
 
-// query asks the executor for the state of the job's earliest attempt that may have run. If executors don't support
-// leases, it can't be found out whether that attempt ran, and the job fails. While the table is held, the query waits for
-// Release.
+// query asks the executor for the state of the job's earliest attempt that may have run. It can't be found out whether
+// that attempt ran if executors don't support leases, or if the attempt has no lease of its own: an earlier version named
+// it by the job's ID, under which the executor can know another job's attempt. The job fails then. While the table is
+// held, the query waits for Release.
 func (t *JobTable) query(now time.Duration, j *job) {
-	if !t.settings.QueryExecutors {
+	first := j.firstPossibleRun()
+	if !t.settings.QueryExecutors || first.Lease == "" {
 		t.finalize(j, Failed, nil)
 		return
 	}
@@ -48,10 +50,9 @@
 		}
 		return
 	}
-	first := j.firstPossibleRun()
 	// Even past its deadline, the job waits at least one QueryInterval for the answer to this query.
 	t.schedule(max(j.Deadline, now+t.settings.QueryInterval), j)
-	t.emit(QueryAttempt{j.ID, first.Epoch, first.Executor})
+	t.emit(QueryAttempt{j.ID, first.Lease, first.Epoch, first.Executor})
 }
 
 // AttemptQueried reports the result of a QueryAttempt effect.
--- a/internal/simulation/kill_setup.go
+++ b/internal/simulation/kill_setup.go
@@ -19,7 +19,7 @@
 	killExecutors  = 3   // number of emulated executors
 	maxRunTimeMS   = 120 // upper limit of the run time of a job, in milliseconds; run times are uniformly distributed below it
 	killAtMostOnce = "once"
-	durablePrefix  = "durable-" // prefix that a node adds to the IDs of durable jobs at executors
+	durablePrefix  = "durable-" // prefix that a node adds to the IDs of durable jobs at executors, as it does a suffix that begins with "-"
 )
 
 // killClasses are the job classes of a run. repeat is the idempotency of the class, under its name in the node's
@@ -120,7 +120,8 @@
 		OnEffect: func(job policy.JobID) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.runsOfJob[strings.TrimPrefix(string(job), durablePrefix)]++
+			id := strings.TrimPrefix(string(job), durablePrefix)
+			r.runsOfJob[id[:max(0, strings.LastIndex(id, "-"))]]++
 		},
 	}
 }
--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -30,6 +30,7 @@
 	NeverRan       bool          `cbor:"14,keyasint,omitempty"`
 	Outcome        uint8         `cbor:"15,keyasint,omitempty"`
 	RetryTerms     *wireTerms    `cbor:"16,keyasint,omitempty"`
+	Lease          text          `cbor:"17,keyasint,omitzero"`
 }
 
 // wireTerms is the encoding of RetryTerms: a CBOR array with these fields in this order.
@@ -144,6 +145,7 @@
 		NeverRan:       r.NeverRan,
 		Outcome:        r.Outcome,
 		RetryTerms:     newWireTerms(r.RetryTerms),
+		Lease:          text(r.Lease),
 	}
 }
 
@@ -179,5 +181,6 @@
 		NeverRan:       w.NeverRan,
 		Outcome:        w.Outcome,
 		RetryTerms:     w.RetryTerms.terms(),
+		Lease:          string(w.Lease),
 	}
 }
--- a/internal/store/codec_test.go
+++ b/internal/store/codec_test.go
@@ -40,6 +40,7 @@
 		NeverRan:       true,
 		Outcome:        2,
 		RetryTerms:     &RetryTerms{Idempotency: 1, DedupGroup: 2, DedupWindow: 7500 * time.Millisecond},
+		Lease:          value,
 	}
 }
 
@@ -118,7 +119,7 @@
 func TestEarlierText(t *testing.T) {
 	for _, value := range []string{latin1, "\xff", "jõgi", "plain"} {
 		r := recordWithText(value)
-		r.RetryTerms = nil // earlier versions had none
+		r.RetryTerms, r.Lease = nil, "" // earlier versions had none
 		earlier := encodeEarlier(t, r)
 		decoded, _, err := decodeRecord(earlier)
 		if err != nil {
@@ -223,7 +224,7 @@
 		r := Record{Kind: Kind(kind), ID: id, At: at, JobClass: header, Work: time.Duration(work), URI: header, Host: header, ContentType: header,
 			IdempotencyKey: header, Body: body, Epoch: epoch, Executor: executor, NeverRan: neverRan, Outcome: outcome}
 		if neverRan {
-			r.RetryTerms = &RetryTerms{Idempotency: outcome, DedupGroup: kind, DedupWindow: time.Duration(work)}
+			r.RetryTerms, r.Lease = &RetryTerms{Idempotency: outcome, DedupGroup: kind, DedupWindow: time.Duration(work)}, executor
 		}
 		b, err := appendRecord(nil, r)
 		if err != nil {
@@ -252,3 +253,34 @@
 		t.Errorf("encoded as %x, error %v, want %s", b, err, want)
 	}
 }
+
+// TestLeaseEncoding pins the bytes of the lease in a record. The golden directories are those of versions without leases.
+func TestLeaseEncoding(t *testing.T) {
+	r := Record{Kind: AttemptStarted, ID: "a", At: time.UnixMicro(0).UTC(), Epoch: 1, Executor: "e", Lease: "durable-a-X"}
+	b, err := appendRecord(nil, r)
+	const want = "a6" + "0102" + "026161" + "03fb0000000000000000" + "0c01" + "0d6165" + "11" + "6b64757261626c652d612d58"
+	if err != nil || hex.EncodeToString(b) != want {
+		t.Errorf("encoded as %x, error %v, want %s", b, err, want)
+	}
+}
+
+// TestCompactionKeepsLeases guards against a lease that is forgotten when a compaction writes a job's records again: the executor would then
+// be asked about a name that it doesn't know, and the job would run twice.
+func TestCompactionKeepsLeases(t *testing.T) {
+	states := JobStates{}
+	for _, r := range []Record{
+		{Kind: Accepted, ID: "a", At: recordTime},
+		{Kind: AttemptStarted, ID: "a", At: recordTime, Epoch: 1, Executor: "e"}, // of an earlier version
+		{Kind: AttemptEnded, ID: "a", At: recordTime, Epoch: 1, NeverRan: true},
+		{Kind: AttemptStarted, ID: "a", At: recordTime, Epoch: 2, Executor: "e", Lease: "durable-a-X"},
+	} {
+		states.Apply(r)
+	}
+	rewritten := JobStates{}
+	for _, r := range states["a"].Records() {
+		rewritten.Apply(r)
+	}
+	if got, want := rewritten["a"].Attempts, states["a"].Attempts; !reflect.DeepEqual(got, want) || got[1].Lease != "durable-a-X" {
+		t.Errorf("attempts after a compaction: %+v, want %+v", got, want)
+	}
+}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -51,12 +51,16 @@
 	Executor string
 	NeverRan bool // the attempt is known not to have run; set in AttemptEnded records only
 
+	// Name of the job at executors; in an AttemptStarted record, the one under which the attempt is sent. Used in Accepted and
+	// AttemptStarted records; empty in those of earlier versions.
+	Lease string
+
 	Outcome uint8 // the leases.Outcome of the final answer; set in Final records
 }
 
 // isUTF8 reports whether all text of a record is UTF-8.
 func (r *Record) isUTF8() bool {
-	for _, text := range [...]string{r.ID, r.JobClass, r.URI, r.Host, r.ContentType, r.IdempotencyKey, r.Executor} {
+	for _, text := range [...]string{r.ID, r.JobClass, r.URI, r.Host, r.ContentType, r.IdempotencyKey, r.Executor, r.Lease} {
 		if !utf8.ValidString(text) {
 			return false
 		}
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -13,6 +13,7 @@
 type Attempt struct {
 	Epoch    uint32
 	Executor string
+	Lease    string    // name of the job at the executor; empty if an earlier version started the attempt
 	At       time.Time // time of the attempt's AttemptStarted record
 	Ended    bool      // the attempt has an AttemptEnded record
 	NeverRan bool      // the attempt is known not to have run
@@ -34,7 +35,7 @@
 	switch r.Kind {
 	case AttemptStarted:
 		if job.attempt(r.Epoch) == nil {
-			job.Attempts = append(job.Attempts, Attempt{Epoch: r.Epoch, Executor: r.Executor, At: r.At})
+			job.Attempts = append(job.Attempts, Attempt{Epoch: r.Epoch, Executor: r.Executor, Lease: r.Lease, At: r.At})
 		}
 	case AttemptEnded:
 		if attempt := job.attempt(r.Epoch); attempt != nil {
@@ -64,10 +65,10 @@
 func (s *JobState) Records() []Record {
 	records := []Record{*s.Accepted}
 	for _, a := range s.Attempts {
-		r := Record{Kind: AttemptStarted, ID: s.Accepted.ID, At: a.At, Epoch: a.Epoch, Executor: a.Executor}
+		r := Record{Kind: AttemptStarted, ID: s.Accepted.ID, At: a.At, Epoch: a.Epoch, Executor: a.Executor, Lease: a.Lease}
 		records = append(records, r)
 		if a.Ended {
-			r.Kind, r.NeverRan = AttemptEnded, a.NeverRan
+			r.Kind, r.NeverRan, r.Lease = AttemptEnded, a.NeverRan, ""
 			records = append(records, r)
 		}
 	}
