--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -23,9 +23,9 @@
 // # Files
 //
 // Each area of the state is a struct of its own. As a rule, a struct's fields are written only by the file that
-// declares the struct, and other files call its methods. There are three exceptions: reload.go sets fields of Limits,
-// relay.go maintains handoff.deferred, the commands that are run again after a handoff, and idle_conns.go maintains the
-// lists of idle connections.
+// declares the struct, and other files call its methods. There are four exceptions: reload.go sets fields of Limits,
+// relay.go maintains handoff.deferred, the commands that are run again after a handoff, idle_conns.go maintains the
+// lists of idle connections, and attempts.go sets the fields of a connection that describe its attempt.
 //
 //	events.go       events and the values they carry
 //	effects.go      effects
@@ -35,7 +35,8 @@
 //	tasks.go        the policy's due tasks and the timer
 //	jobs.go         jobs from arrival to final answer, and their deadlines
 //	used_ids.go     IDs of jobs that must not run again
-//	conns.go        connections to executors, attempts on them, health checks
+//	conns.go        connections to executors, health checks
+//	attempts.go     attempts, from the policy's decision to their outcome
 //	idle_conns.go   idle connections, ordered by how long they have been idle
 //	endpoints.go    the executors that the endpoint list names
 //	job_classes.go  job classes
