Copy the nodes that memberlist reports, so that no address is read while it changes

Fix: memberlist reports a node with its lock held; there it is copied under the package's lock, and all else uses the copy.

Evidence: TestPeersAreCopied changes a node right after its report; without the copy the race detector reports it and the test fails, each time.

--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -57,7 +57,7 @@
 	pushPullInterval time.Duration
 
 	mu           sync.Mutex
-	peers        map[string]*memberlist.Node // living nodes; each is entered twice, by its name and by its metadata
+	peers        map[string]*memberlist.Node // copies of the living nodes; each is entered twice, by its name and by its metadata
 	deadAddrs    map[string]string           // addresses of the peers that are considered dead, by name
 	resumed      map[string]bool             // names in deadAddrs of peers that have sent a message since
 	peersChanged chan struct{}               // signals that peers has changed
@@ -174,10 +174,7 @@
 // sides would not find each other again.
 func (m *Membership) joinSeeds(ctx context.Context, list *memberlist.Memberlist) {
 	for {
-		alive := map[string]bool{}
-		for _, peer := range list.Members() {
-			alive[peer.Address()] = true
-		}
+		alive := m.aliveAddrs()
 		for _, seed := range m.options.Seeds {
 			isOwn := seed == m.options.Advertise || seed == m.options.Listen
 			if ctx.Err() == nil && !isOwn && !alive[seed.String()] {
@@ -319,8 +316,23 @@
 	return names
 }
 
-// setAlive records whether a node is alive. The node can be this one.
-func (m *Membership) setAlive(peer *memberlist.Node, alive bool) {
+// aliveAddrs returns the addresses of the living nodes, including this one.
+func (m *Membership) aliveAddrs() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addrs := map[string]bool{}
+	for _, peer := range m.peers {
+		addrs[peer.Address()] = true
+	}
+	return addrs
+}
+
+// setAlive records whether a node is alive. The node can be this one. It keeps a copy of the node: memberlist calls
+// setAlive with its
+// lock held, and changes the node later under that lock alone.
+func (m *Membership) setAlive(reported *memberlist.Node, alive bool) {
+	copied := *reported
+	peer := &copied
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, key := range [...]string{peer.Name, string(peer.Meta)} {
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
 	"github.com/rs/zerolog"
 
 	"birchstair/internal/cluster"
@@ -127,3 +128,27 @@
 		n.SendGossip(cluster.Envelope{To: "peer", Message: cluster.Message{From: "node", Incarnation: 1, Seq: seq}})
 	})
 }
+
+// TestPeersAreCopied guards against a data race, which can also send a message to an address that never was the peer's: memberlist goes on
+// changing a node under a lock of its own after it has reported the node, while this package reads the address to join or to send. Here
+// memberlist changes the address right after the report; what this package uses changes with the next report only.
+func TestPeersAreCopied(t *testing.T) {
+	m := New(Options{Name: "me"}, func(node.Event) {}, zerolog.Nop())
+	reported := &memberlist.Node{Name: "peer", Addr: net.IPv4(127, 0, 0, 1), Port: 7001, Meta: []byte("#1")}
+	m.NotifyJoin(reported)
+	var changes sync.WaitGroup
+	changes.Go(func() { reported.Addr, reported.Port = net.IPv4(127, 0, 0, 2), 7002 })
+	for _, key := range []string{"peer", "#1"} {
+		if peer := m.peer(key); peer == nil || peer.Address() != "127.0.0.1:7001" {
+			t.Errorf("peer %s: %v, want it at 127.0.0.1:7001", key, peer)
+		}
+	}
+	if addrs := m.aliveAddrs(); len(addrs) != 1 || !addrs["127.0.0.1:7001"] {
+		t.Errorf("addresses of living nodes: %v, want 127.0.0.1:7001", addrs)
+	}
+	changes.Wait()
+	m.NotifyJoin(reported)
+	if addrs := m.aliveAddrs(); len(addrs) != 1 || !addrs["127.0.0.2:7002"] {
+		t.Errorf("addresses of living nodes after the next report: %v, want 127.0.0.2:7002", addrs)
+	}
+}
