--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -43,6 +43,7 @@
 	DiscoveryUnreachable FaultKind = "list-cut"     // nodes cannot reach discovery
 	Burst                FaultKind = "burst"        // clients make Size times the usual load
 	HeavyTail            FaultKind = "heavy-tail"   // one batch job in 50 costs Size times the usual
+	SecondAnswers        FaultKind = "answer-twice" // executors send a second, late answer after the fraction Size of their answers; networked only
 	ClockSkew            FaultKind = "clock-off"    // executors that start during the fault state a start Size seconds after the true one
 )
 
@@ -78,7 +79,8 @@
 	NodePaused: {target: OnNodes}, FalseGossip: {target: OnNodes}, GossipPartitioned: {target: OnNodes}, DiscoveryUnreachable: {target: OnNodes},
 	GossipLost: {OnAll, 0.01, 1, "a fraction"},
 	Burst:      {OnAll, 1, 100, "times the usual"}, HeavyTail: {OnAll, 1, 1000, "times the usual"},
-	ClockSkew: {OnAll, -3600, 3600, "seconds"},
+	SecondAnswers: {OnAll, 0.01, 1, "a fraction"},
+	ClockSkew:     {OnAll, -3600, 3600, "seconds"},
 }
 
 // FaultKinds returns all kinds, in the order of their names.
--- a/internal/simulation/draw.go
+++ b/internal/simulation/draw.go
@@ -50,10 +50,13 @@
 // oneIn returns true with a probability of 1/n.
 func oneIn(r *rand.Rand, n int) bool { return r.IntN(n) == 0 }
 
-// otherFaults returns the kinds of fault that are neither in adminFaults nor in gossipFaults.
+// undrawnFaults are the kinds of fault that are in no drawn scenario. Tests have scenarios of their own for them.
+var undrawnFaults = []emulator.FaultKind{emulator.SecondAnswers}
+
+// otherFaults returns the kinds of fault that are neither in adminFaults nor in gossipFaults, without undrawnFaults.
 func otherFaults() []emulator.FaultKind {
 	return slices.DeleteFunc(emulator.FaultKinds(), func(k emulator.FaultKind) bool {
-		return slices.Contains(adminFaults, k) || slices.Contains(gossipFaults, k)
+		return slices.Contains(adminFaults, k) || slices.Contains(gossipFaults, k) || slices.Contains(undrawnFaults, k)
 	})
 }
 
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -46,6 +46,8 @@
 		}
 	case emulator.ResetNew:
 		sim.newConnResetRate = size
+	case emulator.SecondAnswers:
+		sim.secondAnswerRate = size
 	case emulator.UnresponsiveNew:
 		sim.newConnUnresponsiveRate = size
 	case emulator.UnresponsiveOld, emulator.ResetOld, emulator.ClientReset:
--- a/internal/simulation/networked_executor.go
+++ b/internal/simulation/networked_executor.go
@@ -103,5 +103,28 @@
 	}
 	if complete {
 		socket.conn.SetReadDeadline(time.Now().Add(time.Duration(ns.sim.scenario.Fleet.IdleTimeout)))
+		ns.scheduleSecondAnswer(x, socket, answer)
 	}
 }
+
+// maxSecondAnswerDelay is the longest time from an answer to the second answer that emulator.SecondAnswers brings about.
+const maxSecondAnswerDelay = 60 * time.Millisecond
+
+// scheduleSecondAnswer has an executor send a second answer to an attempt with the probability of the current fault: the same answer or,
+// after half of the others, a rejection, which names no job.
+func (ns *networkedSimulation) scheduleSecondAnswer(x *executor, socket *executorSocket, answer emulator.Message) {
+	name := fmt.Sprint(answer.Job, answer.Conn)
+	if ns.net.Chance("second"+name) >= ns.sim.secondAnswerRate {
+		return
+	}
+	if ns.net.Chance("second kind"+name) < 0.5 {
+		answer.Kind = emulator.AttemptRejected
+	}
+	text, _ := new(platform.Answer).Append(nil, answer, x.ID, platform.Result(string(ns.requests[answer.Job].work.ID)))
+	delay := time.Duration(ns.net.Chance("second delay"+name) * float64(maxSecondAnswerDelay))
+	ns.sim.after(delay, func() {
+		if x.sockets[answer.Conn] == socket {
+			socket.conn.Write(text) //nolint:errcheck // the node may have closed the connection
+		}
+	})
+}
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -55,6 +55,7 @@
 	gossipLoss              float64     // probability that a message between nodes is lost
 	newConnResetRate        float64     // probability that a new connection breaks at its first use
 	newConnUnresponsiveRate float64     // probability that a new connection delivers nothing to the node
+	secondAnswerRate        float64     // probability that an executor sends a second answer; used in networked simulations
 	clockOffset             time.Duration
 
 	checker      *invariants.Checker
