Allow for a suspension of 0.15 s before a window of repeats ends

No check can stand near enough to the write; only a margin helps.

Fix: what the policy and durable jobs use of a window ends 0.15 s and the time to dial before it. config check names tracks whose window then allows no retry. Nearest to the write are: on an idle connection the decision itself, which is in the same step; on a dialed one or one that replaces a closed one mayMissDedupWindow; for a durable job AttemptStored.

Cost: a retry in the last 0.15 s of a window is not sent.

--- a/cmd/birchstair/check_test.go
+++ b/cmd/birchstair/check_test.go
@@ -30,6 +30,8 @@
 	plain := write("plain", "{"+address+","+fmt.Sprintf(settings, "", "")+"}")
 	hedging := write("hedging", "{"+address+`,"management":"127.0.0.1:8082","limits":{"memory_mb":128,"sockets":256},"probe":{"path":"/load","timeout_s":0.5},`+
 		`"clients":{"marks-retry":true},`+fmt.Sprintf(settings, `,"second-copies":true,"probes":true`, `,"report":{"how":"on_probe","fields":["active"]}`)+"}")
+	keyed := strings.Replace(fmt.Sprintf(settings, "", ""), `"repeat":"repeatable"`, `"repeat":"by_key","dedup-scope":"all","dedup-window-s":0.2`, 1)
+	shortWindow := write("short-window", "{"+address+","+keyed+"}")
 	incomplete := write("incomplete", "{"+address+"}")
 	durable := write("durable.toml", "[durable]\ndir = \"store\"\nouter-limit = \"2m\"\nkeep = \"10m\"\n")
 	broken := write("broken.toml", "[durable]\nnothing = 1\n")
@@ -52,6 +54,7 @@
 	run(hedging, "config", "check")
 	run(hedging, "config", "check", "--site", durable)
 	run(plain, "config", "check", "--site", broken)
+	run(shortWindow, "config", "check")
 	run(incomplete, "config", "check")
 	run("", "config", "check")
 	run("", "ops", "check")
--- a/cmd/birchstair/config.go
+++ b/cmd/birchstair/config.go
@@ -9,6 +9,7 @@
 	"birchstair/internal/discovery"
 	"birchstair/internal/gossip"
 	"birchstair/internal/site"
+	"birchstair/policy"
 )
 
 // configCmd has the commands for the configuration. They need no running node.
@@ -50,6 +51,12 @@
 	}
 	fmt.Printf("probes are %s; second copies of repeatable batch jobs are %s; retry marks of clients are %s\n",
 		probes, onOff(p.MayHedge && siteConfig.Durable == nil), retryMarks)
+	for i, class := range p.JobClasses {
+		if class.Idempotency == policy.IdempotentWithKey && class.DedupWindow == 0 {
+			fmt.Printf("track %s: its batch jobs are not sent again once they may have run, as dedup-window-s is too short for it\n",
+				node.Settings.JobClassNames[i])
+		}
+	}
 	return nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -102,6 +102,10 @@
 	return nil
 }
 
+// maxSuspension is how long a process can be suspended between reading its clock and writing, as the operators' page on the standing
+// test has it.
+const maxSuspension = 150 * time.Millisecond
+
 // maxStandardFD is the descriptor of standard error, the highest standard stream.
 const maxStandardFD = 2
 
@@ -110,11 +114,11 @@
 	settings, policySettings := &c.Settings, &c.Settings.Policy
 	policySettings.Seed = crc32.ChecksumIEEE([]byte(file.Seed))
 	for i := range policySettings.JobClasses {
-		// A retry must reach the executor within the executor's deduplication window. Opening the connection for it can
-		// take up to DialTimeout after the policy has decided on the retry, so DialTimeout is subtracted from the
-		// window that the policy uses.
+		// A retry must reach the executor within the executor's deduplication window. After the policy has decided on
+		// the retry, opening the connection for it can take up to DialTimeout, and the process can be suspended between
+		// its last look at the clock and the write. Both are subtracted from the window that the policy uses.
 		window := &policySettings.JobClasses[i].DedupWindow
-		*window = max(0, *window-settings.DialTimeout)
+		*window = max(0, *window-settings.DialTimeout-maxSuspension)
 	}
 	settings.Probe = Probe{Path: file.Probe.Path, Timeout: Seconds(valueOr(file.Probe.TimeoutS, defaultProbeTimeout))}
 	// The settings only permit health checks and gossip, and do not enable them. Health checks also need a path, and
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"birchstair/internal/golden"
 )
@@ -152,3 +153,19 @@
 		}
 	}
 }
+
+// TestDedupWindowAllowsForSuspension guards against a job that runs twice: a node decides on a retry shortly before executors forget the
+// job's idempotency key, is suspended before it writes, and writes afterwards. What the policy uses of the window ends as long before as
+// a dial and a suspension of 0.15 s can take together, and a window that is shorter allows no retry.
+func TestDedupWindowAllowsForSuspension(t *testing.T) {
+	for window, want := range map[string]time.Duration{"1": 650 * time.Millisecond, "7.5": 7150 * time.Millisecond, "0.3": 0} {
+		text := strings.Replace(completeConfig, `"repeat":"once"`, `"repeat":"by_key","dedup-scope":"all","dedup-window-s":`+window, 1)
+		c, err := parse([]byte(text), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Settings.Policy.JobClasses[0].DedupWindow; got != want { // the time to dial is 0.2 s
+			t.Errorf("of a window of %s s the policy uses %v, want %v", window, got, want)
+		}
+	}
+}
--- a/internal/config/wire_test.go
+++ b/internal/config/wire_test.go
@@ -97,7 +97,7 @@
 			{"outer-limit-s", class.Deadline},
 			{"repeat", int(class.Idempotency)},
 			{"dedup-scope", int(class.DedupGroup)},
-			{"dedup-window-s, less the time to dial", class.DedupWindow},
+			{"dedup-window-s, less the time to dial and of a suspension", class.DedupWindow},
 			{"late-earnings", class.LateValue},
 			{"earnings", class.Value},
 			{"caps.max-allocations", class.MaxAttempts},
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -62,7 +62,7 @@
 }
 
 // mayMissDedupWindow reports whether a retry with an idempotency key could reach its executor after the end of the
-// dedup window. The policy's dedup window is shorter than the executors' by DialTimeout, to allow for the time between the
+// dedup window. The policy's dedup window is shorter than the executors' by DialTimeout (and by a suspension), to allow for the time between the
 // decision on a retry and its sending. If more than DialTimeout has passed since the decision, an executor might no
 // longer recognize the retry as a duplicate, and would run the job again.
 func (n *Node) mayMissDedupWindow(c *conn, j *job) bool {
