Simulation: close a connection after an answer that is not a success, as package upstream does

The simulation without sockets has a model of the connections of its own. It kept them after rejections and errors, where package upstream closes them since, and knew no rejection that proves nothing.

--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -25,6 +25,9 @@
 	history  *attemptHistory
 	written  bool // the last byte of the attempt has left the node
 	ended    bool // the node has been notified of the end of the attempt, or is about to be
+
+	notIdempotent bool // the job may be retried only if it is certain that this attempt never ran
+	progressed    bool // the executor has notified the node of the attempt's start or progress
 }
 
 // recordAttempt records that the first byte of a new attempt is sent.
@@ -72,6 +75,7 @@
 	}
 	conn.uses++
 	attempt := n.recordAttempt(request, conn.executor)
+	attempt.notIdempotent = effect.Attempt.NotIdempotent
 	conn.attempt = attempt
 	if conn.uses == 1 {
 		attempt.history.dialedAt, attempt.history.connUpAt = conn.dialedAt, conn.upAt
@@ -151,6 +155,7 @@
 	}
 	load := node.Load{Load: policy.Load{InFlight: answer.Load.InFlight, Queued: answer.Load.Queued, FreeSlots: answer.Load.FreeSlots,
 		FreeMemory: -1, RunTime: -1}, Known: answer.Load.Known}
+	attempt.progressed = attempt.progressed || answer.Kind == emulator.AttemptStarted || answer.Kind == emulator.AttemptProgress
 	switch answer.Kind {
 	case emulator.AttemptStarted:
 		if sentAt-attempt.request.sentAt > queuedStart {
@@ -167,9 +172,26 @@
 	if answer.Kind == emulator.AttemptDone {
 		event.Result = []byte("done " + attempt.request.work.ID)
 	}
+	if event.Outcome == policy.ExecutorFull && c.uses > 1 && attempt.notIdempotent && !attempt.progressed {
+		event.Outcome = policy.RejectedUnproven // the answer names no job
+	}
+	if event.Outcome == policy.Succeeded {
+		c.deliver(event)
+		if c.state == connUp {
+			c.becomeIdle()
+		}
+		return
+	}
+	c.closeAfterAnswer()
 	c.deliver(event)
+}
+
+// closeAfterAnswer closes a connection whose attempt has not succeeded, as package upstream does.
+func (c *executorConn) closeAfterAnswer() {
 	if c.state == connUp {
-		c.becomeIdle()
+		c.state = connClosed
+		c.closeAtExecutor()
+		c.deliverAfter(processingDelay/2, node.ConnClosed{Conn: c.id})
 	}
 }
 
